--- /dev/null
+++ b/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is the root of the programs and of what only they share.
+package cmd
--- /dev/null
+++ b/cmd/endtoend/doc.go
@@ -0,0 +1,2 @@
+// Package endtoend tests the programs as separate processes.
+package endtoend
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,192 @@
+package coltsfootward
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// KeyDigest is the SHA-256 digest of a caller's key, in hexadecimal. Keys
+// themselves are never stored and never leave the node that a caller reached.
+type KeyDigest string
+
+// DigestKey returns the digest under which key is stored and compared.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(hex.EncodeToString(sum[:]))
+}
+
+// Rate bounds an organisation's requests over all instances together: over
+// every window of length w at most Burst + PerSecond·w requests start.
+type Rate struct {
+	// PerSecond is the sustained rate in requests per second.
+	PerSecond float64 `msgpack:"per_second" json:"per_second"`
+	// Burst is the number of requests that may start at once.
+	Burst int64 `msgpack:"burst" json:"burst"`
+}
+
+// Organisation is a tenant and its share.
+type Organisation struct {
+	Name     OrganisationName `msgpack:"name" json:"name"`
+	Rate     Rate             `msgpack:"rate" json:"rate"`
+	Revision Revision         `msgpack:"revision" json:"revision"`
+}
+
+// Key is a caller's credential, known only by its digest.
+type Key struct {
+	// ID is the name operators use for the key; it is no secret.
+	ID           string           `msgpack:"id" json:"id"`
+	Digest       KeyDigest        `msgpack:"digest" json:"digest"`
+	Organisation OrganisationName `msgpack:"organisation" json:"organisation"`
+	// Withdrawn is set once and never cleared.
+	Withdrawn bool     `msgpack:"withdrawn" json:"withdrawn"`
+	Revision  Revision `msgpack:"revision" json:"revision"`
+}
+
+// Mark says how the requests that it matches are treated. An empty Method
+// matches every method; the longest PathPrefix that matches wins.
+type Mark struct {
+	Method     string   `msgpack:"method" json:"method"`
+	PathPrefix string   `msgpack:"path_prefix" json:"path_prefix"`
+	Priority   Priority `msgpack:"priority" json:"priority"`
+	// Unrepeatable requests run at most once.
+	Unrepeatable bool `msgpack:"unrepeatable" json:"unrepeatable"`
+}
+
+// Service is a service of the call graph. A service exists once operators
+// created it; backend servers that announce an unknown one get no work.
+type Service struct {
+	Name  ServiceName `msgpack:"name" json:"name"`
+	Marks []Mark      `msgpack:"marks" json:"marks"`
+	// Attempts bounds the attempts of one request over the whole chain that
+	// starts at this service. Zero means the node's setting.
+	Attempts int `msgpack:"attempts" json:"attempts"`
+	// Timeout bounds a request that brings no timeout of its own. Zero means
+	// the node's setting.
+	Timeout  time.Duration `msgpack:"timeout" json:"timeout"`
+	Revision Revision      `msgpack:"revision" json:"revision"`
+}
+
+// MarkFor returns the mark for a request. Without a matching one the request
+// has normal priority and is repeatable only if its method is idempotent by
+// RFC 9110.
+func (s Service) MarkFor(method, path string) Mark {
+	best := Mark{Method: method, Priority: PriorityNormal, Unrepeatable: !isIdempotentMethod(method)}
+	length := -1
+	for _, m := range s.Marks {
+		if m.Method != "" && m.Method != method {
+			continue
+		}
+		if !strings.HasPrefix(path, m.PathPrefix) || len(m.PathPrefix) <= length {
+			continue
+		}
+		best = m
+		length = len(m.PathPrefix)
+	}
+	return best
+}
+
+func isIdempotentMethod(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	default:
+		return false
+	}
+}
+
+// Configuration is what operators have set, at one revision. It is immutable:
+// the With methods return changed copies. The zero value is the empty
+// configuration. It is safe for concurrent use.
+type Configuration struct {
+	revision      Revision
+	organisations map[OrganisationName]Organisation
+	keys          map[KeyDigest]Key
+	services      map[ServiceName]Service
+}
+
+// Revision returns the revision of the last change that the configuration holds.
+func (c Configuration) Revision() Revision {
+	return c.revision
+}
+
+// Organisation returns the organisation of that name.
+func (c Configuration) Organisation(name OrganisationName) (Organisation, bool) {
+	o, ok := c.organisations[name]
+	return o, ok
+}
+
+// Key returns the key with that digest, withdrawn or not.
+func (c Configuration) Key(digest KeyDigest) (Key, bool) {
+	k, ok := c.keys[digest]
+	return k, ok
+}
+
+// Service returns the service of that name.
+func (c Configuration) Service(name ServiceName) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Organisations returns every organisation, sorted by name.
+func (c Configuration) Organisations() []Organisation {
+	return sortedValues(c.organisations)
+}
+
+// Keys returns every key, sorted by digest.
+func (c Configuration) Keys() []Key {
+	return sortedValues(c.keys)
+}
+
+// Services returns every service, sorted by name.
+func (c Configuration) Services() []Service {
+	return sortedValues(c.services)
+}
+
+// WithRevision returns a copy at revision r.
+func (c Configuration) WithRevision(r Revision) Configuration {
+	c.revision = r
+	return c
+}
+
+// WithOrganisation returns a copy that holds o in place of any organisation of that name.
+func (c Configuration) WithOrganisation(o Organisation) Configuration {
+	c.organisations = withEntry(c.organisations, o.Name, o)
+	return c
+}
+
+// WithKey returns a copy that holds k in place of any key with that digest. A
+// withdrawn key stays withdrawn whatever k says.
+func (c Configuration) WithKey(k Key) Configuration {
+	if old, ok := c.keys[k.Digest]; ok && old.Withdrawn {
+		k.Withdrawn = true
+	}
+	c.keys = withEntry(c.keys, k.Digest, k)
+	return c
+}
+
+// WithService returns a copy that holds s in place of any service of that name.
+func (c Configuration) WithService(s Service) Configuration {
+	s.Marks = slices.Clone(s.Marks)
+	c.services = withEntry(c.services, s.Name, s)
+	return c
+}
+
+func withEntry[K comparable, V any](entries map[K]V, key K, value V) map[K]V {
+	changed := make(map[K]V, len(entries)+1)
+	maps.Copy(changed, entries)
+	changed[key] = value
+	return changed
+}
+
+func sortedValues[K ~string, V any](entries map[K]V) []V {
+	names := slices.Sorted(maps.Keys(entries))
+	values := make([]V, 0, len(names))
+	for _, name := range names {
+		values = append(values, entries[name])
+	}
+	return values
+}
--- /dev/null
+++ b/core/message/message.go
@@ -0,0 +1,141 @@
+// Package message defines what nodes say to each other. Every message is a
+// typed value; coltsfootward/io/peer carries it as msgpack over TCP.
+package message
+
+import (
+	"time"
+
+	"coltsfootward"
+)
+
+// Kind names a message type on the wire.
+type Kind string
+
+// The kinds of message.
+const (
+	KindAnnouncement         Kind = "announcement"
+	KindConfigurationDigest  Kind = "configuration_digest"
+	KindConfigurationPull    Kind = "configuration_pull"
+	KindConfigurationChanges Kind = "configuration_changes"
+)
+
+// Message is one message between nodes.
+type Message interface {
+	// MessageKind names the type on the wire.
+	MessageKind() Kind
+}
+
+// prototypes returns an empty value of each kind. A new message type is added
+// here and nowhere else.
+var prototypes = map[Kind]func() Message{
+	KindAnnouncement:         func() Message { return &Announcement{} },
+	KindConfigurationDigest:  func() Message { return &ConfigurationDigest{} },
+	KindConfigurationPull:    func() Message { return &ConfigurationPull{} },
+	KindConfigurationChanges: func() Message { return &ConfigurationChanges{} },
+}
+
+// New returns an empty message of that kind to decode into, or nil for a kind
+// that this version does not know.
+func New(kind Kind) Message {
+	if prototype, ok := prototypes[kind]; ok {
+		return prototype()
+	}
+	return nil
+}
+
+// Announcement says what a backend server offers. The higher Incarnation, then
+// the higher Version, is the newer one.
+type Announcement struct {
+	Instance coltsfootward.Instance `msgpack:"instance"`
+	// Version orders the announcements of one incarnation.
+	Version uint64                    `msgpack:"version"`
+	Service coltsfootward.ServiceName `msgpack:"service"`
+	// Slots is the number of requests that the backend server serves at once.
+	Slots int `msgpack:"slots"`
+	// Draining is set when the backend server takes no new work.
+	Draining bool `msgpack:"draining"`
+}
+
+// MessageKind implements Message.
+func (*Announcement) MessageKind() Kind { return KindAnnouncement }
+
+// ConfigurationDigest tells a peer which revision the sender has in force.
+type ConfigurationDigest struct {
+	Revision coltsfootward.Revision `msgpack:"revision"`
+}
+
+// MessageKind implements Message.
+func (*ConfigurationDigest) MessageKind() Kind { return KindConfigurationDigest }
+
+// ConfigurationPull asks a peer for the changes after a revision.
+type ConfigurationPull struct {
+	After coltsfootward.Revision `msgpack:"after"`
+}
+
+// MessageKind implements Message.
+func (*ConfigurationPull) MessageKind() Kind { return KindConfigurationPull }
+
+// ConfigurationChanges answers a pull with consecutive changes.
+type ConfigurationChanges struct {
+	Changes []coltsfootward.Change `msgpack:"changes"`
+}
+
+// MessageKind implements Message.
+func (*ConfigurationChanges) MessageKind() Kind { return KindConfigurationChanges }
+
+// Call is the head of a request that an entry node sends to an upstream's
+// node. It never holds the caller's key.
+type Call struct {
+	Request      coltsfootward.RequestID        `msgpack:"request"`
+	Organisation coltsfootward.OrganisationName `msgpack:"organisation"`
+	Service      coltsfootward.ServiceName      `msgpack:"service"`
+	Method       string                         `msgpack:"method"`
+	Path         string                         `msgpack:"path"`
+	// Header is filled in by the caller's face; the decisions do not read it.
+	Header   map[string][]string    `msgpack:"header"`
+	Priority coltsfootward.Priority `msgpack:"priority"`
+	// ShedRank orders requests for shedding over the whole chain; lower is
+	// more important. It is the same at every depth of one request.
+	ShedRank uint32 `msgpack:"shed_rank"`
+	// Budget is the number of attempts that this call and all below it may use.
+	Budget int `msgpack:"budget"`
+	// Timeout is what is left of the caller's time.
+	Timeout time.Duration `msgpack:"timeout"`
+	// StartWithin is how long the call's admission lasts: it must have been
+	// dispatched by then, or not at all. Zero means no limit.
+	StartWithin time.Duration `msgpack:"start_within"`
+	// Unrepeatable requests are never attempted again once a byte may have
+	// reached a backend server.
+	Unrepeatable bool `msgpack:"unrepeatable"`
+	// IdempotencyKey is the caller's, passed on to the backend server.
+	IdempotencyKey string `msgpack:"idempotency_key"`
+	// Depth counts the calls above this one; the entry call has depth zero.
+	Depth int `msgpack:"depth"`
+}
+
+// Load is what an upstream's node says about itself with every answer.
+type Load struct {
+	// Running is the number of requests that the upstream serves.
+	Running int `msgpack:"running"`
+	// Queued is the number of requests that wait for it.
+	Queued int `msgpack:"queued"`
+	// Limit is the current concurrency limit.
+	Limit int `msgpack:"limit"`
+	// ShedLevel is the highest shed rank that is still accepted; zero means all are.
+	ShedLevel uint32 `msgpack:"shed_level"`
+}
+
+// Answer is the head of what comes back for a Call: a backend server's status
+// and header, or a refusal.
+type Answer struct {
+	Status  int                    `msgpack:"status"`
+	Header  map[string][]string    `msgpack:"header"`
+	Refusal *coltsfootward.Refusal `msgpack:"refusal"`
+	Load    Load                   `msgpack:"load"`
+}
+
+// End closes an answer after its body. An answer without one is truncated.
+type End struct {
+	// Attempts is how many attempts this call and all below it used.
+	Attempts int `msgpack:"attempts"`
+}
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/record"
+)
+
+// Node is the machine. Create it with New.
+type Node struct {
+	options Options
+	source  *rand.Rand
+	now     coltsfootward.Instant
+	actions []Action
+	// draining is set once the node takes no new work.
+	draining bool
+	drained  bool
+
+	configuration *configurationPart
+	membership    *membershipPart
+	placement     *placementPart
+	rate          *ratePart
+	claims        *claimsPart
+	ledger        *ledgerPart
+	entry         *entryPart
+	upstream      *upstreamPart
+	table         *tablePart
+}
+
+// New returns a node that has read no configuration and knows no peer. All
+// random choices come from source.
+func New(options Options, source *rand.Rand, now coltsfootward.Instant) *Node {
+	n := &Node{options: options.withDefaults(), source: source, now: now}
+	n.table = newTablePart(n)
+	n.configuration = newConfigurationPart(n)
+	n.membership = newMembershipPart(n)
+	n.placement = newPlacementPart(n)
+	n.rate = newRatePart(n)
+	n.claims = newClaimsPart(n)
+	n.ledger = newLedgerPart(n)
+	n.entry = newEntryPart(n)
+	n.upstream = newUpstreamPart(n)
+	return n
+}
+
+// Handle takes one event and returns what is to be done, in order. The slice
+// is the caller's to keep.
+func (n *Node) Handle(now coltsfootward.Instant, event Event) []Action {
+	n.now = now
+	n.dispatchEvent(event)
+	n.checkDrained()
+	actions := n.actions
+	n.actions = nil
+	return actions
+}
+
+func (n *Node) dispatchEvent(event Event) {
+	switch e := event.(type) {
+	case Tick:
+		n.tick()
+	case RequestArrived:
+		n.entry.arrived(e)
+	case CallerLeft:
+		n.entry.callerLeft(e.Call)
+		n.upstream.callerLeft(e.Call)
+	case AttemptEnded:
+		n.entry.attemptEnded(e)
+	case CallDone:
+		n.entry.done(e)
+	case PeerCallArrived:
+		n.upstream.arrived(e)
+	case DispatchHeaded:
+		n.upstream.headed(e)
+	case DispatchEnded:
+		n.upstream.ended(e)
+	case MessageArrived:
+		n.message(e)
+	case PeerLost:
+		n.placement.peerLost(e.Instance)
+	case BackendAnnounced:
+		n.membership.backendAnnounced(e)
+	case DrainRequested:
+		n.drain()
+	case TableAnswered:
+		n.table.answered(e)
+	}
+}
+
+func (n *Node) tick() {
+	n.table.tick()
+	n.configuration.tick()
+	n.membership.tick()
+	n.rate.tick()
+	n.claims.tick()
+	n.upstream.tick()
+	n.entry.tick()
+}
+
+func (n *Node) message(e MessageArrived) {
+	switch m := e.Message.(type) {
+	case *message.Announcement:
+		n.membership.announcement(*m)
+	case *message.ConfigurationDigest:
+		n.configuration.digest(e.From, *m)
+	case *message.ConfigurationPull:
+		n.configuration.pull(e.From, *m)
+	case *message.ConfigurationChanges:
+		n.configuration.changes(*m)
+	}
+}
+
+func (n *Node) drain() {
+	if n.draining {
+		return
+	}
+	n.draining = true
+	n.report(record.NodeDraining)
+	n.membership.drain()
+}
+
+// checkDrained reports the end of a drain once: nothing may be in hand, since
+// a planned stop cuts off no request.
+func (n *Node) checkDrained() {
+	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 {
+		return
+	}
+	n.drained = true
+	n.act(Drained{})
+}
+
+func (n *Node) act(action Action) {
+	n.actions = append(n.actions, action)
+}
+
+func (n *Node) report(code record.Code, fields ...record.Field) {
+	n.act(Report{Record: record.New(code, n.now.Wall, fields...)})
+}
+
+func field(name, value string) record.Field {
+	return record.Field{Name: name, Value: value}
+}
+
+func number[T ~int | ~uint64 | ~int64](value T) string {
+	return strconv.FormatInt(int64(value), 10)
+}
--- /dev/null
+++ b/core/node/options.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"time"
+
+	"coltsfootward"
+)
+
+// Options are a node's settings as far as the decisions need them. The zero
+// value of each field but Self means its default.
+type Options struct {
+	// Self is this node.
+	Self coltsfootward.Instance
+	// Domains lists every failure domain of the deployment.
+	Domains []coltsfootward.FailureDomain
+	// Attempts bounds the attempts of one request over the whole chain. The
+	// default is 4.
+	Attempts int
+	// Timeout bounds a request that brings none. The default is 10 s.
+	Timeout time.Duration
+	// MaximumTimeout caps what a caller may ask for. The default is 60 s.
+	MaximumTimeout time.Duration
+	// PollInterval is the time between two reads of the configuration's
+	// revision. The default is 1 s.
+	PollInterval time.Duration
+}
+
+// The defaults of Options.
+const (
+	DefaultAttempts       = 4
+	DefaultTimeout        = 10 * time.Second
+	DefaultMaximumTimeout = 60 * time.Second
+	DefaultPollInterval   = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Attempts <= 0 {
+		o.Attempts = DefaultAttempts
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.MaximumTimeout <= 0 {
+		o.MaximumTimeout = DefaultMaximumTimeout
+	}
+	if o.PollInterval <= 0 {
+		o.PollInterval = DefaultPollInterval
+	}
+	return o
+}
--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,87 @@
+// Package record defines the numbered events that a node reports, in its log
+// and on its time line. docs/EVENTS.md explains each of them.
+package record
+
+import "time"
+
+// Code numbers a kind of event. Numbers are never reused.
+type Code int
+
+// The events. The hundreds group them: 1xx life of the node, 2xx requests,
+// 3xx backend servers, 4xx configuration, 5xx rate and leases, 6xx claims,
+// 7xx membership, 8xx platform, 9xx peers.
+const (
+	NodeStarted         Code = 101
+	NodeDraining        Code = 102
+	NodeStopped         Code = 103
+	RequestRefused      Code = 201
+	AttemptFailed       Code = 202
+	BackendAnnounced    Code = 301
+	BackendDraining     Code = 302
+	RevisionInForce     Code = 401
+	KeyWithdrawn        Code = 402
+	PlatformUnavailable Code = 801
+	PlatformAvailable   Code = 802
+	PeerConnected       Code = 901
+	PeerLost            Code = 902
+	PeerFrameRejected   Code = 903
+)
+
+// Entry is one line of the catalogue.
+type Entry struct {
+	Code Code
+	Name string
+	// Level is the log level: debug, info, warn or error.
+	Level string
+	// Text says what happened and what to do about it.
+	Text string
+}
+
+// Catalogue lists every event in the order of its number.
+func Catalogue() []Entry {
+	return []Entry{
+		{NodeStarted, "node_started", "info", "The node runs."},
+		{NodeDraining, "node_draining", "info", "The node takes no new work and finishes what runs."},
+		{NodeStopped, "node_stopped", "info", "The node has finished all work and exits."},
+		{RequestRefused, "request_refused", "debug", "A request was answered with a refusal; kind and execution say which."},
+		{AttemptFailed, "attempt_failed", "debug", "An attempt ended without an answer; the request may be attempted again."},
+		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
+		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
+		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
+		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
+		{PlatformUnavailable, "platform_unavailable", "warn", "The platform does not answer; the node goes on with what it has. Check the platform."},
+		{PlatformAvailable, "platform_available", "info", "The platform answers again."},
+		{PeerConnected, "peer_connected", "info", "A connection to or from a peer stands."},
+		{PeerLost, "peer_lost", "warn", "A connection to a peer broke; calls on it end as their state says."},
+		{PeerFrameRejected, "peer_frame_rejected", "warn", "A peer sent bytes that are no valid frame; the connection was closed. Check versions and who connects."},
+	}
+}
+
+// Field is one detail of a record.
+type Field struct {
+	Name  string `msgpack:"name" json:"name"`
+	Value string `msgpack:"value" json:"value"`
+}
+
+// Record is one event that happened at a node.
+type Record struct {
+	Code   Code      `json:"code"`
+	Name   string    `json:"name"`
+	Wall   time.Time `json:"wall"`
+	Fields []Field   `json:"fields"`
+}
+
+// New returns a record. The name comes from the catalogue.
+func New(code Code, wall time.Time, fields ...Field) Record {
+	return Record{Code: code, Name: Lookup(code).Name, Wall: wall, Fields: fields}
+}
+
+// Lookup returns the catalogue's entry for code; an unknown code has an empty one.
+func Lookup(code Code) Entry {
+	for _, entry := range Catalogue() {
+		if entry.Code == code {
+			return entry
+		}
+	}
+	return Entry{}
+}
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples is the root of runnable examples and ready settings.
+package examples
--- /dev/null
+++ b/io/loop/loop.go
@@ -0,0 +1,239 @@
+package loop
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+	"coltsfootward/core/record"
+)
+
+const (
+	// eventRing is how many events may wait for the machine.
+	eventRing = 4096
+	// callRing is how many actions may wait for one call's goroutine. A call
+	// gets a handful: one per attempt and one at its end.
+	callRing = 64
+	// tableRing is how many table operations may wait for a worker.
+	tableRing = 256
+	// tableWorkers is how many table operations run at once.
+	tableWorkers = 4
+	// tickInterval is the time between two ticks of the machine.
+	tickInterval = 10 * time.Millisecond
+	// tableTimeout bounds one operation on the platform's table.
+	tableTimeout = 2 * time.Second
+)
+
+// Outlets carry out the actions that belong to no call. None of them may block.
+type Outlets struct {
+	// Send sends a message to a peer.
+	Send func(to coltsfootward.Instance, m message.Message)
+	// Table is the platform's table.
+	Table coltsfootward.Table
+	// Report takes a record for log and time line.
+	Report func(record.Record)
+	// Drained is called once the node has nothing left to do after a drain.
+	Drained func()
+}
+
+// Loop runs a machine. Create it with New. It is safe for concurrent use.
+type Loop struct {
+	machine *node.Node
+	clock   *Clock
+	outlets Outlets
+	events  chan func()
+	table   chan func(context.Context)
+	done    chan struct{}
+	once    sync.Once
+	wait    sync.WaitGroup
+	nextID  atomic.Uint64
+
+	mu    sync.Mutex
+	calls map[node.CallID]chan node.Action
+}
+
+// New returns a loop that runs the machine until Close.
+func New(machine *node.Node, clock *Clock, outlets Outlets) *Loop {
+	l := &Loop{
+		machine: machine,
+		clock:   clock,
+		outlets: outlets,
+		events:  make(chan func(), eventRing),
+		table:   make(chan func(context.Context), tableRing),
+		done:    make(chan struct{}),
+		calls:   make(map[node.CallID]chan node.Action),
+	}
+	l.wait.Go(l.run)
+	for range tableWorkers {
+		l.wait.Go(l.work)
+	}
+	return l
+}
+
+// Close stops the loop and waits for its goroutines.
+func (l *Loop) Close() {
+	l.once.Do(func() { close(l.done) })
+	l.wait.Wait()
+}
+
+// Done returns a channel that is closed when the loop stops.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+// Post hands an event to the machine. It waits while the ring is full and
+// drops the event once the loop has stopped.
+func (l *Loop) Post(event node.Event) {
+	l.enqueue(func() { l.handle(event) })
+}
+
+func (l *Loop) enqueue(f func()) bool {
+	select {
+	case l.events <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Inspect runs f on the machine's goroutine and waits for it. It returns false
+// if the loop has stopped.
+func (l *Loop) Inspect(f func(*node.Node)) bool {
+	finished := make(chan struct{})
+	if !l.enqueue(func() { f(l.machine); close(finished) }) {
+		return false
+	}
+	select {
+	case <-finished:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-l.events:
+			f()
+		case <-ticker.C:
+			l.handle(node.Tick{})
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *Loop) handle(event node.Event) {
+	for _, action := range l.machine.Handle(l.clock.Now(), event) {
+		l.perform(action)
+	}
+}
+
+func (l *Loop) perform(action node.Action) {
+	switch a := action.(type) {
+	case node.Refuse:
+		l.deliver(a.Call, a)
+	case node.Forward:
+		l.deliver(a.Call, a)
+	case node.Dispatch:
+		l.deliver(a.Call, a)
+	case node.CancelAttempt:
+		l.deliver(a.Call, a)
+	case node.CancelDispatch:
+		l.deliver(a.Call, a)
+	case node.Send:
+		l.outlets.Send(a.To, a.Message)
+	case node.Report:
+		l.outlets.Report(a.Record)
+	case node.Drained:
+		l.outlets.Drained()
+	case node.ReadTable:
+		l.tableOperation(a.Operation, func(ctx context.Context) ([]coltsfootward.Row, error) {
+			row, err := l.outlets.Table.Read(ctx, a.Key)
+			return []coltsfootward.Row{row}, err
+		})
+	case node.ScanTable:
+		l.tableOperation(a.Operation, func(ctx context.Context) ([]coltsfootward.Row, error) {
+			return l.outlets.Table.Scan(ctx, a.Prefix, a.After, a.Limit)
+		})
+	case node.TransactTable:
+		l.tableOperation(a.Operation, func(ctx context.Context) ([]coltsfootward.Row, error) {
+			return nil, l.outlets.Table.Transact(ctx, a.Transaction)
+		})
+	}
+}
+
+// tableOperation queues an operation. With the ring full the platform is so
+// slow that waiting longer would not help: the operation counts as unanswered.
+func (l *Loop) tableOperation(id node.OperationID, run func(context.Context) ([]coltsfootward.Row, error)) {
+	operation := func(ctx context.Context) {
+		rows, err := run(ctx)
+		if err != nil && !errors.Is(err, coltsfootward.ErrConflict) {
+			err = coltsfootward.ErrUnavailable
+		}
+		l.Post(node.TableAnswered{Operation: id, Rows: rows, Err: err})
+	}
+	select {
+	case l.table <- operation:
+	default:
+		l.wait.Go(func() { l.Post(node.TableAnswered{Operation: id, Err: coltsfootward.ErrUnavailable}) })
+	}
+}
+
+func (l *Loop) work() {
+	for {
+		select {
+		case operation := <-l.table:
+			ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+			operation(ctx)
+			cancel()
+		case <-l.done:
+			return
+		}
+	}
+}
+
+// Call is one call's line to the machine.
+type Call struct {
+	// ID numbers the call in events.
+	ID node.CallID
+	// Actions brings what the machine wants done for this call.
+	Actions <-chan node.Action
+	loop    *Loop
+}
+
+// Open returns a new call. Close it once it is over.
+func (l *Loop) Open() *Call {
+	id := node.CallID(l.nextID.Add(1))
+	actions := make(chan node.Action, callRing)
+	l.mu.Lock()
+	l.calls[id] = actions
+	l.mu.Unlock()
+	return &Call{ID: id, Actions: actions, loop: l}
+}
+
+// Close forgets the call.
+func (c *Call) Close() {
+	c.loop.mu.Lock()
+	defer c.loop.mu.Unlock()
+	delete(c.loop.calls, c.ID)
+}
+
+func (l *Loop) deliver(id node.CallID, action node.Action) {
+	l.mu.Lock()
+	actions, ok := l.calls[id]
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case actions <- action:
+	default:
+	}
+}
--- /dev/null
+++ b/io/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the operators' interface with Connect.
+package operator
--- /dev/null
+++ b/io/peer/call.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+)
+
+// CallError says that a call got no answer from the peer.
+type CallError struct {
+	// Sent is set if a byte of the call may have left this node.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("peer: call broke off: %v: it may have run", e.Err)
+	}
+	return fmt.Sprintf("peer: call not sent: %v: it did not run", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Answer is a peer's answer: its head, and its body as it arrives.
+type Answer struct {
+	Head   message.Answer
+	stream *stream
+}
+
+// Read implements io.Reader for the body. It returns io.EOF only if the body
+// is whole, else ErrTruncated or the connection's error.
+func (a *Answer) Read(p []byte) (int, error) { return a.stream.Read(p) }
+
+// End returns the answer's end and true once the body is whole.
+func (a *Answer) End() (message.End, bool) {
+	select {
+	case <-a.stream.ended:
+		return a.stream.end, true
+	default:
+		return message.End{}, false
+	}
+}
+
+// Close ends the call. If its answer is not whole, the peer is told to stop.
+func (a *Answer) Close() { a.stream.leave() }
+
+// leave forgets the call on this side and tells the peer unless it has ended.
+func (s *stream) leave() {
+	s.connection.forget(s.id)
+	select {
+	case <-s.ended:
+	case <-s.done:
+	default:
+		_ = s.connection.send(frameReset, s.id, nil, nil) // a closed connection tells the peer as well
+	}
+	s.fail(ErrTruncated)
+}
+
+// Call sends a request and waits for the head of its answer. The error is
+// always a *CallError. The caller closes the answer.
+func (t *Transport) Call(ctx context.Context, to coltsfootward.Instance, head message.Call, body []byte) (*Answer, error) {
+	c, err := t.dial(ctx, to)
+	if err != nil {
+		return nil, &CallError{Err: err}
+	}
+	payload, err := encode(&head)
+	if err != nil {
+		return nil, &CallError{Err: err}
+	}
+	s, err := c.openStream()
+	if err != nil {
+		return nil, &CallError{Err: err}
+	}
+	c.touch()
+	answer, err := s.call(ctx, payload, body)
+	if err != nil {
+		s.leave()
+		return nil, &CallError{Sent: s.sent.Load(), Err: err}
+	}
+	return answer, nil
+}
+
+func (s *stream) call(ctx context.Context, payload, body []byte) (*Answer, error) {
+	if err := s.connection.send(frameCall, s.id, payload, func() { s.sent.Store(true) }); err != nil {
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() { written <- s.sendBody(ctx, body) }()
+	for {
+		select {
+		case head := <-s.head:
+			return &Answer{Head: head, stream: s}, nil
+		case err := <-written:
+			if err != nil {
+				return nil, err
+			}
+			written = nil
+		case <-s.done:
+			return s.headOr(s.err)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// headOr returns the head if it arrived before the call broke.
+func (s *stream) headOr(err error) (*Answer, error) {
+	select {
+	case head := <-s.head:
+		return &Answer{Head: head, stream: s}, nil
+	default:
+		return nil, err
+	}
+}
+
+func (s *stream) sendBody(ctx context.Context, body []byte) error {
+	if _, err := s.write(ctx, body); err != nil {
+		return err
+	}
+	return s.connection.sendValue(frameEnd, s.id, &message.End{})
+}
+
+// AnswerWriter answers one call. It is not safe for concurrent use.
+type AnswerWriter struct {
+	stream *stream
+	ctx    context.Context
+	ended  bool
+}
+
+// Head sends the answer's head. It is called once, before Write.
+func (w *AnswerWriter) Head(head message.Answer) error {
+	return w.stream.connection.sendValue(frameAnswer, w.stream.id, &head)
+}
+
+// Write implements io.Writer for the body and waits while the peer's window is full.
+func (w *AnswerWriter) Write(p []byte) (int, error) { return w.stream.write(w.ctx, p) }
+
+// End marks the answer as whole.
+func (w *AnswerWriter) End(end message.End) error {
+	w.ended = true
+	return w.stream.connection.sendValue(frameEnd, w.stream.id, &end)
+}
+
+// finish ends the call on this side. An answer without its end is reset, so
+// that the peer never takes it for whole.
+func (w *AnswerWriter) finish() {
+	w.stream.connection.forget(w.stream.id)
+	if !w.ended {
+		_ = w.stream.connection.send(frameReset, w.stream.id, nil, nil) // a closed connection tells the peer as well
+	}
+	w.stream.fail(io.ErrClosedPipe)
+}
--- /dev/null
+++ b/io/peer/stream.go
@@ -0,0 +1,205 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"coltsfootward/core/message"
+)
+
+// ErrTruncated is returned by a body's reader when the answer or request broke
+// off before its end. What was read so far is not whole.
+var ErrTruncated = errors.New("peer: body broke off before its end: do not use what was read as whole")
+
+// stream is one call on a connection, seen from either side.
+type stream struct {
+	connection *connection
+	id         uint32
+	// sent is set before the first byte of the call may leave this node.
+	sent atomic.Bool
+	// head receives the answer's head, on the side that opened the call.
+	head chan message.Answer
+	// chunks receives the body. Its size is the window, so a peer that keeps
+	// to the window never finds it full.
+	chunks chan []byte
+	// credits holds a token for each chunk that may be sent.
+	credits chan struct{}
+	// done is closed when the call has ended for either side.
+	done chan struct{}
+	once sync.Once
+	// ended is closed when the peer's end frame arrived.
+	ended   chan struct{}
+	endOnce sync.Once
+	end     message.End
+	err     error
+	rest    []byte
+}
+
+func newStream(c *connection, id uint32) *stream {
+	s := &stream{
+		connection: c,
+		id:         id,
+		head:       make(chan message.Answer, 1),
+		chunks:     make(chan []byte, windowChunks),
+		credits:    make(chan struct{}, windowChunks),
+		done:       make(chan struct{}),
+		ended:      make(chan struct{}),
+	}
+	for range windowChunks {
+		s.credits <- struct{}{}
+	}
+	return s
+}
+
+// fail ends the call with err. Only the first end counts.
+func (s *stream) fail(err error) {
+	s.once.Do(func() {
+		s.err = err
+		close(s.done)
+	})
+}
+
+// take handles a frame from the peer. An error closes the connection.
+func (s *stream) take(f frame) error {
+	switch f.Kind {
+	case frameAnswer:
+		return s.takeHead(f.Payload)
+	case frameBody:
+		return s.takeChunk(f.Payload)
+	case frameCredit:
+		return s.takeCredit()
+	case frameEnd:
+		return s.takeEnd(f.Payload)
+	case frameReset:
+		s.connection.forget(s.id)
+		s.fail(ErrTruncated)
+		return nil
+	default:
+		return &FrameError{Reason: "unexpected frame " + string(f.Kind)}
+	}
+}
+
+func (s *stream) takeHead(payload []byte) error {
+	var head message.Answer
+	if err := decode(payload, &head); err != nil {
+		return err
+	}
+	select {
+	case s.head <- head:
+		return nil
+	default:
+		return &FrameError{Reason: "second answer to one call"}
+	}
+}
+
+func (s *stream) takeChunk(payload []byte) error {
+	select {
+	case s.chunks <- payload:
+		return nil
+	default:
+		return &FrameError{Reason: "body beyond its window"}
+	}
+}
+
+func (s *stream) takeCredit() error {
+	select {
+	case s.credits <- struct{}{}:
+		return nil
+	default:
+		return &FrameError{Reason: "credit beyond the window"}
+	}
+}
+
+func (s *stream) takeEnd(payload []byte) error {
+	err := &FrameError{Reason: "second end of one body"}
+	var failed error = err
+	s.endOnce.Do(func() {
+		failed = decode(payload, &s.end)
+		if failed == nil {
+			close(s.ended)
+		}
+	})
+	return failed
+}
+
+// Read implements io.Reader for the body that the peer sends. It returns
+// io.EOF only after the peer's end frame.
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.rest) == 0 {
+		chunk, err := s.nextChunk()
+		if err != nil {
+			return 0, err
+		}
+		s.rest = chunk
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *stream) nextChunk() ([]byte, error) {
+	select {
+	case chunk := <-s.chunks:
+		return s.consumed(chunk)
+	default:
+	}
+	select {
+	case chunk := <-s.chunks:
+		return s.consumed(chunk)
+	case <-s.ended:
+		return s.lastChunk()
+	case <-s.done:
+		return nil, s.err
+	}
+}
+
+// lastChunk drains what arrived before the end frame.
+func (s *stream) lastChunk() ([]byte, error) {
+	select {
+	case chunk := <-s.chunks:
+		return chunk, nil
+	default:
+		return nil, io.EOF
+	}
+}
+
+// consumed tells the peer that it may send another chunk.
+func (s *stream) consumed(chunk []byte) ([]byte, error) {
+	if err := s.connection.send(frameCredit, s.id, nil, nil); err != nil {
+		// The chunk is intact; the break shows at the next read.
+		return chunk, nil
+	}
+	return chunk, nil
+}
+
+// write sends a body as far as the peer's window allows and waits for more.
+func (s *stream) write(ctx context.Context, p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		if err := s.waitCredit(ctx); err != nil {
+			return written, err
+		}
+		n := min(len(p), chunkSize)
+		chunk := append([]byte(nil), p[:n]...)
+		if err := s.connection.send(frameBody, s.id, chunk, nil); err != nil {
+			return written, err
+		}
+		written += n
+		p = p[n:]
+	}
+	return written, nil
+}
+
+func (s *stream) waitCredit(ctx context.Context) error {
+	select {
+	case <-s.credits:
+		return nil
+	case <-s.done:
+		return s.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/io/peer/transport.go
@@ -0,0 +1,483 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+)
+
+const (
+	handshakeTimeout = 3 * time.Second
+	// probeInterval is the time between two probes of a peer's clock.
+	probeInterval = 10 * time.Second
+	// idleTimeout closes dialled connections that nothing uses, so that a node
+	// holds connections only to those it talks to.
+	idleTimeout = 2 * time.Minute
+	// writeTimeout bounds a write to a peer that no longer reads.
+	writeTimeout = 15 * time.Second
+)
+
+// Handler takes what peers send. Its methods are called from the connection's
+// reader and must not block, except for ServeCall, which has a goroutine of
+// its own.
+type Handler interface {
+	// ServeCall answers a call through w. The call's context ends when the
+	// caller leaves or the connection breaks.
+	ServeCall(ctx context.Context, call IncomingCall, w *AnswerWriter)
+	// ServeMessage takes a message.
+	ServeMessage(from coltsfootward.Instance, m message.Message, age time.Duration)
+	// PeerConnected and PeerLost tell of connections that peers or this node dialled.
+	PeerConnected(peer coltsfootward.Instance)
+	PeerLost(peer coltsfootward.Instance)
+	// FrameRejected tells of bytes that were no valid frame.
+	FrameRejected(address string, err error)
+}
+
+// IncomingCall is a call that a peer sent.
+type IncomingCall struct {
+	From coltsfootward.Instance
+	Head message.Call
+	// Age is an upper bound of the time since the peer sent it.
+	Age time.Duration
+	// Body is the request's body; it ends with io.EOF only if it is whole.
+	Body io.Reader
+}
+
+// Transport connects a node with its peers. Create it with NewTransport. It is
+// safe for concurrent use.
+type Transport struct {
+	self    coltsfootward.Instance
+	clock   func() coltsfootward.Instant
+	handler Handler
+	done    chan struct{}
+	once    sync.Once
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	dialled  map[coltsfootward.InstanceID]*dialled
+	accepted map[*connection]struct{}
+}
+
+// dialled is the outbound connection to one peer, or the attempt to make it.
+type dialled struct {
+	ready      chan struct{}
+	connection *connection
+	err        error
+	address    string
+}
+
+// NewTransport returns a transport that serves peers on listener, if it is not
+// nil, until Close.
+func NewTransport(self coltsfootward.Instance, clock func() coltsfootward.Instant, handler Handler, listener net.Listener) *Transport {
+	t := &Transport{
+		self:     self,
+		clock:    clock,
+		handler:  handler,
+		done:     make(chan struct{}),
+		listener: listener,
+		dialled:  make(map[coltsfootward.InstanceID]*dialled),
+		accepted: make(map[*connection]struct{}),
+	}
+	if listener != nil {
+		t.wait.Go(t.accept)
+	}
+	t.wait.Go(t.maintain)
+	return t
+}
+
+// Close ends all connections and waits for their goroutines.
+func (t *Transport) Close() {
+	t.once.Do(func() {
+		close(t.done)
+		if t.listener != nil {
+			t.listener.Close()
+		}
+		for _, c := range t.connections() {
+			c.close()
+		}
+	})
+	t.wait.Wait()
+}
+
+func (t *Transport) connections() []*connection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*connection
+	for c := range t.accepted {
+		all = append(all, c)
+	}
+	for _, d := range t.dialled {
+		select {
+		case <-d.ready:
+			if d.connection != nil {
+				all = append(all, d.connection)
+			}
+		default:
+		}
+	}
+	return all
+}
+
+func (t *Transport) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.wait.Go(func() { t.serve(c) })
+	}
+}
+
+// serve runs an accepted connection.
+func (t *Transport) serve(n net.Conn) {
+	c, reader, err := t.welcome(n)
+	if err != nil {
+		n.Close()
+		t.rejected(n.RemoteAddr().String(), err)
+		return
+	}
+	t.mu.Lock()
+	t.accepted[c] = struct{}{}
+	t.mu.Unlock()
+	defer func() {
+		c.close()
+		t.mu.Lock()
+		delete(t.accepted, c)
+		t.mu.Unlock()
+		t.handler.PeerLost(c.remote)
+	}()
+	select {
+	case <-t.done:
+		return
+	default:
+	}
+	t.handler.PeerConnected(c.remote)
+	t.wait.Go(c.write)
+	t.read(c, reader)
+}
+
+func (t *Transport) rejected(address string, err error) {
+	var invalid *FrameError
+	if errors.As(err, &invalid) {
+		t.handler.FrameRejected(address, err)
+	}
+}
+
+// welcome answers the dialler's hello.
+func (t *Transport) welcome(n net.Conn) (*connection, *bufio.Reader, error) {
+	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, nil, err
+	}
+	reader := bufio.NewReaderSize(n, chunkSize*2)
+	theirs, err := readHello(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := t.writeHello(n); err != nil {
+		return nil, nil, err
+	}
+	if err := checkVersion(theirs); err != nil {
+		return nil, nil, err
+	}
+	return t.established(n, theirs), reader, nil
+}
+
+func (t *Transport) established(n net.Conn, theirs hello) *connection {
+	if err := n.SetDeadline(time.Time{}); err != nil {
+		n.Close()
+	}
+	c := newConnection(&timedConn{Conn: n}, theirs.Instance, t.clock)
+	c.touch()
+	return c
+}
+
+func checkVersion(h hello) error {
+	if h.Version != ProtocolVersion {
+		return &FrameError{Reason: fmt.Sprintf("protocol version %d, this node speaks %d", h.Version, ProtocolVersion)}
+	}
+	if h.Instance.ID == "" {
+		return &FrameError{Reason: "hello without an instance"}
+	}
+	return nil
+}
+
+func readHello(r io.Reader) (hello, error) {
+	var h hello
+	f, err := readFrame(r)
+	if err != nil {
+		return h, err
+	}
+	if f.Kind != frameHello {
+		return h, &FrameError{Reason: "first frame is no hello"}
+	}
+	return h, decode(f.Payload, &h)
+}
+
+func (t *Transport) writeHello(n net.Conn) error {
+	payload, err := encode(&hello{Version: ProtocolVersion, Instance: t.self, Probe: int64(t.clock().Expiry)})
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(n)
+	if err := writeFrame(w, frame{Kind: frameHello, Sent: int64(t.clock().Monotonic), Payload: payload}); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// read runs until the connection breaks.
+func (t *Transport) read(c *connection, reader *bufio.Reader) {
+	for {
+		f, err := readFrame(reader)
+		if err == nil {
+			err = t.take(c, f)
+		}
+		if err != nil {
+			t.rejected(c.net.RemoteAddr().String(), err)
+			return
+		}
+	}
+}
+
+func (t *Transport) take(c *connection, f frame) error {
+	switch f.Kind {
+	case framePing:
+		var p probe
+		if err := decode(f.Payload, &p); err != nil {
+			return err
+		}
+		c.trySend(framePong, f.Payload)
+		return nil
+	case framePong:
+		return c.pong(f)
+	case frameMessage:
+		m, err := decodeMessage(f.Payload)
+		if err != nil {
+			return err
+		}
+		t.handler.ServeMessage(c.remote, m, c.age(f))
+		return nil
+	case frameCall:
+		return t.takeCall(c, f)
+	default:
+		return c.streamFrame(f)
+	}
+}
+
+func (t *Transport) takeCall(c *connection, f frame) error {
+	var head message.Call
+	if err := decode(f.Payload, &head); err != nil {
+		return err
+	}
+	s, err := c.acceptStream(f.Stream)
+	if err != nil {
+		return err
+	}
+	call := IncomingCall{From: c.remote, Head: head, Age: c.age(f), Body: s}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.wait.Go(func() {
+		select {
+		case <-s.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	t.wait.Go(func() {
+		defer cancel()
+		w := &AnswerWriter{stream: s, ctx: ctx}
+		t.handler.ServeCall(ctx, call, w)
+		w.finish()
+	})
+	return nil
+}
+
+// maintain probes the clocks of those who dialled this node and closes idle
+// connections that it dialled itself.
+func (t *Transport) maintain() {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.done:
+			return
+		case <-ticker.C:
+		}
+		t.probeAll()
+		t.closeIdle()
+	}
+}
+
+func (t *Transport) probeAll() {
+	payload, err := encode(&probe{Probe: int64(t.clock().Expiry)})
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.accepted {
+		c.trySend(framePing, payload)
+	}
+}
+
+func (t *Transport) closeIdle() {
+	for _, c := range t.connections() {
+		t.mu.Lock()
+		_, inbound := t.accepted[c]
+		t.mu.Unlock()
+		if !inbound && c.idle() > idleTimeout {
+			c.close()
+		}
+	}
+}
+
+// dial returns the connection to a peer, making one if needed.
+func (t *Transport) dial(ctx context.Context, to coltsfootward.Instance) (*connection, error) {
+	d, mine := t.reserve(to)
+	if mine {
+		t.wait.Go(func() { t.connect(d, to) })
+	}
+	select {
+	case <-d.ready:
+		return d.connection, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-t.done:
+		return nil, errConnectionClosed
+	}
+}
+
+// reserve returns the peer's entry and whether the caller is to connect it.
+func (t *Transport) reserve(to coltsfootward.Instance) (*dialled, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d, ok := t.dialled[to.ID]; ok && d.usable(to.Address) {
+		return d, false
+	}
+	d := &dialled{ready: make(chan struct{}), address: to.Address}
+	t.dialled[to.ID] = d
+	return d, true
+}
+
+// usable reports whether the entry's connection stands or is being made.
+func (d *dialled) usable(address string) bool {
+	if d.address != address {
+		return false
+	}
+	select {
+	case <-d.ready:
+		return d.err == nil && !d.connection.closed()
+	default:
+		return true
+	}
+}
+
+func (t *Transport) connect(d *dialled, to coltsfootward.Instance) {
+	c, reader, err := t.handshake(to)
+	d.connection, d.err = c, err
+	close(d.ready)
+	if err != nil {
+		return
+	}
+	select {
+	case <-t.done:
+		c.close()
+		return
+	default:
+	}
+	t.handler.PeerConnected(c.remote)
+	t.wait.Go(c.write)
+	t.read(c, reader)
+	c.close()
+	t.handler.PeerLost(c.remote)
+}
+
+func (t *Transport) handshake(to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
+	n, err := net.DialTimeout("tcp", to.Address, handshakeTimeout)
+	if err != nil {
+		return nil, nil, fmt.Errorf("peer: dial %s: %w: check that the instance runs and its address is reachable", to.ID, err)
+	}
+	c, reader, err := t.greet(n, to)
+	if err != nil {
+		n.Close()
+		t.rejected(n.RemoteAddr().String(), err)
+		return nil, nil, err
+	}
+	return c, reader, nil
+}
+
+func (t *Transport) greet(n net.Conn, to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
+	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, nil, err
+	}
+	if err := t.writeHello(n); err != nil {
+		return nil, nil, err
+	}
+	reader := bufio.NewReaderSize(n, chunkSize*2)
+	theirs, err := readHello(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := checkVersion(theirs); err != nil {
+		return nil, nil, err
+	}
+	if theirs.Instance.ID != to.ID {
+		return nil, nil, &FrameError{Reason: fmt.Sprintf("dialled %s, reached %s", to.ID, theirs.Instance.ID)}
+	}
+	c := t.established(n, theirs)
+	// The echo goes first, so that the peer can bound the age of all that follows.
+	return c, reader, c.sendValue(framePong, 0, &probe{Probe: theirs.Probe})
+}
+
+// Send sends a message without waiting. The message is lost if the peer cannot
+// be reached or its ring is full.
+func (t *Transport) Send(to coltsfootward.Instance, m message.Message) {
+	payload, err := encodeMessage(m)
+	if err != nil {
+		return
+	}
+	d, mine := t.reserve(to)
+	if mine {
+		t.wait.Go(func() { t.connect(d, to) })
+	}
+	select {
+	case <-d.ready:
+		d.deliver(payload)
+	default:
+		t.wait.Go(func() {
+			select {
+			case <-d.ready:
+				d.deliver(payload)
+			case <-t.done:
+			}
+		})
+	}
+}
+
+func (d *dialled) deliver(payload []byte) {
+	if d.err != nil {
+		return
+	}
+	d.connection.touch()
+	d.connection.trySend(frameMessage, payload)
+}
+
+// timedConn bounds every write, so that a peer that stops reading cannot hold
+// the writer for ever.
+type timedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c *timedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/io/platform/platform.go
@@ -0,0 +1,143 @@
+// Package platform speaks HTTP to the platform's transactional table and
+// object store.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"coltsfootward"
+)
+
+// The paths of the platform's interface.
+const (
+	PathRead     = "/table/read"
+	PathScan     = "/table/scan"
+	PathTransact = "/table/transact"
+	PathObjects  = "/objects/"
+)
+
+// maximumAnswer bounds an answer in bytes.
+const maximumAnswer = 64 << 20
+
+// idleConnections is how many idle connections to the platform are kept.
+const idleConnections = 4
+
+// ReadRequest asks for one row.
+type ReadRequest struct {
+	Key string `json:"key"`
+}
+
+// ScanRequest asks for rows in key order.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsResponse answers a read or a scan.
+type RowsResponse struct {
+	Rows []coltsfootward.Row `json:"rows"`
+}
+
+// Client implements coltsfootward.Table and coltsfootward.Objects. Create it
+// with New. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at base, such as http://10.0.0.1:7000.
+func New(base string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: 90 * time.Second}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Read implements coltsfootward.Table.
+func (c *Client) Read(ctx context.Context, key string) (coltsfootward.Row, error) {
+	var response RowsResponse
+	if err := c.post(ctx, PathRead, ReadRequest{Key: key}, &response); err != nil {
+		return coltsfootward.Row{}, err
+	}
+	if len(response.Rows) != 1 {
+		return coltsfootward.Row{}, fmt.Errorf("%w: %d rows for one", coltsfootward.ErrUnavailable, len(response.Rows))
+	}
+	return response.Rows[0], nil
+}
+
+// Scan implements coltsfootward.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]coltsfootward.Row, error) {
+	var response RowsResponse
+	err := c.post(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &response)
+	return response.Rows, err
+}
+
+// Transact implements coltsfootward.Table.
+func (c *Client) Transact(ctx context.Context, t coltsfootward.Transaction) error {
+	return c.post(ctx, PathTransact, t, nil)
+}
+
+// Get implements coltsfootward.Objects.
+func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, PathObjects+url.PathEscape(name), nil)
+}
+
+// Put implements coltsfootward.Objects.
+func (c *Client) Put(ctx context.Context, name string, data []byte) error {
+	_, err := c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(name), data)
+	return err
+}
+
+func (c *Client) post(ctx context.Context, path string, request, response any) error {
+	data, err := json.Marshal(request)
+	if err != nil {
+		return fmt.Errorf("platform: encode request: %w", err)
+	}
+	body, err := c.do(ctx, http.MethodPost, path, data)
+	if err != nil || response == nil {
+		return err
+	}
+	if err := json.Unmarshal(body, response); err != nil {
+		return fmt.Errorf("%w: undecodable answer: %v", coltsfootward.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// do sends one request. Whatever is no clear answer counts as none, since the
+// operation may have taken effect.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("platform: build request: %w", err)
+	}
+	// A write must not be sent twice by net/http itself; the caller decides.
+	request.GetBody = nil
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", coltsfootward.ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", coltsfootward.ErrUnavailable, err)
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return data, nil
+	case http.StatusConflict:
+		return nil, coltsfootward.ErrConflict
+	case http.StatusNotFound:
+		return nil, coltsfootward.ErrNotFound
+	default:
+		return nil, fmt.Errorf("%w: status %d", coltsfootward.ErrUnavailable, response.StatusCode)
+	}
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,64 @@
+package coltsfootward
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrConflict is returned by Table.Transact when a condition did not hold;
+// nothing was written. Read the rows again and decide anew.
+var ErrConflict = errors.New("coltsfootward: table condition did not hold: read the rows again and decide anew")
+
+// ErrUnavailable is returned by the platform's interfaces when no answer came.
+// A write may have taken effect all the same: read before writing again.
+var ErrUnavailable = errors.New("coltsfootward: platform gave no answer: read again before repeating a write")
+
+// ErrNotFound is returned by Objects.Get when there is no such object.
+var ErrNotFound = errors.New("coltsfootward: no such object: check its name")
+
+// Row is one row of the platform's table.
+type Row struct {
+	Key   string `msgpack:"key" json:"key"`
+	Value []byte `msgpack:"value" json:"value"`
+	// Version changes with every write of the row; zero means there is no row.
+	Version uint64 `msgpack:"version" json:"version"`
+}
+
+// Condition holds while the row has that version.
+type Condition struct {
+	Key     string `msgpack:"key" json:"key"`
+	Version uint64 `msgpack:"version" json:"version"`
+}
+
+// Write sets or deletes one row.
+type Write struct {
+	Key    string `msgpack:"key" json:"key"`
+	Value  []byte `msgpack:"value" json:"value"`
+	Delete bool   `msgpack:"delete" json:"delete"`
+}
+
+// Transaction writes all rows if all conditions hold, else none.
+type Transaction struct {
+	Conditions []Condition `msgpack:"conditions" json:"conditions"`
+	Writes     []Write     `msgpack:"writes" json:"writes"`
+}
+
+// Table is the platform's transactional table. Implementations are safe for
+// concurrent use. Every method may return ErrUnavailable.
+type Table interface {
+	// Read returns the row; a missing row has version zero and no error.
+	Read(ctx context.Context, key string) (Row, error)
+	// Scan returns up to limit rows whose key starts with prefix and sorts
+	// after the key after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Transact returns ErrConflict if a condition did not hold.
+	Transact(ctx context.Context, t Transaction) error
+}
+
+// Objects is the platform's object store. Implementations are safe for
+// concurrent use.
+type Objects interface {
+	// Get returns ErrNotFound if there is no such object.
+	Get(ctx context.Context, name string) ([]byte, error)
+	Put(ctx context.Context, name string, data []byte) error
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,138 @@
+package coltsfootward
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Execution says what is known about whether a request ran.
+type Execution string
+
+// What a caller is told about a request's execution.
+const (
+	// ExecutionNotRun means that no byte of the request reached a backend server.
+	ExecutionNotRun Execution = "not_run"
+	// ExecutionUnknown means that the request may have run, whole or in part.
+	ExecutionUnknown Execution = "unknown"
+	// ExecutionRan means that a backend server answered.
+	ExecutionRan Execution = "ran"
+)
+
+// RefusalKind says why a request got no answer from a backend server.
+type RefusalKind string
+
+// The kinds of refusal.
+const (
+	RefusalBadRequest      RefusalKind = "bad_request"
+	RefusalTooLarge        RefusalKind = "too_large"
+	RefusalUnauthenticated RefusalKind = "unauthenticated"
+	RefusalCallToken       RefusalKind = "call_token"
+	RefusalUnknownService  RefusalKind = "unknown_service"
+	RefusalOverRate        RefusalKind = "over_rate"
+	RefusalOverloaded      RefusalKind = "overloaded"
+	RefusalNoUpstream      RefusalKind = "no_upstream"
+	RefusalDraining        RefusalKind = "draining"
+	RefusalStale           RefusalKind = "stale"
+	RefusalTimeout         RefusalKind = "timeout"
+	RefusalAttempts        RefusalKind = "attempts"
+	RefusalDuplicate       RefusalKind = "duplicate"
+	RefusalAlreadyRun      RefusalKind = "already_run"
+	RefusalClaim           RefusalKind = "claim"
+	RefusalConfiguration   RefusalKind = "configuration"
+	RefusalConnectionLost  RefusalKind = "connection_lost"
+	RefusalUpstreamFailed  RefusalKind = "upstream_failed"
+	RefusalCancelled       RefusalKind = "cancelled"
+)
+
+type refusalText struct {
+	status int
+	remedy string
+}
+
+var refusalTexts = map[RefusalKind]refusalText{
+	RefusalBadRequest:      {http.StatusBadRequest, "correct the request as described"},
+	RefusalTooLarge:        {http.StatusRequestEntityTooLarge, "send a smaller request or have the limit raised in the node's settings"},
+	RefusalUnauthenticated: {http.StatusUnauthorized, "send Authorization: Bearer with a key that has been issued and not withdrawn"},
+	RefusalCallToken:       {http.StatusForbidden, "pass on the call token of the request being served, while it is being served"},
+	RefusalUnknownService:  {http.StatusNotFound, "have the service created with coltsfootctl service set"},
+	RefusalOverRate:        {http.StatusTooManyRequests, "come back after the stated time or have the organisation's rate raised"},
+	RefusalOverloaded:      {http.StatusServiceUnavailable, "come back after the stated time"},
+	RefusalNoUpstream:      {http.StatusServiceUnavailable, "start a backend server of the service or wait until one announces itself"},
+	RefusalDraining:        {http.StatusServiceUnavailable, "send the request to another instance"},
+	RefusalStale:           {http.StatusServiceUnavailable, "send the request again"},
+	RefusalTimeout:         {http.StatusGatewayTimeout, "allow more time or come back after the stated time"},
+	RefusalAttempts:        {http.StatusServiceUnavailable, "come back after the stated time; the request has used its attempts"},
+	RefusalDuplicate:       {http.StatusConflict, "wait for the first request with this Idempotency-Key to end"},
+	RefusalAlreadyRun:      {http.StatusConflict, "do not send it again; look up the outcome of the first request"},
+	RefusalClaim:           {http.StatusServiceUnavailable, "send the request again with the same Idempotency-Key after the stated time"},
+	RefusalConfiguration:   {http.StatusServiceUnavailable, "wait until the node has read its configuration"},
+	RefusalConnectionLost:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
+	RefusalUpstreamFailed:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
+	RefusalCancelled:       {499, "the caller has left; nothing is to be done"},
+}
+
+// RefusalKinds lists every kind with its HTTP status, for the documentation's test.
+func RefusalKinds() map[RefusalKind]int {
+	kinds := make(map[RefusalKind]int, len(refusalTexts))
+	for kind, text := range refusalTexts {
+		kinds[kind] = text.status
+	}
+	return kinds
+}
+
+// Refusal is the final answer to a request that got none from a backend
+// server. It is an error whose message names the remedy.
+type Refusal struct {
+	Kind      RefusalKind `msgpack:"kind" json:"kind"`
+	Execution Execution   `msgpack:"execution" json:"execution"`
+	// RetryAfter is when the caller may come back; zero means at once or never,
+	// as the kind says.
+	RetryAfter time.Duration `msgpack:"retry_after" json:"retry_after"`
+	// Final is set when a deeper layer has retried already, so that no other
+	// layer does.
+	Final bool `msgpack:"final" json:"final"`
+	// Detail says what exactly was wrong. It never holds a key.
+	Detail string `msgpack:"detail" json:"detail"`
+}
+
+// NewRefusal returns a refusal of a request that did not run.
+func NewRefusal(kind RefusalKind, detail string) Refusal {
+	return Refusal{Kind: kind, Execution: ExecutionNotRun, Detail: detail}
+}
+
+// WithExecution returns a copy with another execution.
+func (r Refusal) WithExecution(e Execution) Refusal {
+	r.Execution = e
+	return r
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (r Refusal) WithRetryAfter(d time.Duration) Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// WithFinal returns a copy that no layer above retries.
+func (r Refusal) WithFinal() Refusal {
+	r.Final = true
+	return r
+}
+
+// Status returns the HTTP status that the refusal is answered with.
+func (r Refusal) Status() int {
+	if text, ok := refusalTexts[r.Kind]; ok {
+		return text.status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Remedy says what the caller or operator can do.
+func (r Refusal) Remedy() string {
+	return refusalTexts[r.Kind].remedy
+}
+
+// Error implements error.
+func (r Refusal) Error() string {
+	return fmt.Sprintf("coltsfootward: request refused (%s, %s): %s: %s", r.Kind, r.Execution, r.Detail, r.Remedy())
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,4 @@
+// Package standin is the root of the stand-ins for the systems that
+// coltsfootward works with: the platform and backend servers. They serve tests,
+// examples and load experiments only.
+package standin
