Give back the admission of a request that no attempt was made for

Cause: a request that found no backend server was refused without returning the token drawn for it, so polling callers used up their organisation's burst before the service had started; the end-to-end test failed whenever the backend server's first announcement missed its node (6 of 15 runs). Ruled out: lost announcements (the log shows them in force) and the roster (both nodes were connected). Change: giveUp releases what is unspent.

--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -314,7 +314,14 @@
 
 // giveUp ends a call for which no attempt is under way. What earlier attempts
 // may have done decides what the caller is told about execution.
+//
+// An admission that no attempt has spent goes back: kept, it would charge the
+// organisation for requests that never ran and refuse later ones inside its rate.
 func (p *entryPart) giveUp(call *entryCall, r coltsfootward.Refusal) {
+	if !call.running {
+		p.node.rate.release(call.head.Organisation, call.admission)
+		call.admission = admission{}
+	}
 	if call.last.Execution == coltsfootward.ExecutionUnknown {
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 	}
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -64,7 +64,11 @@
 // admissionLife is how long an admission entitles its attempt to start.
 const admissionLife = time.Second
 
-func (p *ratePart) release(organisation coltsfootward.OrganisationName, _ admission) {
+// release takes back an admission that was not spent. The zero admission is none.
+func (p *ratePart) release(organisation coltsfootward.OrganisationName, unspent admission) {
+	if unspent == (admission{}) {
+		return
+	}
 	if bucket, ok := p.buckets[organisation]; ok {
 		bucket.tokens++
 	}
