--- /dev/null
+++ b/core/node/node_test.go
@@ -0,0 +1,77 @@
+package node_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+)
+
+const testKey = coltsfootward.KeyDigest("digest")
+
+// single is one node driven without a shell.
+type single struct {
+	t    *testing.T
+	node *node.Node
+	now  coltsfootward.Instant
+	next node.CallID
+}
+
+func newSingle(t *testing.T) *single {
+	t.Helper()
+	options := node.Options{
+		Self:    coltsfootward.Instance{ID: "north-1", Domain: "north", Address: "127.0.0.1:1", Incarnation: 1},
+		Domains: []coltsfootward.FailureDomain{"north"},
+	}
+	s := &single{t: t, now: coltsfootward.At(time.Hour)}
+	s.node = node.New(options, rand.New(rand.NewPCG(1, 2)), s.now)
+	return s
+}
+
+func (s *single) handle(event node.Event) []node.Action {
+	return s.node.Handle(s.now, event)
+}
+
+// configure puts one organisation, its key and one service in force.
+func (s *single) configure(rate coltsfootward.Rate) {
+	s.handle(node.MessageArrived{Message: &message.ConfigurationChanges{Changes: []coltsfootward.Change{
+		{Revision: 1, Organisation: &coltsfootward.Organisation{Name: "traders", Rate: rate}},
+		{Revision: 2, Key: &coltsfootward.Key{ID: "k", Digest: testKey, Organisation: "traders"}},
+		{Revision: 3, Service: &coltsfootward.Service{Name: "quotes"}},
+	}}})
+}
+
+// request sends a request and returns the refusal or the forward that follows.
+func (s *single) request() (*node.Refuse, *node.Forward) {
+	s.next++
+	for _, action := range s.handle(node.RequestArrived{Call: s.next, Key: testKey, Service: "quotes", Method: "GET", Path: "/", Attempt: 1}) {
+		switch a := action.(type) {
+		case node.Refuse:
+			return &a, nil
+		case node.Forward:
+			return nil, &a
+		}
+	}
+	return nil, nil
+}
+
+// A caller polls a service whose backend server starts a second later. When it
+// is there at last, every request is refused as above the rate: each refusal
+// for want of a backend server had kept the token drawn for it.
+func TestRefusalWithoutBackendServerCostsNoRate(t *testing.T) {
+	s := newSingle(t)
+	s.configure(coltsfootward.Rate{PerSecond: 0.001, Burst: 2})
+	for range 5 {
+		refuse, _ := s.request()
+		if refuse == nil || refuse.Refusal.Kind != coltsfootward.RefusalNoUpstream {
+			t.Fatalf("got %+v, want a refusal of kind %s", refuse, coltsfootward.RefusalNoUpstream)
+		}
+	}
+	s.handle(node.BackendAnnounced{Service: "quotes", Slots: 1})
+	if refuse, forward := s.request(); forward == nil {
+		t.Errorf("got refusal %+v, want the request forwarded", refuse)
+	}
+}
--- /dev/null
+++ b/core/nodetest/backend.go
@@ -0,0 +1,178 @@
+package nodetest
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+)
+
+const statusOK = http.StatusOK
+
+// messageLoad keeps the signatures of this package short.
+type messageLoad = message.Load
+
+// Run is one request as the backend server saw it.
+type Run struct {
+	Head  message.Call
+	Token node.CallToken
+	// Began is when it reached the backend server, Ended when it left it.
+	Began, Ended time.Duration
+	// Completed is set if it ran to its end.
+	Completed bool
+}
+
+// Backend is a fake backend server: slots, and a queue of its own without
+// bound for whatever its node sends beyond them. Its fields may be changed
+// while the rig runs.
+type Backend struct {
+	// Slots is how many requests it serves at once.
+	Slots int
+	// ServiceTime returns how long a request takes once it has a slot; nil
+	// means 10 ms.
+	ServiceTime func(message.Call) time.Duration
+	// Children returns the further calls that a request makes, one after the
+	// other, before its own service time. If one of them is not answered, the
+	// request fails. Nil means none.
+	Children func(message.Call) []Request
+	// Fail, if set, makes requests end without an answer after their time.
+	Fail func(message.Call) bool
+	// Runs holds every request that reached it, in order.
+	Runs []*Run
+
+	member  *Member
+	service coltsfootward.ServiceName
+	queue   []*job
+	running map[node.CallID]*job
+}
+
+type job struct {
+	call     node.CallID
+	run      *Run
+	children []Request
+	child    *Outcome
+	stopped  bool
+}
+
+func newBackend(m *Member) *Backend {
+	return &Backend{member: m, running: make(map[node.CallID]*job)}
+}
+
+// Running returns how many requests hold a slot.
+func (b *Backend) Running() int { return len(b.running) }
+
+// Waiting returns how many requests wait inside the backend server.
+func (b *Backend) Waiting() int { return len(b.queue) }
+
+func (b *Backend) reset() {
+	for _, j := range b.running {
+		j.stopped = true
+	}
+	b.running = make(map[node.CallID]*job)
+	b.queue = nil
+}
+
+func (b *Backend) start(a node.Dispatch) {
+	s, ok := b.member.serving[a.Call]
+	if !ok {
+		return
+	}
+	run := &Run{Head: s.head.Head, Token: a.Token, Began: b.member.rig.Now()}
+	b.Runs = append(b.Runs, run)
+	j := &job{call: a.Call, run: run}
+	if b.Children != nil {
+		j.children = b.Children(run.Head)
+	}
+	b.queue = append(b.queue, j)
+	b.fill()
+}
+
+func (b *Backend) fill() {
+	for len(b.queue) > 0 && len(b.running) < b.Slots {
+		j := b.queue[0]
+		b.queue = b.queue[1:]
+		b.running[j.call] = j
+		b.step(j)
+	}
+}
+
+// step makes the next further call, or serves.
+func (b *Backend) step(j *job) {
+	if len(j.children) > 0 {
+		child := j.children[0]
+		j.children = j.children[1:]
+		child.Token = j.run.Token
+		b.callChild(j, child)
+		return
+	}
+	d := 10 * time.Millisecond
+	if b.ServiceTime != nil {
+		d = b.ServiceTime(j.run.Head)
+	}
+	b.member.rig.After(d, func() {
+		if !j.stopped {
+			b.finish(j, b.Fail == nil || !b.Fail(j.run.Head))
+		}
+	})
+}
+
+func (b *Backend) callChild(j *job, child Request) {
+	outcome := b.member.Send(child)
+	j.child = outcome
+	ended := func() {
+		j.child = nil
+		if j.stopped {
+			return
+		}
+		if !outcome.Answered {
+			b.finish(j, false)
+			return
+		}
+		b.step(j)
+	}
+	if outcome.Done {
+		ended()
+		return
+	}
+	outcome.notify = ended
+}
+
+func (b *Backend) finish(j *job, completed bool) {
+	j.stopped = true
+	delete(b.running, j.call)
+	j.run.Ended = b.member.rig.Now()
+	j.run.Completed = completed
+	kind := node.DispatchFailed
+	if completed {
+		kind = node.DispatchAnswered
+		b.member.event(func() node.Event { return node.DispatchHeaded{Call: j.call, Status: statusOK} })
+		b.member.answered(j.call)
+	}
+	b.member.event(func() node.Event { return node.DispatchEnded{Call: j.call, Kind: kind} })
+	b.fill()
+}
+
+// cancel ends a request that nobody waits for.
+func (b *Backend) cancel(call node.CallID) {
+	j, ok := b.running[call]
+	if !ok {
+		index := slices.IndexFunc(b.queue, func(q *job) bool { return q.call == call })
+		if index < 0 {
+			return
+		}
+		j = b.queue[index]
+		b.queue = slices.Delete(b.queue, index, index+1)
+	}
+	j.stopped = true
+	delete(b.running, call)
+	delete(b.member.serving, call)
+	j.run.Ended = b.member.rig.Now()
+	if j.child != nil {
+		j.child.Leave()
+	}
+	b.member.event(func() node.Event { return node.DispatchEnded{Call: call, Kind: node.DispatchCancelled} })
+	b.fill()
+}
