--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/node"
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -140,15 +140,15 @@
 
 // event delivers an event unless the node is dead; a paused node gets it at
 // the end of its pause, with the time of then.
-func (m *Member) event(make func() node.Event) {
+func (m *Member) event(build func() node.Event) {
 	if !m.alive {
 		return
 	}
 	if m.paused {
-		m.held = append(m.held, func() { m.handle(make()) })
+		m.held = append(m.held, func() { m.handle(build()) })
 		return
 	}
-	m.handle(make())
+	m.handle(build())
 }
 
 func (m *Member) handle(event node.Event) {
