Spread membership and configuration by gossip instead of from each node to all

Cause: every node sent its announcement and digest to every peer each second and read the whole roster of the table each second, which grows with the square of the number of nodes. Change: core/membership probes two members a second, gossips news only while there is any, and compares rosters by hash; three nodes of a failure domain read the configuration, the others are sent each change by epidemic and heal by the digest that travels with all gossip; one collector of a domain answers where a revision is in force. Keys stop at a node that is cut off for longer than KeyGrace; a withdrawn key is marked ahead of its change. Ruled out: suspecting members across domains, since a cut between two domains would make each side accuse the whole other side.

--- a/change.go
+++ b/change.go
@@ -1,5 +1,10 @@
 package coltsfootward
 
+import (
+	"maps"
+	"slices"
+)
+
 // Change is one accepted change of the configuration. Exactly one of
 // Organisation, Key and Service is set.
 type Change struct {
@@ -13,26 +18,55 @@
 	Service      *Service      `msgpack:"service,omitempty" json:"service,omitempty"`
 }
 
-// Apply returns c with the change in it. A change at or below c's revision is
-// already in it, so Apply returns c unchanged.
-func (c Configuration) Apply(change Change) Configuration {
-	if change.Revision <= c.revision {
-		return c
+// Apply returns c with the changes in it, in order. A change at or below c's
+// revision is already in it and is passed over. The cost is that of one copy of
+// the tables that change, however many changes there are.
+func (c Configuration) Apply(changes ...Change) Configuration {
+	b := builder{base: c}
+	for _, change := range changes {
+		if change.Revision > b.base.revision {
+			b.apply(change)
+		}
 	}
+	return b.base
+}
+
+// builder applies changes to one copy of a configuration.
+type builder struct {
+	base                          Configuration
+	organisations, keys, services bool
+}
+
+func (b *builder) apply(change Change) {
 	if change.Organisation != nil {
 		o := *change.Organisation
 		o.Revision = change.Revision
-		c = c.WithOrganisation(o)
+		b.base.organisations = own(b.base.organisations, &b.organisations)
+		b.base.organisations[o.Name] = o
 	}
 	if change.Key != nil {
 		k := *change.Key
 		k.Revision = change.Revision
-		c = c.WithKey(k)
+		b.base.keys = own(b.base.keys, &b.keys)
+		b.base.keys[k.Digest] = keepWithdrawn(b.base.keys, k)
 	}
 	if change.Service != nil {
 		s := *change.Service
 		s.Revision = change.Revision
-		c = c.WithService(s)
+		s.Marks = slices.Clone(s.Marks)
+		b.base.services = own(b.base.services, &b.services)
+		b.base.services[s.Name] = s
+	}
+	b.base.revision = change.Revision
+}
+
+// own returns a copy of entries unless they are a copy already.
+func own[K comparable, V any](entries map[K]V, owned *bool) map[K]V {
+	if *owned {
+		return entries
 	}
-	return c.WithRevision(change.Revision)
+	*owned = true
+	copied := make(map[K]V, len(entries)+1)
+	maps.Copy(copied, entries)
+	return copied
 }
--- a/configuration.go
+++ b/configuration.go
@@ -108,6 +108,27 @@
 	services      map[ServiceName]Service
 }
 
+// NewConfiguration returns a configuration that holds these objects at revision r.
+func NewConfiguration(r Revision, organisations []Organisation, keys []Key, services []Service) Configuration {
+	c := Configuration{
+		revision:      r,
+		organisations: make(map[OrganisationName]Organisation, len(organisations)),
+		keys:          make(map[KeyDigest]Key, len(keys)),
+		services:      make(map[ServiceName]Service, len(services)),
+	}
+	for _, o := range organisations {
+		c.organisations[o.Name] = o
+	}
+	for _, k := range keys {
+		c.keys[k.Digest] = k
+	}
+	for _, s := range services {
+		s.Marks = slices.Clone(s.Marks)
+		c.services[s.Name] = s
+	}
+	return c
+}
+
 // Revision returns the revision of the last change that the configuration holds.
 func (c Configuration) Revision() Revision {
 	return c.revision
@@ -161,11 +182,16 @@
 // WithKey returns a copy that holds k in place of any key with that digest. A
 // withdrawn key stays withdrawn whatever k says.
 func (c Configuration) WithKey(k Key) Configuration {
-	if old, ok := c.keys[k.Digest]; ok && old.Withdrawn {
+	c.keys = withEntry(c.keys, k.Digest, keepWithdrawn(c.keys, k))
+	return c
+}
+
+// keepWithdrawn returns k, withdrawn if the key with its digest was.
+func keepWithdrawn(keys map[KeyDigest]Key, k Key) Key {
+	if old, ok := keys[k.Digest]; ok && old.Withdrawn {
 		k.Withdrawn = true
 	}
-	c.keys = withEntry(c.keys, k.Digest, k)
-	return c
+	return k
 }
 
 // WithService returns a copy that holds s in place of any service of that name.
--- /dev/null
+++ b/core/membership/roster.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// member is one line of the roster.
+type member struct {
+	news message.News
+	// hash orders the members of a domain the same way at every node.
+	hash uint64
+	// digest stands for the news in comparisons of rosters.
+	digest uint64
+	// since is when the state was taken in, by Instant.Monotonic.
+	since time.Duration
+	// heard is when the member itself was last heard, by Instant.Expiry; known
+	// says whether it ever was.
+	heard time.Duration
+	known bool
+}
+
+func (m *member) id() coltsfootward.InstanceID { return m.news.Announcement.Instance.ID }
+
+func (m *member) domain() coltsfootward.FailureDomain { return m.news.Announcement.Instance.Domain }
+
+// present reports whether the member counts as running.
+func (m *member) present() bool {
+	return m.news.State == message.MemberAlive || m.news.State == message.MemberSuspected
+}
+
+// roster indexes members by name, domain, service and bucket, so that no look-up
+// walks over all of them.
+type roster struct {
+	members  map[coltsfootward.InstanceID]*member
+	domains  map[coltsfootward.FailureDomain][]*member
+	services map[coltsfootward.ServiceName][]*member
+	buckets  [bucketCount][]*member
+	hashes   [bucketCount]uint64
+	total    uint64
+	present  int
+}
+
+func newRoster() *roster {
+	return &roster{
+		members:  make(map[coltsfootward.InstanceID]*member),
+		domains:  make(map[coltsfootward.FailureDomain][]*member),
+		services: make(map[coltsfootward.ServiceName][]*member),
+	}
+}
+
+func byID(a, b *member) int { return cmp.Compare(a.id(), b.id()) }
+
+func byHash(a, b *member) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id(), b.id()))
+}
+
+func bucketOf(hash uint64) int { return int(hash % bucketCount) }
+
+// put sets the news of a member and returns its line.
+func (r *roster) put(news message.News) *member {
+	id := news.Announcement.Instance.ID
+	m, ok := r.members[id]
+	if ok {
+		r.unindex(m)
+	} else {
+		m = &member{hash: xxhash.Sum64String(string(id))}
+		r.members[id] = m
+	}
+	m.news = news
+	m.digest = digestOf(m)
+	r.index(m)
+	return m
+}
+
+func (r *roster) remove(m *member) {
+	r.unindex(m)
+	delete(r.members, m.id())
+}
+
+func (r *roster) index(m *member) {
+	r.domains[m.domain()] = insert(r.domains[m.domain()], m, byHash)
+	b := bucketOf(m.hash)
+	r.buckets[b] = insert(r.buckets[b], m, byID)
+	r.hash(m)
+	if !m.present() {
+		return
+	}
+	r.present++
+	if service := m.news.Announcement.Service; service != "" {
+		r.services[service] = insert(r.services[service], m, byID)
+	}
+}
+
+func (r *roster) unindex(m *member) {
+	setOrDelete(r.domains, m.domain(), removeMember(r.domains[m.domain()], m, byHash))
+	b := bucketOf(m.hash)
+	r.buckets[b] = removeMember(r.buckets[b], m, byID)
+	r.hash(m)
+	if !m.present() {
+		return
+	}
+	r.present--
+	service := m.news.Announcement.Service
+	setOrDelete(r.services, service, removeMember(r.services[service], m, byID))
+}
+
+// hash adds a member's digest to the hashes, or takes it out again.
+func (r *roster) hash(m *member) {
+	r.hashes[bucketOf(m.hash)] ^= m.digest
+	r.total ^= m.digest
+}
+
+// digestOf leaves out what nodes may forget at different times, and whether a
+// member is only suspected, which passes by itself.
+func digestOf(m *member) uint64 {
+	if !m.present() {
+		return 0
+	}
+	a := m.news.Announcement
+	text := string(a.Instance.ID) + "/" + strconv.FormatUint(uint64(a.Instance.Incarnation), 16) + "/" + strconv.FormatUint(a.Version, 16)
+	return xxhash.Sum64String(text)
+}
+
+func insert(list []*member, m *member, compare func(a, b *member) int) []*member {
+	i, _ := slices.BinarySearchFunc(list, m, compare)
+	return slices.Insert(list, i, m)
+}
+
+func removeMember(list []*member, m *member, compare func(a, b *member) int) []*member {
+	i, ok := slices.BinarySearchFunc(list, m, compare)
+	if !ok {
+		return list
+	}
+	return slices.Delete(list, i, i+1)
+}
+
+func setOrDelete[K comparable](index map[K][]*member, key K, list []*member) {
+	if len(list) == 0 {
+		delete(index, key)
+		return
+	}
+	index[key] = list
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -14,9 +14,20 @@
 // The kinds of message.
 const (
 	KindAnnouncement         Kind = "announcement"
+	KindGossip               Kind = "gossip"
+	KindProbe                Kind = "probe"
+	KindProbeRequest         Kind = "probe_request"
+	KindProbeAnswer          Kind = "probe_answer"
+	KindRosterDigest         Kind = "roster_digest"
+	KindRosterBuckets        Kind = "roster_buckets"
+	KindRosterPage           Kind = "roster_page"
 	KindConfigurationDigest  Kind = "configuration_digest"
 	KindConfigurationPull    Kind = "configuration_pull"
 	KindConfigurationChanges Kind = "configuration_changes"
+	KindConfigurationPage    Kind = "configuration_page"
+	KindConfirmation         Kind = "confirmation"
+	KindConfirmationQuery    Kind = "confirmation_query"
+	KindDomainConfirmation   Kind = "domain_confirmation"
 )
 
 // Message is one message between nodes.
@@ -29,9 +40,20 @@
 // here and nowhere else.
 var prototypes = map[Kind]func() Message{
 	KindAnnouncement:         func() Message { return &Announcement{} },
+	KindGossip:               func() Message { return &Gossip{} },
+	KindProbe:                func() Message { return &Probe{} },
+	KindProbeRequest:         func() Message { return &ProbeRequest{} },
+	KindProbeAnswer:          func() Message { return &ProbeAnswer{} },
+	KindRosterDigest:         func() Message { return &RosterDigest{} },
+	KindRosterBuckets:        func() Message { return &RosterBuckets{} },
+	KindRosterPage:           func() Message { return &RosterPage{} },
 	KindConfigurationDigest:  func() Message { return &ConfigurationDigest{} },
 	KindConfigurationPull:    func() Message { return &ConfigurationPull{} },
 	KindConfigurationChanges: func() Message { return &ConfigurationChanges{} },
+	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
+	KindConfirmation:         func() Message { return &Confirmation{} },
+	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
+	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
 }
 
 // New returns an empty message of that kind to decode into, or nil for a kind
@@ -43,46 +65,6 @@
 	return nil
 }
 
-// Announcement says what a backend server offers. The higher Incarnation, then
-// the higher Version, is the newer one.
-type Announcement struct {
-	Instance coltsfootward.Instance `msgpack:"instance"`
-	// Version orders the announcements of one incarnation.
-	Version uint64                    `msgpack:"version"`
-	Service coltsfootward.ServiceName `msgpack:"service"`
-	// Slots is the number of requests that the backend server serves at once.
-	Slots int `msgpack:"slots"`
-	// Draining is set when the backend server takes no new work.
-	Draining bool `msgpack:"draining"`
-}
-
-// MessageKind implements Message.
-func (*Announcement) MessageKind() Kind { return KindAnnouncement }
-
-// ConfigurationDigest tells a peer which revision the sender has in force.
-type ConfigurationDigest struct {
-	Revision coltsfootward.Revision `msgpack:"revision"`
-}
-
-// MessageKind implements Message.
-func (*ConfigurationDigest) MessageKind() Kind { return KindConfigurationDigest }
-
-// ConfigurationPull asks a peer for the changes after a revision.
-type ConfigurationPull struct {
-	After coltsfootward.Revision `msgpack:"after"`
-}
-
-// MessageKind implements Message.
-func (*ConfigurationPull) MessageKind() Kind { return KindConfigurationPull }
-
-// ConfigurationChanges answers a pull with consecutive changes.
-type ConfigurationChanges struct {
-	Changes []coltsfootward.Change `msgpack:"changes"`
-}
-
-// MessageKind implements Message.
-func (*ConfigurationChanges) MessageKind() Kind { return KindConfigurationChanges }
-
 // Call is the head of a request that an entry node sends to an upstream's
 // node. It never holds the caller's key.
 type Call struct {
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -84,13 +84,9 @@
 	if p.node.draining {
 		return nil, refusal(coltsfootward.RefusalDraining, "this instance is leaving")
 	}
-	configuration := p.node.configuration.current
-	if configuration.Revision() == 0 {
-		return nil, refusal(coltsfootward.RefusalConfiguration, "no configuration has been read yet")
-	}
-	key, ok := configuration.Key(e.Key)
-	if !ok || key.Withdrawn {
-		return nil, refusal(coltsfootward.RefusalUnauthenticated, "the key is unknown or withdrawn")
+	key, refused := p.node.configuration.key(e.Key)
+	if refused != nil {
+		return nil, refused
 	}
 	call, refused := p.build(e, key.Organisation)
 	if refused != nil {
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -2,150 +2,208 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/membership"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 )
 
-// rosterPrefix is where nodes leave their addresses for first contact.
-const rosterPrefix = "roster/"
-
-// announceInterval is the time between two announcements to every peer.
-const announceInterval = time.Second
+// ContactPrefix is where a few nodes of each failure domain leave their
+// addresses, for others to find the system at their start.
+const ContactPrefix = "contact/"
+
+const (
+	// contactRows is how many nodes of a failure domain do so. Four are unlikely
+	// to be replaced all together before one of them sees the others gone.
+	contactRows = 4
+	// contactLimit bounds the rows of one scan.
+	contactLimit = 1000
+	// contactInterval is the time between two reads of the contacts by those
+	// who keep them. A stale row stands for at most this long.
+	contactInterval = 10 * time.Second
+	// contactPatience is how long a node that reaches none of its domain's
+	// contacts waits before it takes their place.
+	contactPatience = 5 * time.Second
+)
 
 // membershipPart knows the other nodes and what their backend servers offer.
 type membershipPart struct {
-	node      *Node
-	local     message.Announcement
-	peers     map[coltsfootward.InstanceID]coltsfootward.Instance
-	announced map[coltsfootward.InstanceID]message.Announcement
-	announce  time.Duration
-	scan      time.Duration
-	joined    bool
+	node    *Node
+	machine *membership.Machine
+	// local is this node's own announcement.
+	local message.Announcement
+	scan  time.Duration
+	began time.Duration
+	// contactDomains are the failure domains that the table names contacts of.
+	contactDomains []coltsfootward.FailureDomain
 }
 
 func newMembershipPart(n *Node) *membershipPart {
-	return &membershipPart{
-		node:      n,
-		local:     message.Announcement{Instance: n.options.Self},
-		peers:     make(map[coltsfootward.InstanceID]coltsfootward.Instance),
-		announced: make(map[coltsfootward.InstanceID]message.Announcement),
-	}
+	p := &membershipPart{node: n, began: n.now.Monotonic}
+	p.machine = membership.New(membership.Options{
+		Self:      n.options.Self,
+		Send:      func(to coltsfootward.Instance, m message.Message) { n.act(Send{To: to, Message: m}) },
+		Digest:    n.configuration.own,
+		Changed:   p.changed,
+		Reachable: p.reachable,
+	}, n.source, n.now)
+	p.local = p.machine.Local()
+	p.scan = n.now.Monotonic + time.Duration(n.source.Int64N(int64(n.options.PollInterval)))
+	return p
 }
 
-func (p *membershipPart) size() int { return len(p.peers) + 1 }
+// size returns the number of nodes that run, this one included.
+func (p *membershipPart) size() int { return p.machine.Size() }
 
 // upstreams returns the backend servers of a service that take work, in the
 // order of their names. The slice is the caller's.
 func (p *membershipPart) upstreams(service coltsfootward.ServiceName) []message.Announcement {
-	var found []message.Announcement
-	for _, id := range slices.Sorted(maps.Keys(p.announced)) {
-		a := p.announced[id]
-		if a.Service == service && !a.Draining {
-			found = append(found, a)
-		}
+	return p.machine.Upstreams(service)
+}
+
+// roster returns the members of a failure domain that have not said that they
+// leave, with when each was last heard, in an order that all nodes share. It
+// includes those that are gone, with that state, and this node.
+func (p *membershipPart) roster(domain coltsfootward.FailureDomain) []membership.Member {
+	return p.machine.Roster(domain)
+}
+
+// instance returns where a member runs.
+func (p *membershipPart) instance(id coltsfootward.InstanceID) (coltsfootward.Instance, bool) {
+	member, ok := p.machine.Member(id)
+	return member.Announcement.Instance, ok
+}
+
+func (p *membershipPart) received(e MessageArrived) {
+	p.machine.Receive(p.node.now, e.From, e.Message, e.Age)
+	p.local = p.machine.Local()
+}
+
+func (p *membershipPart) changed(old, news message.News) {
+	instance := news.Announcement.Instance
+	if old.Announcement.Instance.Incarnation != instance.Incarnation || news.State == message.MemberLeft {
+		p.node.confirmation.forget(instance.ID)
+	}
+	if instance.Domain != p.node.options.Self.Domain || old.State == news.State {
+		return
+	}
+	codes := map[message.MemberState]record.Code{
+		message.MemberSuspected: record.MemberSuspected,
+		message.MemberGone:      record.MemberGone,
+		message.MemberLeft:      record.MemberLeft,
+	}
+	if code, ok := codes[news.State]; ok {
+		p.node.report(code, field("instance", string(instance.ID)))
 	}
-	return found
+}
+
+func (p *membershipPart) reachable(domain coltsfootward.FailureDomain, reachable bool) {
+	code := record.DomainUnreachable
+	if reachable {
+		code = record.DomainReachable
+	}
+	p.node.report(code, field("domain", string(domain)))
 }
 
 func (p *membershipPart) backendAnnounced(e BackendAnnounced) {
-	changed := p.local.Service != e.Service || p.local.Slots != e.Slots || p.local.Draining != e.Draining
+	changed := p.local.Service != e.Service || p.local.Slots != e.Slots || p.local.Draining != (e.Draining || p.local.Leaving)
 	if !changed {
 		return
 	}
-	p.local.Service = e.Service
-	p.local.Slots = e.Slots
-	p.local.Draining = e.Draining
+	p.machine.Announce(e.Service, e.Slots, e.Draining)
+	p.local = p.machine.Local()
 	code := record.BackendAnnounced
 	if e.Draining {
 		code = record.BackendDraining
 	}
 	p.node.report(code, field("service", string(e.Service)), field("slots", number(e.Slots)))
-	p.publish()
 	p.node.upstream.start()
 }
 
 func (p *membershipPart) drain() {
-	p.local.Draining = true
-	p.publish()
+	p.machine.Leave()
+	p.local = p.machine.Local()
 }
 
-func (p *membershipPart) publish() {
-	p.local.Version++
-	p.announcement(p.local)
-	p.spread()
-}
+func (p *membershipPart) left() { p.machine.Left() }
 
-func (p *membershipPart) spread() {
-	p.announce = p.node.now.Monotonic + announceInterval
-	for _, id := range slices.Sorted(maps.Keys(p.peers)) {
-		local := p.local
-		p.node.act(Send{To: p.peers[id], Message: &local})
-		p.node.act(Send{To: p.peers[id], Message: &message.ConfigurationDigest{Revision: p.node.configuration.current.Revision()}})
+func (p *membershipPart) tick() {
+	p.machine.Tick(p.node.now)
+	if p.node.now.Monotonic < p.scan {
+		return
+	}
+	p.scan = p.node.now.Monotonic + p.scanInterval()
+	p.machine.Contact(p.node.now, p.node.options.Contacts...)
+	if p.lonely() || p.machine.Rank(contactRows) >= 0 {
+		p.node.table.scan(ContactPrefix, "", contactLimit, func(rows []coltsfootward.Row, err error) {
+			if err == nil {
+				p.contacts(rows)
+			}
+		})
 	}
 }
 
-// announcement takes in news of a backend server unless it is old.
-func (p *membershipPart) announcement(a message.Announcement) {
-	if a.Instance.ID != p.node.options.Self.ID {
-		p.peers[a.Instance.ID] = a.Instance
-	}
-	old, ok := p.announced[a.Instance.ID]
-	if ok && !newerAnnouncement(a, old) {
-		return
+func (p *membershipPart) lonely() bool { return p.machine.Size() == 1 }
+
+func (p *membershipPart) scanInterval() time.Duration {
+	if p.lonely() {
+		return p.node.options.PollInterval
 	}
-	p.announced[a.Instance.ID] = a
+	return contactInterval
 }
 
-func newerAnnouncement(a, old message.Announcement) bool {
-	if a.Instance.Incarnation != old.Instance.Incarnation {
-		return a.Instance.Incarnation > old.Instance.Incarnation
+// contacts gets in touch with those that the table names, and puts this node in
+// its place among them. Nothing is written while the rows are right, so the
+// platform has no work from a system at rest.
+func (p *membershipPart) contacts(rows []coltsfootward.Row) {
+	self := p.node.options.Self
+	p.contactDomains = p.contactDomains[:0]
+	var stored coltsfootward.Instance
+	domainKnown := false
+	key := p.contactKey()
+	for _, row := range rows {
+		var instance coltsfootward.Instance
+		if json.Unmarshal(row.Value, &instance) != nil {
+			continue
+		}
+		p.noteContact(instance)
+		if row.Key == key {
+			stored = instance
+		}
+		domainKnown = domainKnown || instance.Domain == self.Domain && instance.ID != self.ID
+	}
+	alone := p.lonely() && domainKnown && p.node.now.Monotonic-p.began < contactPatience
+	if key != "" && stored != self && !alone {
+		p.writeContact(key)
 	}
-	return a.Version > old.Version
 }
 
-func (p *membershipPart) tick() {
-	if p.node.now.Monotonic >= p.scan {
-		p.scan = p.node.now.Monotonic + p.node.options.PollInterval
-		p.refreshRoster()
-	}
-	if p.node.now.Monotonic >= p.announce {
-		p.spread()
+// contactKey returns the row that is this node's to keep; empty if none is.
+func (p *membershipPart) contactKey() string {
+	rank := p.machine.Rank(contactRows)
+	if rank < 0 {
+		return ""
 	}
+	return strings.Join([]string{ContactPrefix + string(p.node.options.Self.Domain), strconv.Itoa(rank)}, "/")
 }
 
-func (p *membershipPart) refreshRoster() {
-	if !p.joined {
-		p.join()
+func (p *membershipPart) noteContact(instance coltsfootward.Instance) {
+	if !slices.Contains(p.contactDomains, instance.Domain) {
+		p.contactDomains = append(p.contactDomains, instance.Domain)
 	}
-	p.node.table.scan(rosterPrefix, "", 1000, func(rows []coltsfootward.Row, err error) {
-		if err == nil {
-			p.contacts(rows)
-		}
-	})
+	p.machine.Contact(p.node.now, instance)
 }
 
-func (p *membershipPart) join() {
-	self := p.node.options.Self
-	key := rosterPrefix + string(self.Domain) + "/" + string(self.ID)
-	value, err := json.Marshal(self)
+func (p *membershipPart) writeContact(key string) {
+	value, err := json.Marshal(p.node.options.Self)
 	if err != nil {
 		return
 	}
 	write := coltsfootward.Transaction{Writes: []coltsfootward.Write{{Key: key, Value: value}}}
-	p.node.table.transact(write, func(err error) { p.joined = p.joined || err == nil })
-}
-
-func (p *membershipPart) contacts(rows []coltsfootward.Row) {
-	for _, row := range rows {
-		var instance coltsfootward.Instance
-		if json.Unmarshal(row.Value, &instance) != nil || instance.ID == p.node.options.Self.ID {
-			continue
-		}
-		p.peers[instance.ID] = instance
-	}
+	p.node.table.transact(write, func(error) {})
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -20,6 +20,7 @@
 	drained  bool
 
 	configuration *configurationPart
+	confirmation  *confirmationPart
 	membership    *membershipPart
 	placement     *placementPart
 	rate          *ratePart
@@ -36,6 +37,7 @@
 	n := &Node{options: options.withDefaults(), source: source, now: now}
 	n.table = newTablePart(n)
 	n.configuration = newConfigurationPart(n)
+	n.confirmation = newConfirmationPart(n)
 	n.membership = newMembershipPart(n)
 	n.placement = newPlacementPart(n)
 	n.rate = newRatePart(n)
@@ -93,6 +95,7 @@
 	n.table.tick()
 	n.configuration.tick()
 	n.membership.tick()
+	n.confirmation.tick()
 	n.rate.tick()
 	n.claims.tick()
 	n.upstream.tick()
@@ -100,15 +103,30 @@
 }
 
 func (n *Node) message(e MessageArrived) {
+	n.membership.received(e)
 	switch m := e.Message.(type) {
-	case *message.Announcement:
-		n.membership.announcement(*m)
+	case *message.Gossip:
+		n.configuration.digest(e, m.Digest)
+	case *message.Probe:
+		n.configuration.digest(e, m.Gossip.Digest)
+	case *message.ProbeRequest:
+		n.configuration.digest(e, m.Gossip.Digest)
+	case *message.ProbeAnswer:
+		n.configuration.digest(e, m.Gossip.Digest)
 	case *message.ConfigurationDigest:
-		n.configuration.digest(e.From, *m)
+		n.configuration.digest(e, *m)
 	case *message.ConfigurationPull:
 		n.configuration.pull(e.From, *m)
 	case *message.ConfigurationChanges:
-		n.configuration.changes(*m)
+		n.configuration.changes(e.From, *m)
+	case *message.ConfigurationPage:
+		n.configuration.page(e.From, *m)
+	case *message.Confirmation:
+		n.confirmation.received(e.From, *m)
+	case *message.ConfirmationQuery:
+		n.confirmation.query(e.From, *m)
+	case *message.DomainConfirmation:
+		n.confirmation.answered(*m)
 	}
 }
 
@@ -128,6 +146,7 @@
 		return
 	}
 	n.drained = true
+	n.membership.left()
 	n.act(Drained{})
 }
 
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -23,6 +23,14 @@
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
+	// Contacts are instances that the node tries to reach at its start, besides
+	// those that the table names. Empty means only the table's.
+	Contacts []coltsfootward.Instance
+	// KeyGrace is how long a node goes on honouring keys that hears neither of
+	// the platform nor of most failure domains. A longer one serves callers
+	// through longer cuts; a key withdrawn meanwhile works behind the cut for
+	// as long. The default is 10 min.
+	KeyGrace time.Duration
 }
 
 // The defaults of Options.
@@ -31,6 +39,7 @@
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
+	DefaultKeyGrace       = 10 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -46,5 +55,8 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.KeyGrace <= 0 {
+		o.KeyGrace = DefaultKeyGrace
+	}
 	return o
 }
--- /dev/null
+++ b/core/node/snapshot.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/record"
+)
+
+const (
+	// pageBytes bounds a message with parts of the configuration to a quarter
+	// of what peers accept in one frame.
+	pageBytes = 256 << 10
+	// changeBytes and markBytes are generous estimates of what a change, or any
+	// of its objects, and each of a service's marks take on the wire.
+	changeBytes = 512
+	markBytes   = 256
+)
+
+// boundedChanges returns as many of the first changes as fit in one message.
+func boundedChanges(changes []coltsfootward.Change) []coltsfootward.Change {
+	size := 0
+	for i, change := range changes {
+		size += changeBytes
+		if change.Service != nil {
+			size += markBytes * len(change.Service.Marks)
+		}
+		if size > pageBytes && i > 0 {
+			return changes[:i]
+		}
+	}
+	return changes
+}
+
+// servedSnapshot is the configuration that a node is handing out in pages, so
+// that changes meanwhile do not tear them apart.
+type servedSnapshot struct {
+	revision coltsfootward.Revision
+	pages    []message.ConfigurationPage
+}
+
+// servePage sends one page of the snapshot that is asked for, or the first page
+// of the present one if that is not at hand any more.
+func (p *configurationPart) servePage(to coltsfootward.InstanceID, m message.ConfigurationPull) {
+	page := m.Page
+	if m.Snapshot == 0 || m.Snapshot != p.served.revision || page < 0 || page >= len(p.served.pages) {
+		page = 0
+		if p.served.revision != p.current.Revision() {
+			p.served = servedSnapshot{revision: p.current.Revision(), pages: pagesOf(p.current)}
+		}
+	}
+	p.send(to, &p.served.pages[page])
+}
+
+// pagesOf divides a configuration into messages of bounded size.
+func pagesOf(c coltsfootward.Configuration) []message.ConfigurationPage {
+	pages := []message.ConfigurationPage{{}}
+	size := 0
+	next := func(bytes int) *message.ConfigurationPage {
+		size += bytes
+		if size > pageBytes {
+			pages = append(pages, message.ConfigurationPage{})
+			size = bytes
+		}
+		return &pages[len(pages)-1]
+	}
+	for _, o := range c.Organisations() {
+		page := next(changeBytes)
+		page.Organisations = append(page.Organisations, o)
+	}
+	for _, k := range c.Keys() {
+		page := next(changeBytes)
+		page.Keys = append(page.Keys, k)
+	}
+	for _, s := range c.Services() {
+		page := next(changeBytes + markBytes*len(s.Marks))
+		page.Services = append(page.Services, s)
+	}
+	for i := range pages {
+		pages[i].Revision, pages[i].Page, pages[i].Pages = c.Revision(), i, len(pages)
+	}
+	return pages
+}
+
+// pageCollector gathers the pages of one snapshot from one peer.
+type pageCollector struct {
+	from          coltsfootward.InstanceID
+	revision      coltsfootward.Revision
+	next          int
+	organisations []coltsfootward.Organisation
+	keys          []coltsfootward.Key
+	services      []coltsfootward.Service
+}
+
+// page takes in a page of a peer's snapshot. Only all pages of one revision, in
+// order, become a configuration, and only if that is newer than what is in force.
+func (p *configurationPart) page(from coltsfootward.InstanceID, m message.ConfigurationPage) {
+	if m.Revision <= p.current.Revision() {
+		return
+	}
+	c := &p.pages
+	if m.Page == 0 {
+		*c = pageCollector{from: from, revision: m.Revision}
+	}
+	if c.from != from || c.revision != m.Revision || c.next != m.Page {
+		return
+	}
+	c.next++
+	c.organisations = append(c.organisations, m.Organisations...)
+	c.keys = append(c.keys, m.Keys...)
+	c.services = append(c.services, m.Services...)
+	p.pulled = p.node.now.Monotonic
+	if c.next < m.Pages {
+		p.send(from, &message.ConfigurationPull{After: p.current.Revision(), Snapshot: m.Revision, Page: c.next})
+		return
+	}
+	p.install(coltsfootward.NewConfiguration(c.revision, c.organisations, c.keys, c.services))
+	p.pages = pageCollector{}
+}
+
+func (p *configurationPart) install(c coltsfootward.Configuration) {
+	p.current = c
+	p.history = nil
+	p.node.report(record.SnapshotInForce, field("revision", c.Revision().String()))
+	p.inForce(nil)
+}
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -1,50 +1,14 @@
 package node
 
 import (
-	"maps"
-	"slices"
-
 	"coltsfootward"
 	"coltsfootward/core/message"
 )
 
-// DomainRevision says how far the configuration is in force in a failure domain.
-type DomainRevision struct {
-	Domain coltsfootward.FailureDomain
-	// Revision is the lowest that an instance of the domain has confirmed.
-	Revision coltsfootward.Revision
-	// Behind names the instances below the revision asked for.
-	Behind []coltsfootward.InstanceID
-}
-
-// InForce returns for each failure domain how far it has confirmed revision r.
-func (n *Node) InForce(r coltsfootward.Revision) []DomainRevision {
-	lowest := make(map[coltsfootward.FailureDomain]*DomainRevision)
-	note := func(instance coltsfootward.Instance, revision coltsfootward.Revision) {
-		d, ok := lowest[instance.Domain]
-		if !ok {
-			d = &DomainRevision{Domain: instance.Domain, Revision: revision}
-			lowest[instance.Domain] = d
-		}
-		d.Revision = min(d.Revision, revision)
-		if revision < r {
-			d.Behind = append(d.Behind, instance.ID)
-		}
-	}
-	note(n.options.Self, n.configuration.current.Revision())
-	for _, id := range slices.Sorted(maps.Keys(n.membership.peers)) {
-		note(n.membership.peers[id], n.configuration.confirmed[id])
-	}
-	var domains []DomainRevision
-	for _, name := range slices.Sorted(maps.Keys(lowest)) {
-		domains = append(domains, *lowest[name])
-	}
-	return domains
-}
-
 // UpstreamStatus is a backend server as this node knows it.
 type UpstreamStatus struct {
 	Announcement message.Announcement
+	State        message.MemberState
 	Load         message.Load
 }
 
@@ -54,27 +18,43 @@
 	Revision          coltsfootward.Revision
 	Draining          bool
 	PlatformAvailable bool
-	Upstreams         []UpstreamStatus
-	Peers             []coltsfootward.Instance
+	// KeysStopped is set while the node is cut off for longer than KeyGrace.
+	KeysStopped bool
+	Upstreams   []UpstreamStatus
+	// Peers are the other nodes that run, as far as this one knows.
+	Peers []coltsfootward.Instance
 }
 
-// Status returns the node's state for operators.
+// Status returns the node's state for operators. Its cost grows with the number
+// of nodes.
 func (n *Node) Status() Status {
 	s := Status{
 		Self:              n.options.Self,
 		Revision:          n.configuration.current.Revision(),
 		Draining:          n.draining,
 		PlatformAvailable: !n.table.away,
+		KeysStopped:       n.configuration.contact.stopped,
 	}
-	for _, id := range slices.Sorted(maps.Keys(n.membership.announced)) {
-		status := UpstreamStatus{Announcement: n.membership.announced[id], Load: n.placement.loads[id]}
-		if id == n.options.Self.ID {
-			status.Load = n.Load()
+	for _, member := range n.membership.machine.All() {
+		instance := member.Announcement.Instance
+		if member.Announcement.Service != "" {
+			s.Upstreams = append(s.Upstreams, UpstreamStatus{
+				Announcement: member.Announcement,
+				State:        member.State,
+				Load:         n.loadOf(instance.ID),
+			})
+		}
+		running := member.State == message.MemberAlive || member.State == message.MemberSuspected
+		if running && instance.ID != n.options.Self.ID {
+			s.Peers = append(s.Peers, instance)
 		}
-		s.Upstreams = append(s.Upstreams, status)
-	}
-	for _, id := range slices.Sorted(maps.Keys(n.membership.peers)) {
-		s.Peers = append(s.Peers, n.membership.peers[id])
 	}
 	return s
 }
+
+func (n *Node) loadOf(id coltsfootward.InstanceID) message.Load {
+	if id == n.options.Self.ID {
+		return n.Load()
+	}
+	return n.placement.loads[id]
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -20,6 +20,14 @@
 	BackendDraining     Code = 302
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
+	KeysStopped         Code = 403
+	KeysHonoured        Code = 404
+	SnapshotInForce     Code = 405
+	MemberSuspected     Code = 701
+	MemberGone          Code = 702
+	MemberLeft          Code = 703
+	DomainUnreachable   Code = 704
+	DomainReachable     Code = 705
 	PlatformUnavailable Code = 801
 	PlatformAvailable   Code = 802
 	PeerConnected       Code = 901
@@ -49,6 +57,14 @@
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
+		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
+		{KeysHonoured, "keys_honoured", "info", "The node hears of the platform or of most failure domains again and honours keys."},
+		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
+		{MemberSuspected, "member_suspected", "info", "A member of the node's failure domain answers no probes; it gets no new work if others can take it."},
+		{MemberGone, "member_gone", "warn", "A member of the node's failure domain did not answer in time and gets no new work. Check that instance."},
+		{MemberLeft, "member_left", "info", "A member of the node's failure domain said that it stops."},
+		{DomainUnreachable, "domain_unreachable", "warn", "No member of a failure domain answers this node; it sends no work there. Check the network between the two."},
+		{DomainReachable, "domain_reachable", "info", "A failure domain answers this node again."},
 		{PlatformUnavailable, "platform_unavailable", "warn", "The platform does not answer; the node goes on with what it has. Check the platform."},
 		{PlatformAvailable, "platform_available", "info", "The platform answers again."},
 		{PeerConnected, "peer_connected", "info", "A connection to or from a peer stands."},
