--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -105,7 +105,9 @@
 func TestSuspectedMemberRefutes(t *testing.T) {
 	c := started(t, 4, 2, 10)
 	accused := c.members[3]
-	c.blocked = func(from, to coltsfootward.Instance) bool { return from.ID == accused.self.ID || to.ID == accused.self.ID }
+	c.blocked = func(from, to coltsfootward.Instance) bool {
+		return from.ID == accused.self.ID || to.ID == accused.self.ID
+	}
 	alive := func(m *clusterMember) bool { return state(m, accused.self.ID) == message.MemberAlive }
 	if _, ok := c.until(20*time.Second, func() bool { return !c.all(alive) }); !ok {
 		t.Fatal("nobody suspects the member that does not answer")
