--- a/core/nodetest/table.go
+++ b/core/nodetest/table.go
@@ -31,16 +31,22 @@
 	rows    map[string]coltsfootward.Row
 	version uint64
 	cut     map[coltsfootward.FailureDomain]bool
+	alone   map[coltsfootward.InstanceID]bool
 }
 
 func newTable(r *Rig) *Table {
-	return &Table{rig: r, rows: make(map[string]coltsfootward.Row), cut: make(map[coltsfootward.FailureDomain]bool)}
+	return &Table{rig: r, rows: make(map[string]coltsfootward.Row), cut: make(map[coltsfootward.FailureDomain]bool), alone: make(map[coltsfootward.InstanceID]bool)}
 }
 
 func (t *Table) setCut(domain coltsfootward.FailureDomain, cut bool) {
 	t.cut[domain] = cut
 }
 
+// CutInstance cuts one instance off from the table, or undoes that.
+func (t *Table) CutInstance(id coltsfootward.InstanceID, cut bool) {
+	t.alone[id] = cut
+}
+
 // perform carries out a table action of a node. It takes effect on arrival and
 // is answered a little later; unanswered operations end as unavailable.
 func (t *Table) perform(m *Member, action node.Action) {
@@ -65,7 +71,7 @@
 	}
 	boot := m.boots
 	t.rig.After(tableDelay/2+t.Slow, func() {
-		rows, err := t.operate(m.Instance.Domain, run)
+		rows, err := t.operate(m.Instance, run)
 		t.rig.After(tableDelay/2, func() {
 			if m.boots == boot {
 				m.event(func() node.Event { return node.TableAnswered{Operation: id, Rows: rows, Err: err} })
@@ -74,8 +80,8 @@
 	})
 }
 
-func (t *Table) operate(domain coltsfootward.FailureDomain, run func() ([]coltsfootward.Row, error)) ([]coltsfootward.Row, error) {
-	if t.cut[domain] {
+func (t *Table) operate(from coltsfootward.Instance, run func() ([]coltsfootward.Row, error)) ([]coltsfootward.Row, error) {
+	if t.cut[from.Domain] || t.alone[from.ID] {
 		return nil, coltsfootward.ErrUnavailable
 	}
 	return run()
