--- a/change.go
+++ b/change.go
@@ -19,7 +19,8 @@
 }
 
 // Apply returns c with the changes in it, in order. A change at or below c's
-// revision is already in it and is passed over. The cost is that of one copy of
+// revision is already in it and is passed over; an object that is newer than the
+// change stays as it is. The cost is that of one copy of
 // the tables that change, however many changes there are.
 func (c Configuration) Apply(changes ...Change) Configuration {
 	b := builder{base: c}
@@ -41,21 +42,27 @@
 	if change.Organisation != nil {
 		o := *change.Organisation
 		o.Revision = change.Revision
-		b.base.organisations = own(b.base.organisations, &b.organisations)
-		b.base.organisations[o.Name] = o
+		if b.base.organisations[o.Name].Revision < o.Revision {
+			b.base.organisations = own(b.base.organisations, &b.organisations)
+			b.base.organisations[o.Name] = o
+		}
 	}
 	if change.Key != nil {
 		k := *change.Key
 		k.Revision = change.Revision
-		b.base.keys = own(b.base.keys, &b.keys)
-		b.base.keys[k.Digest] = keepWithdrawn(b.base.keys, k)
+		if b.base.keys[k.Digest].Revision < k.Revision {
+			b.base.keys = own(b.base.keys, &b.keys)
+			b.base.keys[k.Digest] = keepWithdrawn(b.base.keys, k)
+		}
 	}
 	if change.Service != nil {
 		s := *change.Service
 		s.Revision = change.Revision
 		s.Marks = slices.Clone(s.Marks)
-		b.base.services = own(b.base.services, &b.services)
-		b.base.services[s.Name] = s
+		if b.base.services[s.Name].Revision < s.Revision {
+			b.base.services = own(b.base.services, &b.services)
+			b.base.services[s.Name] = s
+		}
 	}
 	b.base.revision = change.Revision
 }
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -105,7 +105,12 @@
 			return
 		}
 		p.contact.table(began)
-		p.apply(decodeChanges(rows))
+		changes := decodeChanges(rows)
+		p.apply(changes)
+		if len(changes) > 0 && changes[0].Revision > p.current.Revision()+1 {
+			p.restore()
+			return
+		}
 		if len(rows) == scanLimit {
 			p.poll = 0
 			p.asked = true
--- a/core/node/table.go
+++ b/core/node/table.go
@@ -26,6 +26,17 @@
 	return p.next
 }
 
+func (p *tablePart) read(key string, answered func(coltsfootward.Row, error)) {
+	id := p.operation(func(e TableAnswered) {
+		row := coltsfootward.Row{Key: key}
+		if len(e.Rows) > 0 {
+			row = e.Rows[0]
+		}
+		answered(row, e.Err)
+	})
+	p.node.act(ReadTable{Operation: id, Key: key})
+}
+
 func (p *tablePart) scan(prefix, after string, limit int, answered func([]coltsfootward.Row, error)) {
 	id := p.operation(func(e TableAnswered) { answered(e.Rows, e.Err) })
 	p.node.act(ScanTable{Operation: id, Prefix: prefix, After: after, Limit: limit})
