--- /dev/null
+++ b/cmd/settings/settings_test.go
@@ -0,0 +1,154 @@
+package settings_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootward/cmd/settings"
+	"coltsfootward/core/node"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const whole = `[instance]
+id = "north-1"
+domain = "north"
+domains = ["north", "south"]
+
+[listen]
+callers = "10.0.0.1:7001"
+backend = "127.0.0.1:7002"
+peers = "10.0.0.1:7003"
+operators = "10.0.0.1:7004"
+
+[platform]
+url = "http://10.0.0.9:7000"
+`
+
+func TestParse(t *testing.T) {
+	s, err := settings.Parse("node.toml", []byte(whole+"\n[requests]\ntimeout = \"2s\"\nattempts = 3\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := s.NodeOptions(7)
+	if options.Timeout != 2*time.Second || options.Attempts != 3 || options.Self.Address != "10.0.0.1:7003" || len(options.Domains) != 2 {
+		t.Errorf("got %+v, want the file's timeout, attempts, address and domains", options)
+	}
+	if options.MaximumTimeout != node.DefaultMaximumTimeout {
+		t.Errorf("got maximum timeout %v, want the default %v", options.MaximumTimeout, node.DefaultMaximumTimeout)
+	}
+}
+
+// An operator writes a file with many mistakes and wants to read all of them
+// at once, each with its place, its range and a remedy.
+func TestParseReportsEveryBadValue(t *testing.T) {
+	text := `[instance]
+id = "north 1"
+domain = 5
+domains = ["north", "north"]
+
+[listen]
+callers = "localhost:7001"
+backend = "10.0.0.1:7002"
+peers = "0.0.0.0:7003"
+
+[platform]
+url = "10.0.0.9"
+
+[requests]
+attemps = 3
+timeout = 5
+maximum_timeout = "5 hours"
+maximum_body = -1
+
+[log]
+level = "loud"
+`
+	_, err := settings.Parse("node.toml", []byte(text))
+	if err == nil {
+		t.Fatal("got no error")
+	}
+	goldie.New(t).Assert(t, "bad_values", []byte(err.Error()+"\n"))
+}
+
+func TestParseErrors(t *testing.T) {
+	tests := []struct {
+		name, text, key string
+	}{
+		{"syntax", "[instance\n", "line 1, column 10"},
+		{"empty", "", "instance.id"},
+		{"section that is a value", strings.Replace(whole, "[platform]\nurl = \"http://10.0.0.9:7000\"", "", 1) + "platform = 3\n", "platform"},
+		{"maximum below default timeout", whole + "[requests]\nmaximum_timeout = \"1s\"\n", "requests.maximum_timeout"},
+		{"domain not listed", strings.Replace(whole, `domain = "north"`, `domain = "west"`, 1), "instance.domains"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := settings.Parse("node.toml", []byte(test.text))
+			var bad *settings.Error
+			if !errors.As(err, &bad) || !strings.Contains(err.Error(), "settings: node.toml: "+test.key) {
+				t.Errorf("got %v, want an Error about %s", err, test.key)
+			}
+		})
+	}
+}
+
+// A decision's option that no setting reaches can't be tuned by operators.
+func TestEveryOptionHasASetting(t *testing.T) {
+	s := settings.Default()
+	reached := make(map[any]bool)
+	for _, field := range settings.Fields() {
+		reached[field.Target(&s)] = true
+	}
+	value := reflect.ValueOf(&s.Node).Elem()
+	for i := range value.NumField() {
+		name := value.Type().Field(i).Name
+		if name == "Self" || name == "Domains" {
+			continue // from instance and listen
+		}
+		if !reached[value.Field(i).Addr().Interface()] {
+			t.Errorf("got no setting for node.Options.%s, want a line for it in cmd/settings/table.go", name)
+		}
+		if value.Field(i).IsZero() {
+			t.Errorf("got no default for node.Options.%s, want one from WithDefaults", name)
+		}
+	}
+}
+
+// docs/OPERATIONS.md lists every setting. After a change of the table put the
+// text that the test prints between the page's marks.
+func TestOperationsPageListsEverySetting(t *testing.T) {
+	var want strings.Builder
+	want.WriteString("| Setting | Unit | Default | Range | Meaning |\n|---|---|---|---|---|\n")
+	for _, f := range settings.Fields() {
+		fmt.Fprintf(&want, "| `%s` | %s | `%s` | %s | %s |\n", f.Key, f.Unit, f.Default(), f.Range, f.Meaning)
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "<!-- settings -->\n")
+	got, _, _ := strings.Cut(rest, "<!-- end of settings -->")
+	if got != want.String() {
+		t.Errorf("got another table in docs/OPERATIONS.md, want between its marks:\n%s", want.String())
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("[requests]\nattempts = 99999999999\n[log]\ntimeline = 1e9\n"))
+	f.Add([]byte("a = {b = {c = [1, {d = 2}]}}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse("fuzz.toml", data)
+		if err != nil {
+			return
+		}
+		if s.Node.Attempts < 1 || s.Node.Timeout <= 0 || s.MaximumBody < 1 || s.Instance.ID == "" || s.Log.Timeline < 1 {
+			t.Errorf("got %+v accepted, want it refused", s)
+		}
+	})
+}
--- /dev/null
+++ b/examples/deployment/deployment_test.go
@@ -0,0 +1,179 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/cmd/daemon"
+	"coltsfootward/cmd/settings"
+	"coltsfootward/examples/deployment"
+	"coltsfootward/io/upstream"
+	coltsfootwardv1 "coltsfootward/schema/coltsfootward/v1"
+	"coltsfootward/schema/coltsfootward/v1/coltsfootwardv1connect"
+	"coltsfootward/standin/backend"
+	"coltsfootward/standin/platform"
+
+	"connectrpc.com/connect"
+	"github.com/sebdah/goldie/v2"
+	"go.uber.org/zap"
+)
+
+// The ready files are what Deployment writes. After a change of it read what
+// moved and run go test coltsfootward/examples/deployment -update.
+func TestReadyFiles(t *testing.T) {
+	for _, d := range deployment.Deployments() {
+		directory := filepath.Join("..", d.Name)
+		files := goldie.New(t, goldie.WithFixtureDir(directory), goldie.WithNameSuffix(""))
+		files.Assert(t, "configure.sh", []byte(d.Configure()))
+		for _, i := range d.Instances() {
+			files.Assert(t, i.ID+".toml", []byte(d.Settings(i)))
+			if _, err := settings.Load(filepath.Join(directory, i.ID+".toml")); err != nil {
+				t.Errorf("%s: got %v, want the ready file accepted", i.ID, err)
+			}
+		}
+	}
+}
+
+// whole is a deployment in one process, on ports that the machine chose.
+type whole struct {
+	t     *testing.T
+	nodes []*daemon.Daemon
+}
+
+const anyPort = "127.0.0.1:0"
+
+func start(t *testing.T, d deployment.Deployment) *whole {
+	t.Helper()
+	table := httptest.NewServer(platform.New().Handler())
+	t.Cleanup(table.Close)
+	w := &whole{t: t}
+	for _, i := range d.Instances() {
+		s, err := settings.Load(filepath.Join("..", d.Name, i.ID+".toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Listen = settings.Listen{Callers: anyPort, Backend: anyPort, Peers: anyPort, Operators: anyPort}
+		s.PlatformURL = table.URL
+		w.add(s, i)
+	}
+	return w
+}
+
+func (w *whole) add(s settings.Settings, i deployment.Instance) {
+	w.t.Helper()
+	node := daemon.New(s, zap.NewNop())
+	if err := node.Start(w.t.Context()); err != nil {
+		w.t.Fatal(err)
+	}
+	w.nodes = append(w.nodes, node)
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := backend.New(listener, backend.Options{
+		Announcement: upstream.Announcement{
+			Service: coltsfootward.ServiceName(i.Service.Name), Slots: i.Service.Slots, Connections: i.Service.Connections,
+		},
+		NodeAddress: node.Addresses().Backend,
+		ServiceTime: time.Millisecond,
+	})
+	w.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if err := node.Stop(ctx); err != nil {
+			w.t.Errorf("stop %s: got %v, want a graceful stop", i.ID, err)
+		}
+		server.Close()
+	})
+}
+
+func (w *whole) client() coltsfootwardv1connect.OperatorServiceClient {
+	return coltsfootwardv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+w.nodes[0].Addresses().Operators)
+}
+
+// eventually waits until check returns true.
+func (w *whole) eventually(what string, check func() bool) {
+	w.t.Helper()
+	deadline := time.Now().Add(time.Minute)
+	for !check() {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("did not come true in time: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func change(id string) *coltsfootwardv1.ChangeContext {
+	return &coltsfootwardv1.ChangeContext{ChangeId: id, WaitMilliseconds: 30_000}
+}
+
+// Every ready settings file starts, all nodes find each other, and a caller of
+// any service at the first node is answered.
+func TestDeploymentsStart(t *testing.T) {
+	for _, d := range deployment.Deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			w := start(t, d)
+			ctx := t.Context()
+			w.eventually("every node knows every other", func() bool {
+				status, err := w.client().Status(ctx, connect.NewRequest(&coltsfootwardv1.StatusRequest{}))
+				return err == nil && int(status.Msg.Peers) == len(w.nodes)-1
+			})
+			for _, s := range d.Services {
+				_, err := w.client().SetService(ctx, connect.NewRequest(&coltsfootwardv1.SetServiceRequest{
+					Context: change(s.Name), Service: &coltsfootwardv1.Service{Name: s.Name},
+				}))
+				if err != nil {
+					t.Fatalf("set service %s: %v", s.Name, err)
+				}
+			}
+			key := w.organisation(d.Organisations[0])
+			for _, s := range d.Services {
+				w.eventually("a caller of "+s.Name+" is answered", func() bool { return w.answered(s.Name, key) })
+			}
+		})
+	}
+}
+
+func (w *whole) organisation(o deployment.Organisation) string {
+	w.t.Helper()
+	const key = "a-key-that-only-this-test-knows"
+	_, err := w.client().SetOrganisation(w.t.Context(), connect.NewRequest(&coltsfootwardv1.SetOrganisationRequest{
+		Context: change(o.Name), Name: o.Name, RatePerSecond: o.Rate, Burst: int64(o.Burst),
+	}))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, err = w.client().IssueKey(w.t.Context(), connect.NewRequest(&coltsfootwardv1.IssueKeyRequest{
+		Context: change(o.Name + "-key"), Id: o.Name + "-1", Organisation: o.Name, Digest: string(coltsfootward.DigestKey(key)),
+	}))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return key
+}
+
+func (w *whole) answered(service, key string) bool {
+	w.t.Helper()
+	path := "/" + service + "/some/page"
+	request, err := http.NewRequestWithContext(w.t.Context(), http.MethodGet, "http://"+w.nodes[0].Addresses().Callers+path, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && strings.HasPrefix(string(body), fmt.Sprintf("GET %s ", "/some/page"))
+}
