--- a/cmd/settings/field.go
+++ b/cmd/settings/field.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"coltsfootward"
 )
 
 // Field is one setting.
@@ -48,6 +50,8 @@
 		return fmt.Sprint(*p)
 	case *bool:
 		return fmt.Sprint(*p)
+	case *[]string:
+		return fmt.Sprintf("%q", *p)
 	default:
 		panic(fmt.Sprintf("settings: field %s has an unknown type %T: add it to Default and assign", f.Key, p))
 	}
@@ -167,6 +171,39 @@
 	}
 }
 
+// contactRange is how a contact is written.
+const contactRange = "DOMAIN/ID/ADDRESS each, as in north/quotes-1/10.0.0.1:7003"
+
+func contacts(key, meaning string, target func(*Settings) *[]string) Field {
+	return Field{
+		Key: key, Unit: "list of contacts", Range: contactRange, Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check: func(s *Settings) string {
+			for _, text := range *target(s) {
+				if _, ok := parseContact(text); !ok {
+					return fmt.Sprintf("holds %q: give %s", text, contactRange)
+				}
+			}
+			return ""
+		},
+	}
+}
+
+func parseContact(text string) (coltsfootward.Instance, bool) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 || !namePattern.MatchString(parts[0]) || !namePattern.MatchString(parts[1]) {
+		return coltsfootward.Instance{}, false
+	}
+	if _, err := netip.ParseAddrPort(parts[2]); err != nil {
+		return coltsfootward.Instance{}, false
+	}
+	return coltsfootward.Instance{
+		Domain:  coltsfootward.FailureDomain(parts[0]),
+		ID:      coltsfootward.InstanceID(parts[1]),
+		Address: parts[2],
+	}, true
+}
+
 // addressKind says who has to reach an address.
 type addressKind string
 
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -40,6 +40,9 @@
 	Domain string
 	// Domains lists every failure domain of the deployment.
 	Domains []string
+	// Contacts are instances to reach at the start, besides those that the
+	// platform's table names.
+	Contacts []string
 }
 
 // Listen holds the addresses, each an IP number and a port.
@@ -207,5 +210,9 @@
 	for _, domain := range s.Instance.Domains {
 		options.Domains = append(options.Domains, coltsfootward.FailureDomain(domain))
 	}
+	for _, text := range s.Instance.Contacts {
+		contact, _ := parseContact(text) // checked when the file was read
+		options.Contacts = append(options.Contacts, contact)
+	}
 	return options
 }
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -107,8 +107,8 @@
 	value := reflect.ValueOf(&s.Node).Elem()
 	for i := range value.NumField() {
 		name := value.Type().Field(i).Name
-		if name == "Self" || name == "Domains" {
-			continue // from instance and listen
+		if name == "Self" || name == "Domains" || name == "Contacts" {
+			continue // from instance and listen, by NodeOptions
 		}
 		if !reached[value.Field(i).Addr().Interface()] {
 			t.Errorf("got no setting for node.Options.%s, want a line for it in cmd/settings/table.go", name)
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -12,6 +12,8 @@
 			func(s *Settings) *string { return &s.Instance.Domain }),
 		names("instance.domains", "Every failure domain of the deployment, the same on all instances.",
 			func(s *Settings) *[]string { return &s.Instance.Domains }),
+		contacts("instance.contacts", "Instances to reach at the start, besides those that the platform's table names; they let a node start while the platform is away.",
+			func(s *Settings) *[]string { return &s.Instance.Contacts }),
 
 		address("listen.callers", "Where callers reach the node.", listening,
 			func(s *Settings) *string { return &s.Listen.Callers }),
@@ -36,6 +38,8 @@
 
 		duration("configuration.poll_interval", "The time between two reads of the configuration from the platform.", 50*time.Millisecond, time.Minute,
 			func(s *Settings) *time.Duration { return &s.Node.PollInterval }),
+		duration("configuration.key_grace", "How long a node that hears neither of the platform nor of most failure domains goes on honouring keys; a key withdrawn meanwhile works behind the cut for as long.", time.Second, 24*time.Hour,
+			func(s *Settings) *time.Duration { return &s.Node.KeyGrace }),
 
 		choice("log.level", "The least level that is logged.", []string{"debug", "info", "warn", "error"},
 			func(s *Settings) *string { return &s.Log.Level }),
