Share out a request's attempts by need, and count them in one step

Cause: the first of several parallel calls took the parent's whole remainder, so its siblings were refused; an attempt that was lost counted as if it had used the whole budget, so no lost request could be attempted again; the count that closes an answer was read in one step and the call's token ended in another, so a further call in between escaped it; a refusal whose end was lost counted as no attempt at all.

Change: a child gets its part by what calls of its service have needed and how many calls still usually follow (core/attempt). The first attempt of an entry call leaves behind what another needs if the budget allows two; an attempt that is lost counts all it carried and no more. A child that failed is topped up from its parent's surplus at the same node. No attempt begins with less than the service needs. The end of a dispatch and its count are one step (EndAnswer). The default budget is 16, since it counts first attempts too and seven layers need seven.

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -138,4 +138,6 @@
 type End struct {
 	// Attempts is how many attempts this call and all below it used.
 	Attempts int `msgpack:"attempts"`
+	// Needed is how many they would have used if none had failed.
+	Needed int `msgpack:"needed"`
 }
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -46,6 +46,17 @@
 	Unrepeatable bool
 }
 
+// EndAnswer closes a peer's call whose answer has been passed on whole. The
+// count is taken in the same step that ends the call's token: a further call
+// that the backend server makes later is refused, so none can escape the count.
+type EndAnswer struct {
+	Call CallID
+	// Attempts is how many attempts the call and all below it used.
+	Attempts int
+	// Needed is how many it would have used if none had failed.
+	Needed int
+}
+
 // CancelAttempt ends a forwarded call that nobody waits for.
 type CancelAttempt struct{ Call CallID }
 
@@ -87,6 +98,7 @@
 func (Refuse) isAction()         {}
 func (Forward) isAction()        {}
 func (Dispatch) isAction()       {}
+func (EndAnswer) isAction()      {}
 func (CancelAttempt) isAction()  {}
 func (CancelDispatch) isAction() {}
 func (Send) isAction()           {}
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 
@@ -29,6 +30,8 @@
 	attempts int
 	// budget is how many attempts may be used in all.
 	budget int
+	// carried is how many attempts the one under way may use.
+	carried int
 	// mayRetry is cleared for the repeats of a caller, which retries already.
 	mayRetry bool
 	// tried holds the instances that have refused or lost the call.
@@ -37,6 +40,8 @@
 	target coltsfootward.InstanceID
 	// running is set while an attempt is under way.
 	running bool
+	// lost is set once an attempt ended in doubt.
+	lost bool
 	// answered is set once an answer has begun; from then on nothing is retried.
 	answered bool
 	// claimed is set while the call holds a claim on its idempotency key.
@@ -111,7 +116,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	slice := p.node.ledger.slice(parent, call.budget)
+	slice := p.node.ledger.slice(parent, e.Service, call.budget)
 	if slice == 0 {
 		r := coltsfootward.NewRefusal(coltsfootward.RefusalAttempts, "the chain has used its attempts").WithFinal()
 		return nil, &r
@@ -214,7 +219,9 @@
 	call.target = target.ID
 	call.running = true
 	head := call.head
-	head.Budget = call.budget - call.attempts
+	reserve := call.parent == "" && call.mayRetry && !call.head.Unrepeatable && !call.lost
+	call.carried = attempt.Carry(call.budget-call.attempts, p.node.ledger.forecast.Need(call.head.Service), reserve)
+	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
 	p.node.act(Forward{Call: call.id, To: target, Head: head})
@@ -238,12 +245,14 @@
 		return
 	}
 	call.attempts += attemptsUsed(call, e)
+	call.lost = call.lost || e.Kind == AttemptLost
 	p.settleAdmission(call, e)
 	refused := refusalOf(e)
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)))
 	call.last = refused
 	call.tried[call.target] = true
+	p.node.ledger.topUp(call)
 	if p.mayRetry(call, refused) {
 		p.attempt(call)
 		return
@@ -261,16 +270,19 @@
 	call.admission = admission{}
 }
 
-// attemptsUsed returns what an ended attempt cost. In doubt the whole slice
-// counts as used: the chain below may still be spending it.
+// attemptsUsed returns what an ended attempt cost. In doubt all that it carried
+// counts as used: the chain below may still be spending it. A refusal whose end
+// was lost is such a doubt, unless nothing ran.
 func attemptsUsed(call *entryCall, e AttemptEnded) int {
-	switch e.Kind {
-	case AttemptUnsent:
+	switch {
+	case e.Kind == AttemptUnsent:
+		return 0
+	case e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun:
 		return 0
-	case AttemptRefused:
-		return max(e.Attempts, 0)
+	case e.Kind == AttemptRefused && e.Attempts >= 0:
+		return min(e.Attempts, call.carried)
 	default:
-		return call.budget - call.attempts
+		return call.carried
 	}
 }
 
@@ -289,7 +301,7 @@
 // mayRetry decides whether another attempt follows. A request whose execution
 // is unknown is attempted again only if it is repeatable.
 func (p *entryPart) mayRetry(call *entryCall, refused coltsfootward.Refusal) bool {
-	if refused.Final || !call.mayRetry || call.attempts >= call.budget {
+	if refused.Final || !call.mayRetry || !p.node.ledger.enough(call) {
 		return false
 	}
 	if p.node.now.Expiry >= call.deadline {
@@ -356,11 +368,14 @@
 		return
 	}
 	delete(p.calls, e.Call)
-	used := call.budget - call.attempts
+	used := call.carried
 	if e.Attempts >= 0 {
 		used = min(e.Attempts, used)
 	}
 	call.attempts += used
+	if e.Whole && e.Attempts >= 0 {
+		p.node.ledger.answered(call, e.Needed)
+	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
 	}
@@ -380,7 +395,9 @@
 	execution := coltsfootward.ExecutionNotRun
 	if call.running || call.answered || call.last.Execution == coltsfootward.ExecutionUnknown {
 		execution = coltsfootward.ExecutionUnknown
-		call.attempts = call.budget
+	}
+	if call.running || call.answered {
+		call.attempts += call.carried
 	}
 	if call.running || call.answered {
 		p.node.act(CancelAttempt{Call: id})
@@ -411,7 +428,7 @@
 	if call.running {
 		p.node.act(CancelAttempt{Call: call.id})
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
-		call.attempts = call.budget
+		call.attempts += call.carried
 	}
 	p.giveUp(call, r)
 }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -65,7 +65,8 @@
 	Load    message.Load
 	// Status is the backend server's, for an answered attempt.
 	Status int
-	// Attempts is how many attempts the upstream's side used, for a refused one.
+	// Attempts is how many attempts the upstream's side used, for a refused
+	// one; negative means that it is unknown.
 	Attempts int
 }
 
@@ -75,6 +76,8 @@
 	// Attempts is how many attempts the upstream's side used; negative means
 	// that it is unknown, so that the whole slice counts as used.
 	Attempts int
+	// Needed is how many it would have used if none had failed.
+	Needed int
 	// Whole is set when the complete answer reached the caller.
 	Whole bool
 }
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -13,8 +13,8 @@
 	Self coltsfootward.Instance
 	// Domains lists every failure domain of the deployment.
 	Domains []coltsfootward.FailureDomain
-	// Attempts bounds the attempts of one request over the whole chain. The
-	// default is 4.
+	// Attempts bounds the attempts of one request over the whole chain, the
+	// first ones included. The default is 16: seven layers deep and some to spare.
 	Attempts int
 	// Timeout bounds a request that brings none. The default is 10 s.
 	Timeout time.Duration
@@ -27,7 +27,7 @@
 
 // The defaults of Options.
 const (
-	DefaultAttempts       = 4
+	DefaultAttempts       = 16
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
 )
 
@@ -21,8 +22,8 @@
 	startBy time.Duration
 	// token is set once the call has been dispatched.
 	token CallToken
-	// remaining is how many attempts the calls below may still use.
-	remaining int
+	// escrow holds the attempts that the calls below may still use.
+	escrow *attempt.Escrow
 }
 
 // upstreamPart stands before the local backend server: every request for it
@@ -43,11 +44,11 @@
 func (p *upstreamPart) arrived(e PeerCallArrived) {
 	now := p.node.now.Expiry
 	call := &upstreamCall{
-		id:        e.Call,
-		head:      e.Head,
-		arrived:   now,
-		deadline:  now + e.Head.Timeout - e.Age,
-		remaining: e.Head.Budget - 1,
+		id:       e.Call,
+		head:     e.Head,
+		arrived:  now,
+		deadline: now + e.Head.Timeout - e.Age,
+		escrow:   attempt.NewEscrow(e.Head.Budget),
 	}
 	if e.Head.StartWithin > 0 {
 		call.startBy = now + e.Head.StartWithin - e.Age
@@ -134,6 +135,9 @@
 	case DispatchTimeout:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out while the request ran").
 			WithExecution(coltsfootward.ExecutionUnknown))
+	case DispatchAnswered:
+		delete(p.calls, call.id)
+		p.node.act(EndAnswer{Call: call.id, Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
 	default:
 		delete(p.calls, call.id)
 	}
@@ -169,7 +173,7 @@
 	delete(p.calls, call.id)
 	used := 0
 	if r.Execution != coltsfootward.ExecutionNotRun {
-		used = call.head.Budget - call.remaining
+		used = call.escrow.Used()
 	}
 	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(), Attempts: used})
 }
@@ -188,16 +192,6 @@
 	return n.upstream.load()
 }
 
-// AttemptsUsed returns how many attempts a dispatched call and all below it
-// have used so far. The shell asks when it closes the call's answer.
-func (n *Node) AttemptsUsed(id CallID) int {
-	call, ok := n.upstream.calls[id]
-	if !ok {
-		return -1
-	}
-	return call.head.Budget - call.remaining
-}
-
 func (n *Node) newCallToken() CallToken {
 	return CallToken(fmt.Sprintf("%016x%016x", n.source.Uint64(), n.source.Uint64()))
 }
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -38,6 +38,9 @@
 	// other, before its own service time. If one of them is not answered, the
 	// request fails. Nil means none.
 	Children func(message.Call) []Request
+	// Parallel makes a request's further calls all at once. If one of them is
+	// not answered, the request fails at once and the others go on.
+	Parallel bool
 	// Fail, if set, makes requests end without an answer after their time.
 	Fail func(message.Call) bool
 	// Runs holds every request that reached it, in order.
@@ -54,7 +57,9 @@
 	run      *Run
 	children []Request
 	child    *Outcome
-	stopped  bool
+	// pending counts parallel calls that have not ended.
+	pending int
+	stopped bool
 }
 
 func newBackend(m *Member) *Backend {
@@ -101,6 +106,10 @@
 
 // step makes the next further call, or serves.
 func (b *Backend) step(j *job) {
+	if b.Parallel && len(j.children) > 0 {
+		b.fanOut(j)
+		return
+	}
 	if len(j.children) > 0 {
 		child := j.children[0]
 		j.children = j.children[1:]
@@ -108,6 +117,30 @@
 		b.callChild(j, child)
 		return
 	}
+	b.serve(j)
+}
+
+// fanOut makes all further calls at once and serves when all are answered.
+func (b *Backend) fanOut(j *job) {
+	children := j.children
+	j.children = nil
+	j.pending = len(children)
+	for _, child := range children {
+		child.Token = j.run.Token
+		b.member.Send(child).whenDone(func(o *Outcome) {
+			j.pending--
+			switch {
+			case j.stopped:
+			case !o.Answered:
+				b.finish(j, false)
+			case j.pending == 0:
+				b.serve(j)
+			}
+		})
+	}
+}
+
+func (b *Backend) serve(j *job) {
 	d := 10 * time.Millisecond
 	if b.ServiceTime != nil {
 		d = b.ServiceTime(j.run.Head)
@@ -122,7 +155,7 @@
 func (b *Backend) callChild(j *job, child Request) {
 	outcome := b.member.Send(child)
 	j.child = outcome
-	ended := func() {
+	outcome.whenDone(func(*Outcome) {
 		j.child = nil
 		if j.stopped {
 			return
@@ -132,12 +165,16 @@
 			return
 		}
 		b.step(j)
-	}
-	if outcome.Done {
-		ended()
+	})
+}
+
+// whenDone runs f once the outcome is final, which may be now.
+func (o *Outcome) whenDone(f func(*Outcome)) {
+	if o.Done {
+		f(o)
 		return
 	}
-	outcome.notify = ended
+	o.notify = func() { f(o) }
 }
 
 func (b *Backend) finish(j *job, completed bool) {
@@ -149,7 +186,6 @@
 	if completed {
 		kind = node.DispatchAnswered
 		b.member.event(func() node.Event { return node.DispatchHeaded{Call: j.call, Status: statusOK} })
-		b.member.answered(j.call)
 	}
 	b.member.event(func() node.Event { return node.DispatchEnded{Call: j.call, Kind: kind} })
 	b.fill()
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -26,6 +26,8 @@
 		}
 	case node.Dispatch:
 		m.Backend.start(a)
+	case node.EndAnswer:
+		m.answered(a)
 	case node.CancelDispatch:
 		m.Backend.cancel(a.Call)
 	case node.Send:
@@ -147,18 +149,17 @@
 }
 
 // answered carries a whole answer back to the caller.
-func (m *Member) answered(call node.CallID) {
-	s, ok := m.serving[call]
+func (m *Member) answered(a node.EndAnswer) {
+	s, ok := m.serving[a.Call]
 	if !ok {
 		return
 	}
-	delete(m.serving, call)
+	delete(m.serving, a.Call)
 	load := m.machine.Load()
-	used := m.machine.AttemptsUsed(call)
-	m.back(s, func() { s.origin.delivered(s, m.Instance.ID, load, used) })
+	m.back(s, func() { s.origin.delivered(s, m.Instance.ID, load, a) })
 }
 
-func (m *Member) delivered(s *served, by coltsfootward.InstanceID, load messageLoad, used int) {
+func (m *Member) delivered(s *served, by coltsfootward.InstanceID, load messageLoad, end node.EndAnswer) {
 	e, ok := m.entries[s.call]
 	if !ok || e.attempt != s.attempt || !m.alive {
 		return
@@ -167,7 +168,9 @@
 	m.event(func() node.Event {
 		return node.AttemptEnded{Call: s.call, Kind: node.AttemptAnswered, Load: load, Status: statusOK}
 	})
-	m.event(func() node.Event { return node.CallDone{Call: s.call, Attempts: used, Whole: true} })
+	m.event(func() node.Event {
+		return node.CallDone{Call: s.call, Attempts: end.Attempts, Needed: end.Needed, Whole: true}
+	})
 	m.endOutcome(e.outcome, func(o *Outcome) {
 		o.Done = true
 		o.Answered = true
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -90,6 +90,7 @@
 func (e *exchange) refused(answer *peer.Answer) bool {
 	ended := node.AttemptEnded{
 		Call: e.call.ID, Kind: node.AttemptRefused, Refusal: *answer.Head.Refusal, Load: answer.Head.Load,
+		Attempts: -1,
 	}
 	if _, err := io.Copy(io.Discard, answer); err == nil {
 		end, _ := answer.End()
@@ -108,11 +109,11 @@
 	}
 	e.writer.WriteHeader(answer.Head.Status)
 	whole := e.copy(answer)
-	attempts := -1
-	if end, ok := answer.End(); ok {
-		attempts = end.Attempts
+	end, ok := answer.End()
+	if !ok {
+		end.Attempts = -1
 	}
-	e.face.loop.Post(node.CallDone{Call: e.call.ID, Attempts: attempts, Whole: whole})
+	e.face.loop.Post(node.CallDone{Call: e.call.ID, Attempts: end.Attempts, Needed: end.Needed, Whole: whole})
 	if !whole {
 		answer.Close()
 		panic(http.ErrAbortHandler)
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -91,6 +91,9 @@
 					return
 				}
 				left = nil
+			case node.EndAnswer:
+				_ = w.End(message.End{Attempts: a.Attempts, Needed: a.Needed}) // the peer may have left
+				return
 			}
 		case <-left:
 			s.loop.Post(node.CallerLeft{Call: call.ID})
@@ -121,7 +124,8 @@
 	timedUp atomic.Bool
 }
 
-// run reports whether the call is over. If not, the machine's refusal follows.
+// run reports whether the call is over. If not, the machine's refusal or the
+// end of the answer follows.
 func (d *dispatch) run(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -141,16 +145,15 @@
 	}
 	d.server.loop.Post(node.DispatchHeaded{Call: d.call.ID, Status: response.StatusCode})
 	if !d.passOn(response, cancel) {
-		d.ended(node.DispatchCancelled)
-		return true
+		return d.ended(node.DispatchCancelled)
 	}
-	return true
+	return d.ended(node.DispatchAnswered)
 }
 
-// ended reports the end and whether no refusal follows it.
+// ended reports the end and whether no action of the machine follows it.
 func (d *dispatch) ended(kind node.DispatchKind) bool {
 	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind})
-	return kind == node.DispatchCancelled || kind == node.DispatchAnswered
+	return kind == node.DispatchCancelled
 }
 
 func (d *dispatch) failedKind(ctx context.Context) node.DispatchKind {
@@ -235,7 +238,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return d.end()
+			return true
 		}
 		if err != nil {
 			return false
@@ -243,13 +246,6 @@
 	}
 }
 
-func (d *dispatch) end() bool {
-	attempts := -1
-	d.server.loop.Inspect(func(n *node.Node) { attempts = n.AttemptsUsed(d.call.ID) })
-	d.ended(node.DispatchAnswered)
-	return d.writer.End(message.End{Attempts: attempts}) == nil
-}
-
 // Announcement is what a backend server says of itself.
 type Announcement struct {
 	Service coltsfootward.ServiceName `json:"service"`
