True outcomes and whole answers on the wire, each break tested

Causes found, each by a test that failed first or by leaving the guard out: - A call that waited in a connection's ring when its caller gave up was reported as not sent and left afterwards: 20 of 20 such calls ran once the peer read on. Now a call leaves the ring once: begun by the writer or withdrawn. - The "not run" line at the backend server was drawn when a connection was handed out, and the admission was checked before the wait for a connection. Now a gate stands before the first byte of each dispatch: it asks for the admission there, passes one connection only and never opens once withdrawn. Without it an order on a kept connection that broke ran twice (got 2 runs). It replaces the body that could not be read again, which also turned empty bodies into chunked ones. - A body that ends with its connection looked whole when the backend server was killed half-way: such answers, and upgrades nobody asked for, are refused. - A stop closed connections with the end of the last answer still in the ring, and with credits unread, which resets the socket: got 131072 of 204800 bytes. Transport.Shutdown hands all over, closes its sending side and waits. - An answer whose end had arrived was lost when the connection closed behind it. - A payload larger than a frame was found by the writer and took the connection down with every call on it; now it is refused to its sender. - A replaced outbound connection was never closed, and Close waited for it. - Bodies from peers, open calls per connection and answer headers are bounded.

Kept connections idle for 4 s are closed, before common backend servers do it under a request. Expect is no longer passed on.

--- a/cmd/daemon/daemon.go
+++ b/cmd/daemon/daemon.go
@@ -190,6 +190,7 @@
 	for _, server := range p.servers {
 		all = append(all, server.Shutdown(ctx))
 	}
+	p.transport.Shutdown(ctx)
 	p.transport.Close()
 	p.loop.Close()
 	p.logger.Info("node_stopped", zap.Int("code", int(record.NodeStopped)))
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -102,6 +102,9 @@
 	DispatchUnsent DispatchKind = "unsent"
 	// DispatchFailed means that the upstream broke off after bytes may have reached it.
 	DispatchFailed DispatchKind = "failed"
+	// DispatchTruncated means that the answer broke off after it had begun; the
+	// peer has been told.
+	DispatchTruncated DispatchKind = "truncated"
 	// DispatchCancelled means that nobody waited for it any more.
 	DispatchCancelled DispatchKind = "cancelled"
 	// DispatchTimeout means that the deadline passed while it ran.
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -30,9 +30,10 @@
 // ownPrefix marks the fields that only nodes set.
 const ownPrefix = "Coltsfootward-"
 
-// hopFields belong to one connection by RFC 9110 and are not passed on.
+// hopFields belong to one connection by RFC 9110 and are not passed on. Expect
+// is answered by the node that reads the body.
 var hopFields = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Expect": true, "Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
--- /dev/null
+++ b/io/iotest/node.go
@@ -0,0 +1,223 @@
+// Package iotest starts whole nodes in a test's own process, with real sockets
+// on loopback and a fake of the platform's table.
+package iotest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+	"coltsfootward/core/record"
+	"coltsfootward/io/caller"
+	"coltsfootward/io/loop"
+	"coltsfootward/io/peer"
+	"coltsfootward/io/upstream"
+
+	"github.com/gorilla/mux"
+)
+
+// Wait is how long tests wait for a condition before they give up.
+const Wait = 30 * time.Second
+
+// Table is a fake of the platform's table that several nodes may share.
+type Table struct {
+	mu   sync.Mutex
+	fake *nodetest.Rig
+}
+
+// NewTable returns a table that holds the changes.
+func NewTable(changes ...coltsfootward.Change) *Table {
+	t := &Table{fake: nodetest.New(1)}
+	t.fake.Submit(changes...)
+	return t
+}
+
+// Read implements coltsfootward.Table.
+func (t *Table) Read(ctx context.Context, key string) (coltsfootward.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fake.Table.Read(ctx, key)
+}
+
+// Scan implements coltsfootward.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]coltsfootward.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fake.Table.Scan(ctx, prefix, after, limit)
+}
+
+// Transact implements coltsfootward.Table.
+func (t *Table) Transact(ctx context.Context, transaction coltsfootward.Transaction) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fake.Table.Transact(ctx, transaction)
+}
+
+// Node is a node that runs in this process.
+type Node struct {
+	// Instance says which node it is.
+	Instance coltsfootward.Instance
+	// Callers is the address of its face for callers, Backend the one for its
+	// backend server.
+	Callers, Backend string
+	// Loop runs its machine.
+	Loop *loop.Loop
+	// Transport connects it with its peers.
+	Transport *peer.Transport
+
+	upstream *upstream.Server
+	ready    chan struct{}
+	servers  []*http.Server
+	once     sync.Once
+	mu       sync.Mutex
+	records  []record.Record
+}
+
+// Start runs a node until the test ends or Stop is called. wrap, if not nil,
+// replaces the listener for peers.
+func Start(t testing.TB, options node.Options, table coltsfootward.Table, wrap func(net.Listener) net.Listener) *Node {
+	t.Helper()
+	listener := listen(t)
+	options.Self.Address = listener.Addr().String()
+	options.Self.Incarnation = 1
+	if wrap != nil {
+		listener = wrap(listener)
+	}
+	n := &Node{Instance: options.Self, ready: make(chan struct{})}
+	clock := loop.NewClock()
+	n.Transport = peer.NewTransport(options.Self, clock.Now, n, listener)
+	machine := node.New(options, rand.New(rand.NewPCG(rand.Uint64(), 1)), clock.Now())
+	n.Loop = loop.New(machine, clock, loop.Outlets{
+		Send: n.Transport.Send, Table: table, Report: n.report, Drained: func() {},
+	})
+	n.upstream = upstream.New(n.Loop, clock)
+	close(n.ready)
+	n.Callers = n.serve(t, caller.Options{})
+	n.Backend = n.serve(t, caller.Options{Local: true})
+	t.Cleanup(n.Stop)
+	return n
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	return l
+}
+
+func (n *Node) serve(t testing.TB, options caller.Options) string {
+	t.Helper()
+	router := mux.NewRouter()
+	if options.Local {
+		n.upstream.Register(router)
+	}
+	caller.NewWithOptions(n.Loop, n.Transport, options).Register(router)
+	listener := listen(t)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: Wait}
+	n.servers = append(n.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String()
+}
+
+// Stop ends the node at once.
+func (n *Node) Stop() {
+	n.once.Do(func() {
+		n.Loop.Close()
+		n.Transport.Close()
+		for _, server := range n.servers {
+			server.Close()
+		}
+	})
+}
+
+// Announce tells the node what its backend server at address offers.
+func (n *Node) Announce(t testing.TB, address string, service coltsfootward.ServiceName, slots int) {
+	t.Helper()
+	data, err := json.Marshal(upstream.Announcement{Service: service, Address: address, Slots: slots, Connections: slots})
+	if err != nil {
+		t.Fatalf("encode announcement: %v", err)
+	}
+	response, err := http.Post("http://"+n.Backend+upstream.AnnouncePath, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatalf("announce: %v", err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Fatalf("announce: got status %d, want %d", response.StatusCode, http.StatusNoContent)
+	}
+}
+
+// AwaitUpstreams waits until the node knows that many upstreams and has a
+// configuration in force.
+func (n *Node) AwaitUpstreams(t testing.TB, count int) {
+	t.Helper()
+	Until(t, "upstreams known", func() bool {
+		var status node.Status
+		n.Loop.Inspect(func(m *node.Node) { status = m.Status() })
+		return status.Revision > 0 && len(status.Upstreams) >= count
+	})
+}
+
+// Until waits for a condition.
+func Until(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Wait); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("gave up waiting for: %s", what)
+		}
+	}
+}
+
+// Records returns what the node has reported.
+func (n *Node) Records() []record.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]record.Record(nil), n.records...)
+}
+
+func (n *Node) report(r record.Record) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.records = append(n.records, r)
+}
+
+// ServeCall implements peer.Handler.
+func (n *Node) ServeCall(ctx context.Context, call peer.IncomingCall, w *peer.AnswerWriter) {
+	<-n.ready
+	n.upstream.ServeCall(ctx, call, w)
+}
+
+// ServeMessage implements peer.Handler.
+func (n *Node) ServeMessage(from coltsfootward.Instance, m message.Message, age time.Duration) {
+	<-n.ready
+	n.Loop.Post(node.MessageArrived{From: from.ID, Message: m, Age: age})
+}
+
+// PeerConnected implements peer.Handler.
+func (n *Node) PeerConnected(instance coltsfootward.Instance) {
+	n.report(record.New(record.PeerConnected, time.Now(), record.Field{Name: "peer", Value: string(instance.ID)}))
+}
+
+// PeerLost implements peer.Handler.
+func (n *Node) PeerLost(instance coltsfootward.Instance) {
+	<-n.ready
+	n.Loop.Post(node.PeerLost{Instance: instance.ID})
+}
+
+// FrameRejected implements peer.Handler.
+func (n *Node) FrameRejected(address string, err error) {
+	n.report(record.New(record.PeerFrameRejected, time.Now(), record.Field{Name: "address", Value: address},
+		record.Field{Name: "error", Value: err.Error()}))
+}
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -57,7 +57,7 @@
 	case <-s.ended:
 	case <-s.done:
 	default:
-		_ = s.connection.send(frameReset, s.id, nil, nil) // a closed connection tells the peer as well
+		s.connection.reset(s.id)
 	}
 	s.fail(ErrTruncated)
 }
@@ -80,14 +80,18 @@
 	c.touch()
 	answer, err := s.call(ctx, payload, body)
 	if err != nil {
+		// Withdrawn first: a call that still waits in the ring must not leave
+		// after its caller was told that it had not been sent.
+		sent := !s.withdraw()
 		s.leave()
-		return nil, &CallError{Sent: s.sent.Load(), Err: err}
+		return nil, &CallError{Sent: sent, Err: err}
 	}
 	return answer, nil
 }
 
 func (s *stream) call(ctx context.Context, payload, body []byte) (*Answer, error) {
-	if err := s.connection.send(frameCall, s.id, payload, func() { s.sent.Store(true) }); err != nil {
+	o := outgoing{frame: frame{Kind: frameCall, Stream: s.id, Payload: payload}, begin: s.begin}
+	if err := s.connection.enqueue(ctx, o); err != nil {
 		return nil, err
 	}
 	written := make(chan error, 1)
@@ -152,7 +156,7 @@
 func (w *AnswerWriter) finish() {
 	w.stream.connection.forget(w.stream.id)
 	if !w.ended {
-		_ = w.stream.connection.send(frameReset, w.stream.id, nil, nil) // a closed connection tells the peer as well
+		w.stream.connection.reset(w.stream.id)
 	}
 	w.stream.fail(io.ErrClosedPipe)
 }
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -21,8 +22,12 @@
 // outgoing is a frame on its way to the writer.
 type outgoing struct {
 	frame frame
-	// begun is called before the first byte may leave; nil for none.
-	begun func()
+	// begin is called before the first byte may leave; if it returns false the
+	// frame is left out. Nil always sends.
+	begin func() bool
+	// flushed, if not nil, is closed once everything queued before has been
+	// handed to the network. Such an entry holds no frame.
+	flushed chan struct{}
 }
 
 // connection is one TCP connection with its reader and writer goroutines. The
@@ -78,24 +83,81 @@
 }
 
 // send queues a frame and waits for room in the ring.
-func (c *connection) send(kind frameKind, id uint32, payload []byte, begun func()) error {
+func (c *connection) send(ctx context.Context, kind frameKind, id uint32, payload []byte) error {
+	return c.enqueue(ctx, outgoing{frame: frame{Kind: kind, Stream: id, Payload: payload}})
+}
+
+func (c *connection) enqueue(ctx context.Context, o outgoing) error {
 	select {
 	case <-c.done:
 		return errConnectionClosed
 	default:
 	}
+	if len(o.frame.Payload) > maximumPayload {
+		return &FrameError{Reason: fmt.Sprintf("%d bytes are more than %d", len(o.frame.Payload), maximumPayload)}
+	}
 	select {
-	case c.outgoing <- outgoing{frame: frame{Kind: kind, Stream: id, Payload: payload}, begun: begun}:
+	case c.outgoing <- o:
 		return nil
 	case <-c.done:
 		return errConnectionClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// flush waits until everything queued so far has been handed to the network.
+func (c *connection) flush(ctx context.Context) {
+	flushed := make(chan struct{})
+	if c.enqueue(ctx, outgoing{flushed: flushed}) != nil {
+		return
+	}
+	select {
+	case <-flushed:
+	case <-c.done:
+	case <-ctx.Done():
+	}
+}
+
+// finish hands over everything queued so far, says that nothing follows and
+// waits until the peer has closed its side.
+//
+// Closed at once with credits or pongs unread, the socket would be reset, and
+// the reset makes the peer's kernel drop what it has received but not read: the
+// end of an answer that was sent whole.
+func (c *connection) finish(ctx context.Context) {
+	c.flush(ctx)
+	half, ok := c.net.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+	}
+}
+
+// reset tells the peer that this side has left the call. It never waits: with
+// the ring full, a goroutine that ends with the connection does.
+func (c *connection) reset(id uint32) {
+	select {
+	case c.outgoing <- outgoing{frame: frame{Kind: frameReset, Stream: id}}:
+	default:
+		go func() { _ = c.send(context.Background(), frameReset, id, nil) }() // a closed connection tells the peer as well
 	}
 }
 
 // trySend queues a frame if there is room.
 func (c *connection) trySend(kind frameKind, payload []byte) bool {
+	return c.trySendStream(kind, 0, payload)
+}
+
+func (c *connection) trySendStream(kind frameKind, id uint32, payload []byte) bool {
+	if len(payload) > maximumPayload {
+		return false
+	}
 	select {
-	case c.outgoing <- outgoing{frame: frame{Kind: kind, Payload: payload}}:
+	case c.outgoing <- outgoing{frame: frame{Kind: kind, Stream: id, Payload: payload}}:
 		return true
 	default:
 		return false
@@ -107,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	return c.send(kind, id, payload, nil)
+	return c.send(context.Background(), kind, id, payload)
 }
 
 // write runs until the connection closes. It flushes whenever the ring is empty.
@@ -130,8 +192,12 @@
 }
 
 func (c *connection) writeOne(w *bufio.Writer, o outgoing) error {
-	if o.begun != nil {
-		o.begun()
+	if o.flushed != nil {
+		defer close(o.flushed)
+		return w.Flush()
+	}
+	if o.begin != nil && !o.begin() {
+		return nil
 	}
 	o.frame.Sent = int64(c.clock().Monotonic)
 	return writeFrame(w, o.frame)
@@ -174,7 +240,8 @@
 	return s, nil
 }
 
-// acceptStream registers a call that the peer opened.
+// acceptStream registers a call that the peer opened. It returns nil if the
+// peer has as many calls open as one connection may have.
 func (c *connection) acceptStream(id uint32) (*stream, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,6 +252,9 @@
 		return nil, &FrameError{Reason: fmt.Sprintf("call number %d was used before", id)}
 	}
 	c.next = id
+	if len(c.streams) >= maximumStreams {
+		return nil, nil
+	}
 	s := newStream(c, id)
 	c.streams[id] = s
 	return s, nil
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -22,12 +22,20 @@
 	// maximumFrame bounds a frame in bytes, so that a hostile or broken peer
 	// cannot make a node allocate without bound.
 	maximumFrame = 1 << 20
+	// maximumPayload leaves room for the rest of the frame. A larger payload is
+	// refused to whoever sends it: found by the writer, it would take down the
+	// connection and every other call on it.
+	maximumPayload = maximumFrame - 128
 	// chunkSize is how many bytes of a body travel in one frame.
 	chunkSize = 32 << 10
 	// windowChunks is how many chunks a sender may have on the way unread, per
 	// call and direction.
 	windowChunks = 8
-	lengthBytes  = 4
+	// maximumStreams bounds the calls that a peer may have open on one
+	// connection, so that it cannot make a node hold goroutines and windows
+	// without bound. A node sends another a few hundred at once under overload.
+	maximumStreams = 1024
+	lengthBytes    = 4
 )
 
 // frameKind names what a frame carries.
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -18,8 +18,8 @@
 type stream struct {
 	connection *connection
 	id         uint32
-	// sent is set before the first byte of the call may leave this node.
-	sent atomic.Bool
+	// departure says whether a byte of the call may have left this node.
+	departure atomic.Int32
 	// head receives the answer's head, on the side that opened the call.
 	head chan message.Answer
 	// chunks receives the body. Its size is the window, so a peer that keeps
@@ -38,6 +38,24 @@
 	rest    []byte
 }
 
+// The states of a call's departure. It leaves queued once, either way: the
+// writer begins it, or its caller withdraws it and the writer leaves it out.
+const (
+	departureQueued int32 = iota
+	departureBegun
+	departureWithdrawn
+)
+
+// begin is called before the first byte may leave; false means not to send.
+func (s *stream) begin() bool {
+	return s.departure.CompareAndSwap(departureQueued, departureBegun)
+}
+
+// withdraw reports whether no byte of the call has left nor ever will.
+func (s *stream) withdraw() bool {
+	return s.departure.CompareAndSwap(departureQueued, departureWithdrawn)
+}
+
 func newStream(c *connection, id uint32) *stream {
 	s := &stream{
 		connection: c,
@@ -96,6 +114,11 @@
 }
 
 func (s *stream) takeChunk(payload []byte) error {
+	select {
+	case <-s.ended:
+		return &FrameError{Reason: "body after its end"}
+	default:
+	}
 	select {
 	case s.chunks <- payload:
 		return nil
@@ -152,7 +175,23 @@
 	case <-s.ended:
 		return s.lastChunk()
 	case <-s.done:
-		return nil, s.err
+		return s.chunkOr(s.err)
+	}
+}
+
+// chunkOr returns what arrived before the call ended. An answer that is whole
+// stays whole when the connection closes behind it.
+func (s *stream) chunkOr(err error) ([]byte, error) {
+	select {
+	case chunk := <-s.chunks:
+		return chunk, nil
+	default:
+	}
+	select {
+	case <-s.ended:
+		return nil, io.EOF
+	default:
+		return nil, err
 	}
 }
 
@@ -168,10 +207,9 @@
 
 // consumed tells the peer that it may send another chunk.
 func (s *stream) consumed(chunk []byte) ([]byte, error) {
-	if err := s.connection.send(frameCredit, s.id, nil, nil); err != nil {
-		// The chunk is intact; the break shows at the next read.
-		return chunk, nil
-	}
+	// The chunk is intact whatever becomes of the credit; a break shows at the
+	// next read.
+	_ = s.connection.send(context.Background(), frameCredit, s.id, nil)
 	return chunk, nil
 }
 
@@ -184,7 +222,7 @@
 		}
 		n := min(len(p), chunkSize)
 		chunk := append([]byte(nil), p[:n]...)
-		if err := s.connection.send(frameBody, s.id, chunk, nil); err != nil {
+		if err := s.connection.send(ctx, frameBody, s.id, chunk); err != nil {
 			return written, err
 		}
 		written += n
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -21,6 +21,9 @@
 	// idleTimeout closes dialled connections that nothing uses, so that a node
 	// holds connections only to those it talks to.
 	idleTimeout = 2 * time.Minute
+	// finishTimeout bounds how long a node that leaves waits for its peers to
+	// close their side; one that was cut off never does.
+	finishTimeout = 5 * time.Second
 	// writeTimeout bounds a write to a peer that no longer reads.
 	writeTimeout = 15 * time.Second
 )
@@ -65,6 +68,10 @@
 	listener net.Listener
 	dialled  map[coltsfootward.InstanceID]*dialled
 	accepted map[*connection]struct{}
+	// outbound holds every connection that this node dialled, also those that
+	// a newer one to the same peer has replaced.
+	outbound map[*connection]struct{}
+	serving  sync.WaitGroup
 }
 
 // dialled is the outbound connection to one peer, or the attempt to make it.
@@ -86,6 +93,7 @@
 		listener: listener,
 		dialled:  make(map[coltsfootward.InstanceID]*dialled),
 		accepted: make(map[*connection]struct{}),
+		outbound: make(map[*connection]struct{}),
 	}
 	if listener != nil {
 		t.wait.Go(t.accept)
@@ -108,6 +116,29 @@
 	t.wait.Wait()
 }
 
+// Shutdown waits until the calls being served have been answered and all that
+// was queued for peers has been taken in by them, or until ctx ends. Call it
+// before Close for a stop that cuts off no answer: the last bytes of one may
+// still be on their way to the writer when the machine has nothing left to do.
+func (t *Transport) Shutdown(ctx context.Context) {
+	served := make(chan struct{})
+	t.wait.Go(func() {
+		t.serving.Wait()
+		close(served)
+	})
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	var finishing sync.WaitGroup
+	for _, c := range t.connections() {
+		finishing.Go(func() { c.finish(ctx) })
+	}
+	finishing.Wait()
+}
+
 func (t *Transport) connections() []*connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,14 +146,8 @@
 	for c := range t.accepted {
 		all = append(all, c)
 	}
-	for _, d := range t.dialled {
-		select {
-		case <-d.ready:
-			if d.connection != nil {
-				all = append(all, d.connection)
-			}
-		default:
-		}
+	for c := range t.outbound {
+		all = append(all, c)
 	}
 	return all
 }
@@ -282,6 +307,9 @@
 	if err != nil {
 		return err
 	}
+	if s == nil {
+		return t.refuseCall(c, f.Stream)
+	}
 	call := IncomingCall{From: c.remote, Head: head, Age: c.age(f), Body: s}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.wait.Go(func() {
@@ -291,7 +319,9 @@
 		case <-ctx.Done():
 		}
 	})
+	t.serving.Add(1)
 	t.wait.Go(func() {
+		defer t.serving.Done()
 		defer cancel()
 		w := &AnswerWriter{stream: s, ctx: ctx}
 		t.handler.ServeCall(ctx, call, w)
@@ -300,6 +330,26 @@
 	return nil
 }
 
+// refuseCall answers a call beyond the bound on open calls. It is sent by the
+// reader, which must not wait: a peer that fills the ring as well loses the
+// connection.
+func (t *Transport) refuseCall(c *connection, id uint32) error {
+	refusal := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "too many calls are open on one connection").
+		WithRetryAfter(time.Second)
+	head, err := encode(&message.Answer{Refusal: &refusal})
+	if err != nil {
+		return err
+	}
+	end, err := encode(&message.End{})
+	if err != nil {
+		return err
+	}
+	if !c.trySendStream(frameAnswer, id, head) || !c.trySendStream(frameEnd, id, end) {
+		return &FrameError{Reason: "calls beyond the bound on open calls"}
+	}
+	return nil
+}
+
 // maintain probes the clocks of those who dialled this node and closes idle
 // connections that it dialled itself.
 func (t *Transport) maintain() {
@@ -382,6 +432,11 @@
 
 func (t *Transport) connect(d *dialled, to coltsfootward.Instance) {
 	c, reader, err := t.handshake(to)
+	if err == nil {
+		t.mu.Lock()
+		t.outbound[c] = struct{}{}
+		t.mu.Unlock()
+	}
 	d.connection, d.err = c, err
 	close(d.ready)
 	if err != nil {
@@ -397,6 +452,9 @@
 	t.wait.Go(c.write)
 	t.read(c, reader)
 	c.close()
+	t.mu.Lock()
+	delete(t.outbound, c)
+	t.mu.Unlock()
 	t.handler.PeerLost(c.remote)
 }
 
@@ -470,6 +528,15 @@
 	d.connection.trySend(frameMessage, payload)
 }
 
+// CloseWrite ends the sending direction where the connection can.
+func (c *timedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // timedConn bounds every write, so that a peer that stops reading cannot hold
 // the writer for ever.
 type timedConn struct{ net.Conn }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -24,22 +25,48 @@
 	copyBuffer = 32 << 10
 	// stallTimeout ends an answer whose body makes no progress.
 	stallTimeout = 30 * time.Second
+	// idleTimeout closes connections before backend servers do: a common limit
+	// of theirs is 5 s. A request that meets a connection just closed by the
+	// other side ends in doubt, and an order in doubt is not sent again.
+	idleTimeout = 4 * time.Second
+	// maximumAnswerHeader bounds the header of a backend server's answer in
+	// bytes: it must fit into one frame to the entry node.
+	maximumAnswerHeader = 256 << 10
+	// DefaultMaximumBody is the default of Options.MaximumBody, in bytes.
+	DefaultMaximumBody = 16 << 20
 )
 
+// Options are a server's settings. The zero value works.
+type Options struct {
+	// MaximumBody bounds the body of a call that a peer sends, in bytes. It
+	// guards this node's memory against a broken peer, so it is larger than
+	// what callers may send. Zero means DefaultMaximumBody.
+	MaximumBody int64
+}
+
 // Server sends dispatched calls to the local backend server. Create it with
 // New. It is safe for concurrent use.
 type Server struct {
-	loop  *loop.Loop
-	clock *loop.Clock
+	loop    *loop.Loop
+	clock   *loop.Clock
+	options Options
 
 	mu        sync.Mutex
 	address   string
 	transport *http.Transport
 }
 
-// New returns a server that knows no backend server yet.
+// New returns a server that knows no backend server yet, with default options.
 func New(l *loop.Loop, clock *loop.Clock) *Server {
-	return &Server{loop: l, clock: clock}
+	return NewWithOptions(l, clock, Options{})
+}
+
+// NewWithOptions returns a server that knows no backend server yet.
+func NewWithOptions(l *loop.Loop, clock *loop.Clock, options Options) *Server {
+	if options.MaximumBody <= 0 {
+		options.MaximumBody = DefaultMaximumBody
+	}
+	return &Server{loop: l, clock: clock, options: options}
 }
 
 // Use directs requests to the backend server at address, an IP number and
@@ -57,8 +84,11 @@
 	s.transport = &http.Transport{
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     90 * time.Second,
-		DisableCompression:  true,
+		IdleConnTimeout:     idleTimeout,
+		DialContext:         dialGated,
+
+		MaxResponseHeaderBytes: maximumAnswerHeader,
+		DisableCompression:     true,
 	}
 }
 
@@ -70,10 +100,15 @@
 
 // ServeCall takes one call from a peer to its end.
 func (s *Server) ServeCall(ctx context.Context, incoming peer.IncomingCall, w *peer.AnswerWriter) {
-	body, err := io.ReadAll(incoming.Body)
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, s.options.MaximumBody+1))
 	if err != nil {
 		return // the caller left while sending; nothing has run
 	}
+	if int64(len(body)) > s.options.MaximumBody {
+		writeRefusal(w, node.Refuse{Refusal: coltsfootward.NewRefusal(coltsfootward.RefusalTooLarge,
+			fmt.Sprintf("the body is larger than %d bytes", s.options.MaximumBody))})
+		return
+	}
 	call := s.loop.Open()
 	defer call.Close()
 	s.loop.Post(node.PeerCallArrived{Call: call.ID, From: incoming.From.ID, Head: incoming.Head, Age: incoming.Age})
@@ -113,14 +148,13 @@
 
 // dispatch is one request to the backend server.
 type dispatch struct {
-	server *Server
-	call   *loop.Call
-	action node.Dispatch
-	head   message.Call
-	body   []byte
-	writer *peer.AnswerWriter
-	// touched is set before the first byte may reach the backend server.
-	touched atomic.Bool
+	server  *Server
+	call    *loop.Call
+	action  node.Dispatch
+	head    message.Call
+	body    []byte
+	writer  *peer.AnswerWriter
+	gate    gate
 	timedUp atomic.Bool
 }
 
@@ -144,21 +178,18 @@
 		return d.ended(node.DispatchTimeout)
 	}
 	d.server.loop.Post(node.DispatchHeaded{Call: d.call.ID, Status: response.StatusCode})
-	if !d.passOn(response, cancel) {
-		return d.ended(node.DispatchCancelled)
-	}
-	return d.ended(node.DispatchAnswered)
+	return d.ended(d.passOn(ctx, response, cancel))
 }
 
 // ended reports the end and whether no action of the machine follows it.
 func (d *dispatch) ended(kind node.DispatchKind) bool {
 	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind})
-	return kind == node.DispatchCancelled
+	return kind == node.DispatchCancelled || kind == node.DispatchTruncated
 }
 
 func (d *dispatch) failedKind(ctx context.Context) node.DispatchKind {
 	switch {
-	case !d.touched.Load():
+	case d.gate.withdraw():
 		return node.DispatchUnsent
 	case d.timedUp.Load():
 		return node.DispatchTimeout
@@ -169,28 +200,32 @@
 	}
 }
 
-var errAdmissionOver = errors.New("upstream: admission ended before the request was sent: it did not run")
-
 func (d *dispatch) send(ctx context.Context) (*http.Response, error) {
 	address, transport := d.server.target()
 	if transport == nil {
 		return nil, errors.New("upstream: no backend server has announced itself")
 	}
-	// From the moment a connection is handed out, bytes may be on their way;
-	// only before that is "not run" true.
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { d.touched.Store(true) }}
+	// The node may have been paused, or the request have waited for a
+	// connection, since the machine decided: the admission is checked once more
+	// with nothing between the check and the first byte.
+	d.gate.admitted = func() bool {
+		late := d.action.StartBy != 0 && d.server.clock.Now().Expiry >= d.action.StartBy
+		return !late && ctx.Err() == nil
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		info.Conn.(*gatedConn).gate.Store(&d.gate)
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, d.head.Method, "http://"+address+d.head.Path, nil)
 	if err != nil {
 		return nil, err
 	}
 	d.fill(request)
-	// The node may have been paused since the machine decided: the admission
-	// is checked once more with nothing between the check and the send.
-	if d.action.StartBy != 0 && d.server.clock.Now().Expiry >= d.action.StartBy {
-		return nil, errAdmissionOver
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
 	}
-	return transport.RoundTrip(request)
+	return response, checkHead(response)
 }
 
 func (d *dispatch) fill(request *http.Request) {
@@ -203,28 +238,34 @@
 	left := d.action.Deadline - d.server.clock.Now().Expiry
 	request.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	request.ContentLength = int64(len(d.body))
-	if len(d.body) > 0 || d.action.Unrepeatable {
-		request.Body = onceBody{bytes.NewReader(d.body)}
+	if len(d.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(d.body))
 	}
 }
 
-// onceBody has no way to be read again. net/http sends a request again by
-// itself, on a connection that broke, if its body can be had again and it is a
-// GET or carries an Idempotency-Key: an unrepeatable request would run twice
-// while the node has counted one attempt. A body that cannot be had again
-// rules that out.
-type onceBody struct{ io.Reader }
+// errUnframed says that the end of an answer's body could not be told from a
+// connection that broke.
+var errUnframed = errors.New("upstream: answer without Content-Length or chunks: have the backend server frame its answers")
 
-// Close implements io.Closer.
-func (onceBody) Close() error { return nil }
+// checkHead refuses answers that cannot be passed on whole. A body that ends
+// with its connection looks whole when the backend server is killed half-way.
+// An answer to an upgrade was not asked for.
+func checkHead(r *http.Response) error {
+	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
+	if r.StatusCode < http.StatusOK || !framed {
+		r.Body.Close()
+		return errUnframed
+	}
+	return nil
+}
 
-// passOn streams the answer to the peer and reports whether it was whole.
-func (d *dispatch) passOn(response *http.Response, cancel context.CancelFunc) bool {
+// passOn streams the answer to the peer and reports how that ended.
+func (d *dispatch) passOn(ctx context.Context, response *http.Response, cancel context.CancelFunc) node.DispatchKind {
 	var load message.Load
 	d.server.loop.Inspect(func(n *node.Node) { load = n.Load() })
 	head := message.Answer{Status: response.StatusCode, Header: caller.AnswerFields(response.Header), Load: load}
 	if d.writer.Head(head) != nil {
-		return false
+		return node.DispatchCancelled
 	}
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
@@ -234,14 +275,16 @@
 		if n > 0 {
 			stall.Reset(stallTimeout)
 			if _, failed := d.writer.Write(buffer[:n]); failed != nil {
-				return false
+				return node.DispatchCancelled
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return true
-		}
-		if err != nil {
-			return false
+		switch {
+		case errors.Is(err, io.EOF):
+			return node.DispatchAnswered
+		case ctx.Err() != nil:
+			return node.DispatchCancelled
+		case err != nil:
+			return node.DispatchTruncated
 		}
 	}
 }
