--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -73,12 +73,12 @@
 	if err != nil {
 		return nil, &CallError{Err: err}
 	}
-	s, err := c.openStream()
+	s, err := c.open(ctx, payload)
 	if err != nil {
 		return nil, &CallError{Err: err}
 	}
 	c.touch()
-	answer, err := s.call(ctx, payload, body)
+	answer, err := s.call(ctx, body)
 	if err != nil {
 		// Withdrawn first: a call that still waits in the ring must not leave
 		// after its caller was told that it had not been sent.
@@ -89,11 +89,7 @@
 	return answer, nil
 }
 
-func (s *stream) call(ctx context.Context, payload, body []byte) (*Answer, error) {
-	o := outgoing{frame: frame{Kind: frameCall, Stream: s.id, Payload: payload}, begin: s.begin}
-	if err := s.connection.enqueue(ctx, o); err != nil {
-		return nil, err
-	}
+func (s *stream) call(ctx context.Context, body []byte) (*Answer, error) {
 	written := make(chan error, 1)
 	go func() { written <- s.sendBody(ctx, body) }()
 	for {
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -39,6 +39,8 @@
 	outgoing chan outgoing
 	done     chan struct{}
 	once     sync.Once
+	// opening is held while a call takes its number and queues its first frame.
+	opening chan struct{}
 
 	mu      sync.Mutex
 	streams map[uint32]*stream
@@ -55,6 +57,7 @@
 		remote:   remote,
 		outgoing: make(chan outgoing, outgoingFrames),
 		done:     make(chan struct{}),
+		opening:  make(chan struct{}, 1),
 		streams:  make(map[uint32]*stream),
 	}
 }
@@ -227,6 +230,28 @@
 	return nil
 }
 
+// open registers a new call and queues its first frame. Both happen under one
+// lock: the peer takes a call whose number is below one that it has seen for a
+// replay and closes the connection, so numbers must be queued in their order.
+func (c *connection) open(ctx context.Context, payload []byte) (*stream, error) {
+	select {
+	case c.opening <- struct{}{}:
+		defer func() { <-c.opening }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	s, err := c.openStream()
+	if err != nil {
+		return nil, err
+	}
+	o := outgoing{frame: frame{Kind: frameCall, Stream: s.id, Payload: payload}, begin: s.begin}
+	if err := c.enqueue(ctx, o); err != nil {
+		c.forget(s.id)
+		return nil, err
+	}
+	return s, nil
+}
+
 // openStream registers a new call.
 func (c *connection) openStream() (*stream, error) {
 	c.mu.Lock()
