--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -92,6 +92,7 @@
 	for _, server := range p.servers {
 		all = append(all, server.Shutdown(ctx))
 	}
+	p.transport.Shutdown(ctx)
 	p.transport.Close()
 	p.loop.Close()
 	p.wait.Wait()
