Stop a withdrawn key before its change is stored; refuse a second key's secret

Change: one more row names the owner of a secret; the content of a change is compared without revisions; four unanswered tries are enough.

--- a/core/configuration/store.go
+++ b/core/configuration/store.go
@@ -16,10 +16,14 @@
 
 const (
 	changeIDPrefix = "change_id/"
+	// digestPrefix is where the table keeps which key has a secret.
+	digestPrefix = "key_digest/"
 	// maximumTries bounds how often a change is tried when other changes win
-	// the revision counter, or when the platform's answers are lost. Of twenty
-	// operators at once, one wins each round.
+	// the revision counter. Of twenty operators at once, one wins each round.
 	maximumTries = 24
+	// maximumUnanswered bounds how often it is tried when the platform gives no
+	// answer: more would only add to the load of a platform in trouble.
+	maximumUnanswered = 4
 	// KeepChanges is how many changes the table keeps for readers that are
 	// behind; at 12,000 a day, 20 hours. Who is further behind reads the
 	// objects themselves.
@@ -60,6 +64,17 @@
 	return fmt.Sprintf("configuration: there is no organisation %q: create it before its keys", e.Organisation)
 }
 
+// KeyReusedError says that a key's id or its secret belongs, or once belonged, to
+// another key.
+type KeyReusedError struct {
+	KeyID string
+}
+
+// Error implements error.
+func (e *KeyReusedError) Error() string {
+	return fmt.Sprintf("configuration: the id or the secret of key %s belongs to another key: issue a key with a new id and a new secret", e.KeyID)
+}
+
 // WithdrawnError says that a key was to be issued that was withdrawn before.
 type WithdrawnError struct {
 	KeyID string
@@ -97,9 +112,10 @@
 
 // Store puts changes into the platform's table. It is safe for concurrent use.
 //
-// A change costs four or five reads and one transaction of four to six rows:
+// A change costs four reads, a key's two more, and one transaction of six rows:
 // its id, its object, the revision counter and the change itself, and the
-// removal of the change that falls out of the table's memory.
+// removal of the change that falls out of the table's memory with its id; a
+// key's has a seventh for its digest.
 type Store struct {
 	table coltsfootward.Table
 	keep  coltsfootward.Revision
@@ -135,11 +151,12 @@
 
 // Submit stores a change and returns its revision. The change's ID makes it
 // safe to submit again: a change that is stored already returns its revision.
-// It returns a *ConflictError, *ChangeIDError, *UnknownOrganisationError or
-// *WithdrawnError for a change that cannot be, a *BusyError for one that was not
+// It returns a *ConflictError, *ChangeIDError, *UnknownOrganisationError,
+// *KeyReusedError or *WithdrawnError for a change that cannot be, a *BusyError for one that was not
 // stored, and a *DoubtError for one that may have been.
 func (s *Store) Submit(ctx context.Context, change coltsfootward.Change, precondition Precondition) (coltsfootward.Revision, error) {
 	var last error
+	unanswered := 0
 	for range maximumTries {
 		revision, err := s.try(ctx, change, precondition)
 		if err == nil {
@@ -149,7 +166,10 @@
 		if !errors.Is(err, coltsfootward.ErrConflict) && !errors.Is(err, coltsfootward.ErrUnavailable) {
 			return 0, err
 		}
-		if ctx.Err() != nil {
+		if errors.Is(err, coltsfootward.ErrUnavailable) {
+			unanswered++
+		}
+		if ctx.Err() != nil || unanswered == maximumUnanswered {
 			break
 		}
 	}
@@ -176,6 +196,9 @@
 	if err := s.checkObject(ctx, t, change, precondition); err != nil {
 		return 0, err
 	}
+	if err := s.checkDigest(ctx, t, change); err != nil {
+		return 0, err
+	}
 	if err := s.checkOrganisation(ctx, change); err != nil {
 		return 0, err
 	}
@@ -232,9 +255,33 @@
 	if !precondition.Force && present.Revision != precondition.BasedOn {
 		return &ConflictError{Object: node.ObjectKey(change), Found: present.Revision, BasedOn: precondition.BasedOn}
 	}
-	if present.Key != nil && present.Key.Withdrawn && !change.Key.Withdrawn {
+	if present.Key == nil {
+		return nil
+	}
+	if present.Key.Withdrawn && !change.Key.Withdrawn {
 		return &WithdrawnError{KeyID: change.Key.ID}
 	}
+	if present.Key.Digest != change.Key.Digest {
+		return &KeyReusedError{KeyID: change.Key.ID}
+	}
+	return nil
+}
+
+// checkDigest refuses a second key with the same secret: withdrawing one of them
+// would withdraw the other, and issuing one would seem to bring back the other.
+func (s *Store) checkDigest(ctx context.Context, t *transaction, change coltsfootward.Change) error {
+	if change.Key == nil {
+		return nil
+	}
+	row, err := s.table.Read(ctx, digestPrefix+string(change.Key.Digest))
+	if err != nil {
+		return err
+	}
+	t.require(row)
+	if row.Version != 0 && string(row.Value) != change.Key.ID {
+		return &KeyReusedError{KeyID: change.Key.ID}
+	}
+	t.Writes = append(t.Writes, coltsfootward.Write{Key: row.Key, Value: []byte(change.Key.ID)})
 	return nil
 }
 
@@ -285,8 +332,25 @@
 	Content string `json:"content"`
 }
 
+// digest leaves the revisions out: an operator who sends a change again may have
+// read its object anew.
 func digest(change coltsfootward.Change) (string, error) {
 	change.Revision = 0
+	if change.Organisation != nil {
+		o := *change.Organisation
+		o.Revision = 0
+		change.Organisation = &o
+	}
+	if change.Key != nil {
+		k := *change.Key
+		k.Revision = 0
+		change.Key = &k
+	}
+	if change.Service != nil {
+		s := *change.Service
+		s.Revision = 0
+		change.Service = &s
+	}
 	data, err := json.Marshal(change)
 	if err != nil {
 		return "", fmt.Errorf("configuration: encode change: %w", err)
--- a/core/configuration/store_test.go
+++ b/core/configuration/store_test.go
@@ -104,7 +104,9 @@
 		if err != nil || revision != 1 {
 			t.Errorf("with %d lost: got revision %d and %v, want 1", lose, revision, err)
 		}
-		if again, err := submit(t, table, organisation("a", "traders", 1), 0); again != 1 || err != nil {
+		read := organisation("a", "traders", 1)
+		read.Organisation.Revision = 1
+		if again, err := submit(t, table, read, 0); again != 1 || err != nil {
 			t.Errorf("sent again: got revision %d and %v, want 1", again, err)
 		}
 		if rows, _ := table.Scan(context.Background(), node.ChangePrefix, "", 10); len(rows) != 1 {
@@ -135,7 +137,11 @@
 		}
 	}
 	strangersKey := key("k3", "nobody", false)
-	strangersKey.Key.Digest = "another"
+	strangersKey.Key.ID, strangersKey.Key.Digest = "stranger", "another"
+	sameSecret := key("k5", "traders", false)
+	sameSecret.Key.ID = "second"
+	sameID := key("k6", "traders", true)
+	sameID.Key.Digest = "new secret"
 	tests := []struct {
 		story   string
 		change  coltsfootward.Change
@@ -145,6 +151,8 @@
 		{"an id that belongs to another change would make the second one vanish", organisation("a", "traders", 2), 1, new(*configuration.ChangeIDError)},
 		{"a key of an organisation that does not exist would have no rate", strangersKey, 0, new(*configuration.UnknownOrganisationError)},
 		{"a withdrawn key may still be in somebody's hands", key("k4", "traders", false), 3, new(*configuration.WithdrawnError)},
+		{"withdrawing one key must not withdraw another", sameSecret, 0, new(*configuration.KeyReusedError)},
+		{"a key under an old id would take that key's place in the table", sameID, 3, new(*configuration.KeyReusedError)},
 		{"a change based on an older state would undo another operator's", organisation("c", "traders", 3), 0, new(*configuration.ConflictError)},
 	}
 	for _, test := range tests {
--- a/core/message/membership.go
+++ b/core/message/membership.go
@@ -94,6 +94,7 @@
 	// Self introduces the sender to a member that does not know it yet.
 	Self   News   `msgpack:"self"`
 	Gossip Gossip `msgpack:"gossip"`
+	Stamped
 }
 
 // MessageKind implements Message.
@@ -114,6 +115,7 @@
 type ProbeAnswer struct {
 	Sequence uint64 `msgpack:"sequence"`
 	Gossip   Gossip `msgpack:"gossip"`
+	Stamped
 }
 
 // MessageKind implements Message.
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -65,7 +65,8 @@
 	Load    message.Load
 	// Status is the backend server's, for an answered attempt.
 	Status int
-	// Attempts is how many attempts the upstream's side used, for a refused one.
+	// Attempts is how many attempts the upstream's side used, for a refused
+	// one; negative means that it is unknown.
 	Attempts int
 }
 
@@ -75,6 +76,8 @@
 	// Attempts is how many attempts the upstream's side used; negative means
 	// that it is unknown, so that the whole slice counts as used.
 	Attempts int
+	// Needed is how many it would have used if none had failed.
+	Needed int
 	// Whole is set when the complete answer reached the caller.
 	Whole bool
 }
@@ -99,6 +102,9 @@
 	DispatchUnsent DispatchKind = "unsent"
 	// DispatchFailed means that the upstream broke off after bytes may have reached it.
 	DispatchFailed DispatchKind = "failed"
+	// DispatchTruncated means that the answer broke off after it had begun; the
+	// peer has been told.
+	DispatchTruncated DispatchKind = "truncated"
 	// DispatchCancelled means that nobody waited for it any more.
 	DispatchCancelled DispatchKind = "cancelled"
 	// DispatchTimeout means that the deadline passed while it ran.
--- a/core/node/restore.go
+++ b/core/node/restore.go
@@ -20,7 +20,7 @@
 	case change.Organisation != nil:
 		return ObjectPrefix + "organisation/" + string(change.Organisation.Name)
 	case change.Key != nil:
-		return ObjectPrefix + "key/" + string(change.Key.Digest)
+		return ObjectPrefix + "key/" + change.Key.ID
 	default:
 		return ObjectPrefix + "service/" + string(change.Service.Name)
 	}
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -57,7 +57,7 @@
 	case <-s.ended:
 	case <-s.done:
 	default:
-		_ = s.connection.send(frameReset, s.id, nil, nil) // a closed connection tells the peer as well
+		s.connection.reset(s.id)
 	}
 	s.fail(ErrTruncated)
 }
@@ -73,23 +73,23 @@
 	if err != nil {
 		return nil, &CallError{Err: err}
 	}
-	s, err := c.openStream()
+	s, err := c.open(ctx, payload)
 	if err != nil {
 		return nil, &CallError{Err: err}
 	}
 	c.touch()
-	answer, err := s.call(ctx, payload, body)
+	answer, err := s.call(ctx, body)
 	if err != nil {
+		// Withdrawn first: a call that still waits in the ring must not leave
+		// after its caller was told that it had not been sent.
+		sent := !s.withdraw()
 		s.leave()
-		return nil, &CallError{Sent: s.sent.Load(), Err: err}
+		return nil, &CallError{Sent: sent, Err: err}
 	}
 	return answer, nil
 }
 
-func (s *stream) call(ctx context.Context, payload, body []byte) (*Answer, error) {
-	if err := s.connection.send(frameCall, s.id, payload, func() { s.sent.Store(true) }); err != nil {
-		return nil, err
-	}
+func (s *stream) call(ctx context.Context, body []byte) (*Answer, error) {
 	written := make(chan error, 1)
 	go func() { written <- s.sendBody(ctx, body) }()
 	for {
@@ -152,7 +152,7 @@
 func (w *AnswerWriter) finish() {
 	w.stream.connection.forget(w.stream.id)
 	if !w.ended {
-		_ = w.stream.connection.send(frameReset, w.stream.id, nil, nil) // a closed connection tells the peer as well
+		w.stream.connection.reset(w.stream.id)
 	}
 	w.stream.fail(io.ErrClosedPipe)
 }
