Claims on idempotency keys, taken from one holder over all nodes

Cause: repeats of a key were told apart only within one node, so an order sent again through another node ran twice.

Change: before dispatch the entry node takes a claim from the holder of the slot that the key hashes to, in the failure domain that the key names if it names one. core/claim decides: granted with a short life that bounds the dispatch, running, already run (with the first answer if it is still kept), used for another request, held off, forgotten, or full. A new holder knows no earlier claim, so it grants no key made before its term, and an opaque one only after the window; keys from the future are refused. A request that certainly did not run frees its key; its end is sent until acknowledged.

The search over every order of seven events found three faults of the first form: a life renewed on asking again let a request start after its claim was forgotten; a key from the future, granted as opaque, looked freshly made to the next holder; and the margin between clocks must count twice after a takeover. Without the hold-off it runs a key twice after "claim 0, dispatch 0, takeover, claim 1, dispatch 1".

Another fault: a request that may have run at one upstream and was refused by the next was told not_run (got execution not_run). Doubt now stays.

Not yet proved: who holds a slot is decided by the roster until leases land. The property test over kills, cuts and pauses finds 2 runs of a key under it, as it must; it follows with the leases.

--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -41,6 +41,15 @@
 		duration("configuration.key_grace", "How long a node that hears neither of the platform nor of most failure domains goes on honouring keys; a key withdrawn meanwhile works behind the cut for as long.", time.Second, 24*time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.KeyGrace }),
 
+		duration("claims.window", "How long an Idempotency-Key is remembered. A key that carries no time runs at most once within it, and is held off for as long after its holder was replaced.", time.Minute, 24*time.Hour,
+			func(s *Settings) *time.Duration { return &s.Node.ClaimWindow }),
+		duration("claims.clock_margin", "How far the wall clocks of callers and nodes may differ.", 100*time.Millisecond, time.Minute,
+			func(s *Settings) *time.Duration { return &s.Node.ClaimClockMargin }),
+		whole("claims.maximum", "keys", "Bounds the keys remembered for each slot that the node holds; further ones are refused as claim.", 100, 10_000_000,
+			func(s *Settings) *int { return &s.Node.MaximumClaims }),
+		whole("claims.kept_answers", "bytes", "Bounds the memory for answers kept for repeats, for each slot that the node holds.", 1, 1<<30,
+			func(s *Settings) *int { return &s.Node.KeptAnswerBytes }),
+
 		choice("log.level", "The least level that is logged.", []string{"debug", "info", "warn", "error"},
 			func(s *Settings) *string { return &s.Log.Level }),
 		whole("log.timeline", "events", "How many events the node keeps for coltsfootctl timeline.", 16, 1<<20,
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -28,6 +28,10 @@
 	KindConfirmation         Kind = "confirmation"
 	KindConfirmationQuery    Kind = "confirmation_query"
 	KindDomainConfirmation   Kind = "domain_confirmation"
+	KindClaimRequest         Kind = "claim_request"
+	KindClaimVerdict         Kind = "claim_verdict"
+	KindClaimEnd             Kind = "claim_end"
+	KindClaimEndTaken        Kind = "claim_end_taken"
 )
 
 // Message is one message between nodes.
@@ -54,6 +58,10 @@
 	KindConfirmation:         func() Message { return &Confirmation{} },
 	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
 	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
+	KindClaimRequest:         func() Message { return &ClaimRequest{} },
+	KindClaimVerdict:         func() Message { return &ClaimVerdict{} },
+	KindClaimEnd:             func() Message { return &ClaimEnd{} },
+	KindClaimEndTaken:        func() Message { return &ClaimEndTaken{} },
 }
 
 // New returns an empty message of that kind to decode into, or nil for a kind
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 )
@@ -46,6 +47,13 @@
 	Unrepeatable bool
 }
 
+// Replay answers a repeat with the first request's whole answer. The call is
+// over: no event about it is expected.
+type Replay struct {
+	Call   CallID
+	Answer claim.Answer
+}
+
 // EndAnswer closes a peer's call whose answer has been passed on whole. The
 // count is taken in the same step that ends the call's token: a further call
 // that the backend server makes later is refused, so none can escape the count.
@@ -98,6 +106,7 @@
 func (Refuse) isAction()         {}
 func (Forward) isAction()        {}
 func (Dispatch) isAction()       {}
+func (Replay) isAction()         {}
 func (EndAnswer) isAction()      {}
 func (CancelAttempt) isAction()  {}
 func (CancelDispatch) isAction() {}
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -6,6 +6,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/attempt"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 
@@ -40,15 +41,16 @@
 	target coltsfootward.InstanceID
 	// running is set while an attempt is under way.
 	running bool
-	// lost is set once an attempt ended in doubt.
-	lost bool
+	// lost is set once an attempt was lost, doubtful once one may have run.
+	lost, doubtful bool
 	// answered is set once an answer has begun; from then on nothing is retried.
 	answered bool
-	// claimed is set while the call holds a claim on its idempotency key.
-	claimed bool
+	// claim is set while the call holds or asks for a claim on its key.
+	claim *entryClaim
+	// body is a digest of the request's body.
+	body uint64
 	// admission is what entitles the next attempt to start.
 	admission admission
-	last      coltsfootward.Refusal
 }
 
 // entryPart takes requests from callers and from the local backend server and
@@ -142,6 +144,7 @@
 		deadline: p.node.now.Expiry + timeout,
 		budget:   p.node.options.Attempts,
 		tried:    make(map[coltsfootward.InstanceID]bool),
+		body:     e.Body,
 	}
 	if service.Attempts > 0 {
 		call.budget = service.Attempts
@@ -206,6 +209,11 @@
 		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started"))
 		return
 	}
+	if call.claim != nil && now >= call.claim.expires {
+		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalClaim, "the claim on the Idempotency-Key ended before the request started").
+			WithRetryAfter(p.node.spreadRetryAfter()))
+		return
+	}
 	target, ok := p.node.placement.choose(call)
 	if !ok {
 		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalNoUpstream, "no backend server of the service takes work").
@@ -220,6 +228,9 @@
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
+	if call.claim != nil {
+		head.StartWithin = shorter(head.StartWithin, call.claim.expires-now)
+	}
 	p.node.act(Forward{Call: call.id, To: target, Head: head})
 }
 
@@ -244,9 +255,9 @@
 	call.lost = call.lost || e.Kind == AttemptLost
 	p.settleAdmission(call, e)
 	refused := refusalOf(e)
+	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)))
-	call.last = refused
 	call.tried[call.target] = true
 	p.node.ledger.topUp(call)
 	if p.mayRetry(call, refused) {
@@ -330,17 +341,18 @@
 		p.node.rate.release(call.head.Organisation, call.admission)
 		call.admission = admission{}
 	}
-	if call.last.Execution == coltsfootward.ExecutionUnknown {
-		r = r.WithExecution(coltsfootward.ExecutionUnknown)
-	}
 	p.finish(call, r)
 }
 
-// finish answers the call with a refusal and forgets it.
+// finish answers the call with a refusal and forgets it. Once an attempt may
+// have run, a later one that certainly did not makes nothing undone.
 func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal) {
 	delete(p.calls, call.id)
-	if call.claimed {
-		p.node.claims.ended(call, r.Execution)
+	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
+		r = r.WithExecution(coltsfootward.ExecutionUnknown)
+	}
+	if call.claim != nil {
+		p.node.claims.ended(call, r.Execution, nil)
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
@@ -348,6 +360,15 @@
 	p.refuse(call.id, call.head.Request, r)
 }
 
+// replay answers the call with the first request's answer and forgets it.
+func (p *entryPart) replay(call *entryCall, answer *claim.Answer) {
+	delete(p.calls, call.id)
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget)
+	}
+	p.node.act(Replay{Call: call.id, Answer: *answer})
+}
+
 func (p *entryPart) refuseUnopened(id CallID, r coltsfootward.Refusal) {
 	p.refuse(id, "", r)
 }
@@ -375,8 +396,8 @@
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
 	}
-	if call.claimed {
-		p.node.claims.ended(call, coltsfootward.ExecutionRan)
+	if call.claim != nil {
+		p.node.claims.ended(call, coltsfootward.ExecutionRan, e.Answer)
 	}
 }
 
@@ -389,7 +410,7 @@
 	}
 	delete(p.calls, id)
 	execution := coltsfootward.ExecutionNotRun
-	if call.running || call.answered || call.last.Execution == coltsfootward.ExecutionUnknown {
+	if call.running || call.answered || call.doubtful {
 		execution = coltsfootward.ExecutionUnknown
 	}
 	if call.running || call.answered {
@@ -400,8 +421,8 @@
 	} else {
 		p.node.rate.release(call.head.Organisation, call.admission)
 	}
-	if call.claimed {
-		p.node.claims.ended(call, execution)
+	if call.claim != nil {
+		p.node.claims.ended(call, execution, nil)
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
@@ -429,6 +450,14 @@
 	p.giveUp(call, r)
 }
 
+// shorter returns the shorter of two times of which zero means no limit.
+func shorter(limit, other time.Duration) time.Duration {
+	if limit == 0 {
+		return other
+	}
+	return min(limit, other)
+}
+
 func refusal(kind coltsfootward.RefusalKind, detail string) *coltsfootward.Refusal {
 	r := coltsfootward.NewRefusal(kind, detail)
 	return &r
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 )
 
@@ -33,6 +34,9 @@
 	Method         string
 	Path           string
 	IdempotencyKey string
+	// Body is a digest of the body; it is read for requests with an
+	// idempotency key.
+	Body uint64
 	// Attempt is the caller's own count of its repeats; the first is 1.
 	Attempt int
 	// Timeout is the caller's; zero means that it set none.
@@ -80,6 +84,9 @@
 	Needed int
 	// Whole is set when the complete answer reached the caller.
 	Whole bool
+	// Answer is the whole answer of a request with an idempotency key, if its
+	// body is at most MaximumKeptAnswer long; it is kept for repeats.
+	Answer *claim.Answer
 }
 
 // PeerCallArrived says that an entry node sent a call for the local upstream.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -113,6 +113,8 @@
 		n.configuration.digest(e, m.Gossip.Digest)
 	case *message.ProbeAnswer:
 		n.configuration.digest(e, m.Gossip.Digest)
+	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimEnd, *message.ClaimEndTaken:
+		n.claims.message(e)
 	case *message.ConfigurationDigest:
 		n.configuration.digest(e, *m)
 	case *message.ConfigurationPull:
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 )
 
 // Options are a node's settings as far as the decisions need them. The zero
@@ -20,6 +21,18 @@
 	Timeout time.Duration
 	// MaximumTimeout caps what a caller may ask for. The default is 60 s.
 	MaximumTimeout time.Duration
+	// ClaimWindow is how long the claims on idempotency keys are remembered. A
+	// key that carries no time runs at most once within it. The default is 10 min.
+	ClaimWindow time.Duration
+	// ClaimClockMargin is how far the wall clocks of callers and nodes may
+	// differ. The default is 5 s.
+	ClaimClockMargin time.Duration
+	// MaximumClaims bounds the claims remembered for each slot that this node
+	// holds. Beyond it further keys are refused. The default is 100 000.
+	MaximumClaims int
+	// KeptAnswerBytes bounds the memory for answers that are kept for repeats,
+	// for each slot that this node holds. The default is 16 MiB.
+	KeptAnswerBytes int
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
@@ -55,8 +68,26 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	o.setClaimDefaults()
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
 	return o
 }
+
+func (o *Options) setClaimDefaults() {
+	claims := o.claims().WithDefaults()
+	o.ClaimWindow = claims.Window
+	o.ClaimClockMargin = claims.ClockMargin
+	o.MaximumClaims = claims.Claims
+	o.KeptAnswerBytes = claims.AnswerBytes
+}
+
+func (o Options) claims() claim.Options {
+	return claim.Options{
+		Window:      o.ClaimWindow,
+		ClockMargin: o.ClaimClockMargin,
+		Claims:      o.MaximumClaims,
+		AnswerBytes: o.KeptAnswerBytes,
+	}
+}
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/node"
 )
 
@@ -26,6 +27,8 @@
 		}
 	case node.Dispatch:
 		m.Backend.start(a)
+	case node.Replay:
+		m.replay(a)
 	case node.EndAnswer:
 		m.answered(a)
 	case node.CancelDispatch:
@@ -148,6 +151,21 @@
 	})
 }
 
+// replay brings a kept answer to the caller.
+func (m *Member) replay(a node.Replay) {
+	e, ok := m.entries[a.Call]
+	if !ok {
+		return
+	}
+	delete(m.entries, a.Call)
+	m.endOutcome(e.outcome, func(o *Outcome) {
+		o.Done = true
+		o.Answered = true
+		o.Replayed = true
+		o.By = coltsfootward.InstanceID(a.Answer.Body)
+	})
+}
+
 // answered carries a whole answer back to the caller.
 func (m *Member) answered(a node.EndAnswer) {
 	s, ok := m.serving[a.Call]
@@ -169,7 +187,8 @@
 		return node.AttemptEnded{Call: s.call, Kind: node.AttemptAnswered, Load: load, Status: statusOK}
 	})
 	m.event(func() node.Event {
-		return node.CallDone{Call: s.call, Attempts: end.Attempts, Needed: end.Needed, Whole: true}
+		return node.CallDone{Call: s.call, Attempts: end.Attempts, Needed: end.Needed, Whole: true,
+			Answer: &claim.Answer{Status: statusOK, Body: []byte(by)}}
 	})
 	m.endOutcome(e.outcome, func(o *Outcome) {
 		o.Done = true
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -62,8 +62,10 @@
 	Method         string
 	Path           string
 	IdempotencyKey string
-	Attempt        int
-	Timeout        time.Duration
+	// Body stands for the request's body.
+	Body    uint64
+	Attempt int
+	Timeout time.Duration
 	// Token is set for calls of a backend server.
 	Token node.CallToken
 }
@@ -74,6 +76,8 @@
 	Done bool
 	// Answered is set if a backend server answered whole.
 	Answered bool
+	// Replayed is set if the answer is that of an earlier request with its key.
+	Replayed bool
 	// Refusal is set if the request was refused.
 	Refusal *coltsfootward.Refusal
 	// Sent and Ended are times of the rig.
@@ -134,7 +138,7 @@
 	return coltsfootward.Instant{
 		Monotonic: start + elapsed - frozen,
 		Expiry:    start + elapsed,
-		Wall:      time.Unix(1_800_000_000, 0).UTC().Add(m.rig.now),
+		Wall:      m.rig.Wall(),
 	}
 }
 
@@ -255,7 +259,7 @@
 	m.event(func() node.Event {
 		return node.RequestArrived{
 			Call: o.call, Key: request.Key, Token: request.Token, Service: request.Service,
-			Method: request.Method, Path: request.Path, IdempotencyKey: request.IdempotencyKey,
+			Method: request.Method, Path: request.Path, IdempotencyKey: request.IdempotencyKey, Body: request.Body,
 			Attempt: max(request.Attempt, 1), Timeout: request.Timeout,
 		}
 	})
--- a/core/nodetest/rig.go
+++ b/core/nodetest/rig.go
@@ -15,6 +15,8 @@
 	// start is the rig's time at its beginning; not zero, so that a part that
 	// forgets to initialise a time shows it.
 	start = time.Hour
+	// wallStart is the wall clocks' reading at the rig's time zero, as a Unix time.
+	wallStart = 1_800_000_000
 	// tickInterval is the time between two ticks of each node.
 	tickInterval = 10 * time.Millisecond
 	// DefaultDelay is the one-way delay of a link.
@@ -59,6 +61,9 @@
 // Now returns how long the rig has run.
 func (r *Rig) Now() time.Duration { return r.now - start }
 
+// Wall returns what the nodes' wall clocks show.
+func (r *Rig) Wall() time.Time { return time.Unix(wallStart, 0).UTC().Add(r.now) }
+
 // Source returns the rig's random source.
 func (r *Rig) Source() *rand.Rand { return r.source }
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -23,6 +23,8 @@
 	KeysStopped         Code = 403
 	KeysHonoured        Code = 404
 	SnapshotInForce     Code = 405
+	ClaimRefused        Code = 601
+	ClaimUnanswered     Code = 602
 	MemberSuspected     Code = 701
 	MemberGone          Code = 702
 	MemberLeft          Code = 703
@@ -60,6 +62,8 @@
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
 		{KeysHonoured, "keys_honoured", "info", "The node hears of the platform or of most failure domains again and honours keys."},
 		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
+		{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; the decision says why."},
+		{ClaimUnanswered, "claim_unanswered", "warn", "Nobody decided on a claim in time; the request was refused as not run. Check the links to the other failure domains."},
 		{MemberSuspected, "member_suspected", "info", "A member of the node's failure domain answers no probes; it gets no new work if others can take it."},
 		{MemberGone, "member_gone", "warn", "A member of the node's failure domain did not answer in time and gets no new work. Check that instance."},
 		{MemberLeft, "member_left", "info", "A member of the node's failure domain said that it stops."},
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/node"
 	"coltsfootward/io/loop"
 	"coltsfootward/io/peer"
@@ -23,6 +24,10 @@
 	writer  http.ResponseWriter
 	body    []byte
 	header  map[string][]string
+	// keep is set while the answer's body, of which start has been read, may
+	// still be kept for repeats.
+	keep  bool
+	start []byte
 }
 
 // run carries out the machine's actions for the request until it is answered.
@@ -50,6 +55,9 @@
 	case node.Refuse:
 		writeRefusal(e.writer, a.Refusal)
 		return true
+	case node.Replay:
+		e.replay(a)
+		return true
 	case node.Forward:
 		return e.forward(a)
 	default:
@@ -108,18 +116,50 @@
 		h[name] = values
 	}
 	e.writer.WriteHeader(answer.Head.Status)
+	e.keep = e.request.Header.Get(HeaderIdempotencyKey) != ""
 	whole := e.copy(answer)
 	end, ok := answer.End()
 	if !ok {
 		end.Attempts = -1
 	}
-	e.face.loop.Post(node.CallDone{Call: e.call.ID, Attempts: end.Attempts, Needed: end.Needed, Whole: whole})
+	e.face.loop.Post(node.CallDone{Call: e.call.ID, Attempts: end.Attempts, Needed: end.Needed, Whole: whole, Answer: e.kept(answer, whole)})
 	if !whole {
 		answer.Close()
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// kept returns the answer for repeats of the request, or nil.
+func (e *exchange) kept(answer *peer.Answer, whole bool) *claim.Answer {
+	if !whole || !e.keep {
+		return nil
+	}
+	return &claim.Answer{Status: answer.Head.Status, Header: answer.Head.Header, Body: e.start}
+}
+
+// replay answers with the first request's answer.
+func (e *exchange) replay(a node.Replay) {
+	h := e.writer.Header()
+	for name, values := range a.Answer.Header {
+		h[name] = values
+	}
+	h.Set(HeaderReplayed, "true")
+	e.writer.WriteHeader(a.Answer.Status)
+	_, _ = e.writer.Write(a.Answer.Body) // the caller may have left
+}
+
+// note keeps the body's start as long as it is short enough to be kept whole.
+func (e *exchange) note(p []byte) {
+	if !e.keep {
+		return
+	}
+	e.start = append(e.start, p...)
+	if len(e.start) > node.MaximumKeptAnswer {
+		e.keep = false
+		e.start = nil
+	}
+}
+
 // copy passes the body on as it arrives and reports whether it was whole.
 func (e *exchange) copy(answer *peer.Answer) bool {
 	flusher := http.NewResponseController(e.writer)
@@ -127,6 +167,7 @@
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
+			e.note(buffer[:n])
 			if _, failed := e.writer.Write(buffer[:n]); failed != nil {
 				return false
 			}
--- a/io/caller/face.go
+++ b/io/caller/face.go
@@ -16,6 +16,7 @@
 	"coltsfootward/io/loop"
 	"coltsfootward/io/peer"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 )
 
@@ -75,6 +76,9 @@
 	call := f.loop.Open()
 	defer call.Close()
 	event.Call = call.ID
+	if event.IdempotencyKey != "" {
+		event.Body = xxhash.Sum64(body)
+	}
 	e := &exchange{face: f, call: call, request: r, writer: w, body: body, header: PassedOn(r.Header, key)}
 	f.loop.Post(event)
 	e.run()
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -23,6 +23,9 @@
 	HeaderExecution = "Coltsfootward-Execution"
 	// HeaderRefusal is the kind of a refusal.
 	HeaderRefusal = "Coltsfootward-Refusal"
+	// HeaderReplayed marks an answer that is the first request's, kept for
+	// repeats of its Idempotency-Key.
+	HeaderReplayed = "Coltsfootward-Replayed"
 	// HeaderDeadline tells the backend server how many milliseconds are left.
 	HeaderDeadline = "Coltsfootward-Deadline-Ms"
 )
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -162,6 +162,8 @@
 		l.deliver(a.Call, a)
 	case node.Dispatch:
 		l.deliver(a.Call, a)
+	case node.Replay:
+		l.deliver(a.Call, a)
 	case node.EndAnswer:
 		l.deliver(a.Call, a)
 	case node.CancelAttempt:
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -33,7 +33,7 @@
 	// bytes: it must fit into one frame to the entry node.
 	maximumAnswerHeader = 256 << 10
 	// DefaultMaximumBody is the default of Options.MaximumBody, in bytes.
-	DefaultMaximumBody = 16 << 20
+	DefaultMaximumBody = 64 << 20
 )
 
 // Options are a server's settings. The zero value works.
--- a/refusal.go
+++ b/refusal.go
@@ -41,6 +41,7 @@
 	RefusalDuplicate       RefusalKind = "duplicate"
 	RefusalAlreadyRun      RefusalKind = "already_run"
 	RefusalClaim           RefusalKind = "claim"
+	RefusalKeyReused       RefusalKind = "key_reused"
 	RefusalConfiguration   RefusalKind = "configuration"
 	RefusalConnectionLost  RefusalKind = "connection_lost"
 	RefusalUpstreamFailed  RefusalKind = "upstream_failed"
@@ -68,6 +69,7 @@
 	RefusalDuplicate:       {http.StatusConflict, "wait for the first request with this Idempotency-Key to end"},
 	RefusalAlreadyRun:      {http.StatusConflict, "do not send it again; look up the outcome of the first request"},
 	RefusalClaim:           {http.StatusServiceUnavailable, "send the request again with the same Idempotency-Key after the stated time"},
+	RefusalKeyReused:       {http.StatusUnprocessableEntity, "use a new Idempotency-Key for a different request"},
 	RefusalConfiguration:   {http.StatusServiceUnavailable, "wait until the node has read its configuration"},
 	RefusalConnectionLost:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
 	RefusalUpstreamFailed:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
