Scenarios of overload with four measures, against a naive system

Cause: no decision under load could be judged without the outcome for callers. The scenarios drive the rig's node machines and a naive system with the same open-loop callers, in virtual time and from one seed.

--- /dev/null
+++ b/cmd/coltsload/main.go
@@ -0,0 +1,44 @@
+// Command coltsload measures coltsfootward under load. Each subcommand prints
+// its settings with its figures.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// subcommand is one line of the command table.
+type subcommand struct {
+	name, short, long string
+	command           flags.Commander
+}
+
+func subcommands() []subcommand {
+	return []subcommand{
+		{"scenarios", "measure overload scenarios under a virtual clock",
+			"Runs every overload scenario on both example deployments, against a naive system, and prints a table. Needs no network.\n\nExample: coltsload scenarios --only burst",
+			&scenarios{}},
+	}
+}
+
+func main() {
+	parser := flags.NewNamedParser("coltsload", flags.HelpFlag|flags.PassDoubleDash)
+	for _, s := range subcommands() {
+		if _, err := parser.AddCommand(s.name, s.short, s.long, s.command); err != nil {
+			panic(err)
+		}
+	}
+	_, err := parser.Parse()
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -133,11 +133,7 @@
 		}
 		b.step(j)
 	}
-	if outcome.Done {
-		ended()
-		return
-	}
-	outcome.notify = ended
+	outcome.OnDone(ended)
 }
 
 func (b *Backend) finish(j *job, completed bool) {
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -262,6 +262,16 @@
 	return o
 }
 
+// OnDone runs f once the caller has its final answer; at once if it has it
+// already. A later call replaces f.
+func (o *Outcome) OnDone(f func()) {
+	if o.Done {
+		f()
+		return
+	}
+	o.notify = f
+}
+
 // Leave makes the caller of a request give up on it.
 func (o *Outcome) Leave() {
 	m := o.member
--- /dev/null
+++ b/core/scenario/real.go
@@ -0,0 +1,142 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+)
+
+// machines is the world of the node machines.
+type machines struct {
+	scenario   Scenario
+	deployment Deployment
+	rig        *nodetest.Rig
+	hosts      []host
+	members    []*nodetest.Member
+	source     *rand.Rand
+}
+
+func newMachines(s Scenario, d Deployment, seed uint64) *machines {
+	m := &machines{scenario: s, deployment: d, rig: nodetest.New(seed), hosts: d.hosts(), source: rand.New(rand.NewPCG(seed, 2))}
+	m.rig.Delay = domainDelay
+	m.configure()
+	for i, h := range m.hosts {
+		member := m.rig.Add(node.Options{Self: h.instance, Domains: d.Domains})
+		m.members = append(m.members, member)
+		m.equip(member, h, m.indexInService(i))
+		member.Announce(h.service.Name, h.service.Slots)
+	}
+	return m
+}
+
+func (m *machines) configure() {
+	for o, organisation := range m.deployment.Organisations {
+		m.rig.Submit(
+			coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: organisation.Name, Rate: m.scenario.rate(m.deployment, o)}},
+			coltsfootward.Change{Key: &coltsfootward.Key{ID: string(organisation.Name), Digest: organisation.Key(), Organisation: organisation.Name}},
+		)
+	}
+	for _, s := range m.deployment.Services {
+		m.rig.Submit(coltsfootward.Change{Service: &coltsfootward.Service{Name: s.Name, Marks: marks()}})
+	}
+}
+
+// equip gives a backend server its service time and its further calls.
+func (m *machines) equip(member *nodetest.Member, h host, index int) {
+	member.Backend.ServiceTime = func(call message.Call) time.Duration {
+		return m.scenario.serviceTime(m.deployment, h, index, call.Path, m.rig.Now(), m.source)
+	}
+	if h.service.Next == "" {
+		return
+	}
+	member.Backend.Children = func(call message.Call) []nodetest.Request {
+		return []nodetest.Request{{Service: h.service.Next, Path: call.Path, Timeout: callerTimeout}}
+	}
+}
+
+// indexInService returns the number of a host within its service.
+func (m *machines) indexInService(host int) int {
+	index := 0
+	for _, h := range m.hosts[:host] {
+		if h.service.Name == m.hosts[host].service.Name {
+			index++
+		}
+	}
+	return index
+}
+
+func (m *machines) now() time.Duration              { return m.rig.Now() }
+func (m *machines) after(d time.Duration, f func()) { m.rig.After(d, f) }
+func (m *machines) run(d time.Duration)             { m.rig.Run(d) }
+func (m *machines) entries() int                    { return len(m.members) }
+
+func (m *machines) send(entry int, r request, done func(reply)) func() {
+	o := m.members[entry].Send(nodetest.Request{
+		Key: r.organisation.Key(), Service: r.service, Path: r.path, Attempt: r.attempt, Timeout: r.timeout,
+	})
+	o.OnDone(func() {
+		got := reply{answered: o.Answered}
+		if o.Refusal != nil {
+			got.retryAfter = o.Refusal.RetryAfter
+		}
+		done(got)
+	})
+	return o.Leave
+}
+
+func (m *machines) begin() {
+	if m.scenario.Cut {
+		m.rig.CutDomain(m.deployment.Domains[0], true)
+	}
+	m.eachFocus(func(member *nodetest.Member, index int) {
+		service := m.deployment.Service(m.deployment.Focus)
+		if m.scenario.ColdStart && isColdStarted(index) {
+			member.Kill()
+			m.rig.After(restartAfter, func() {
+				member.Restart()
+				member.Announce(service.Name, service.Slots)
+			})
+		}
+		if m.scenario.Lie > 1 && index == 0 {
+			m.announceFalsely(member, service, service.Slots*m.scenario.Lie)
+		}
+	})
+}
+
+func (m *machines) end() {
+	if m.scenario.Cut {
+		m.rig.HealDomain(m.deployment.Domains[0])
+	}
+	m.eachFocus(func(member *nodetest.Member, index int) {
+		if m.scenario.Lie > 1 && index == 0 {
+			service := m.deployment.Service(m.deployment.Focus)
+			m.announceFalsely(member, service, service.Slots)
+		}
+	})
+}
+
+// announceFalsely announces slots that the backend server does not have.
+func (m *machines) announceFalsely(member *nodetest.Member, service Service, slots int) {
+	member.Announce(service.Name, slots)
+	member.Backend.Slots = service.Slots
+}
+
+func (m *machines) eachFocus(f func(member *nodetest.Member, index int)) {
+	for i, h := range m.hosts {
+		if h.service.Name == m.deployment.Focus {
+			f(m.members[i], m.indexInService(i))
+		}
+	}
+}
+
+// domainDelay is the one-way delay between two instances.
+func domainDelay(from, to coltsfootward.Instance) time.Duration {
+	if from.Domain == to.Domain {
+		return 200 * time.Microsecond
+	}
+	return 1500 * time.Microsecond
+}
--- /dev/null
+++ b/core/scenario/scenario_test.go
@@ -0,0 +1,36 @@
+package scenario_test
+
+import (
+	"testing"
+
+	"coltsfootward/core/scenario"
+)
+
+// calm is a scenario in which nothing happens.
+func calm() scenario.Scenario {
+	return scenario.Scenario{Name: "calm", Demand: 0.5, Rate: 4}
+}
+
+// Without trouble both variants answer everything: the naive system is a fair
+// opponent and not one that loses by its model.
+func TestCalmIsAnsweredByBothVariants(t *testing.T) {
+	for _, v := range scenario.Variants() {
+		m := scenario.Run(calm(), scenario.Bennani(), v, 1)
+		if m.Offered == 0 || m.Answered != m.Offered || !m.Recovered || m.Recovery != 0 {
+			t.Errorf("%s: got %+v, want every request answered and no time to recover", v, m)
+		}
+	}
+}
+
+// A run follows from its seed alone.
+func TestSameSeedSameMeasures(t *testing.T) {
+	s, ok := scenario.Named("burst")
+	if !ok {
+		t.Fatal("got no scenario burst, want one")
+	}
+	first := scenario.Run(s, scenario.Consortium(), scenario.VariantColtsfootward, 3)
+	second := scenario.Run(s, scenario.Consortium(), scenario.VariantColtsfootward, 3)
+	if first != second {
+		t.Errorf("two runs of one seed differ:\n%+v\n%+v", first, second)
+	}
+}
