--- /dev/null
+++ b/core/admission/controller.go
@@ -0,0 +1,228 @@
+package admission
+
+import (
+	"time"
+
+	"coltsfootward"
+)
+
+const (
+	// queueFactor bounds the queue in multiples of the limit. A burst of a few
+	// times the slots waits; more could only wait beyond any target.
+	queueFactor = 4
+	// waitTarget is how long requests may wait while there is a standing queue.
+	// A standing queue adds delay and serves no more, so it is kept short.
+	waitTarget = 50 * time.Millisecond
+	// burstWait is how long requests may wait in a burst.
+	burstWait = 300 * time.Millisecond
+	// standingAfter is how long the queue must not have been empty to count as
+	// a standing queue and no longer as a burst.
+	standingAfter = 300 * time.Millisecond
+	// trialInterval is the time between two requests that are let through
+	// although they seem to take too long: without them an estimate that has
+	// become wrong would never be corrected.
+	trialInterval = 500 * time.Millisecond
+	// firstReturn is how soon the first refused callers are asked back: sooner
+	// they would spend their tries within the same burst. lastReturn is how
+	// late callers are asked back at most.
+	firstReturn = time.Second
+	lastReturn  = 8 * time.Second
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonFull means that more important requests fill the queue.
+	ReasonFull Reason = "queue_full"
+	// ReasonWaited means that it waited as long as the queue lets requests wait.
+	ReasonWaited Reason = "waited"
+	// ReasonDeadline means that it cannot end before its caller stops waiting.
+	ReasonDeadline Reason = "deadline"
+)
+
+// Refused is a request that will not be served. It has not begun.
+type Refused struct {
+	Request Request
+	Reason  Reason
+}
+
+// Controller decides what a backend server serves. Create it with
+// NewController. It is not safe for concurrent use.
+type Controller struct {
+	limiter *Limiter
+	shedder *Shedder
+	queue   Queue
+	running map[RequestID]service
+	refused []Refused
+	// emptied is when the queue was last empty.
+	emptied time.Duration
+	// overloadedSince is when refusing began, lastShed the latest refusal.
+	overloadedSince, lastShed time.Duration
+	lastTrial                 time.Duration
+}
+
+// service is a request in service.
+type service struct {
+	request Request
+	began   time.Duration
+	running int
+}
+
+// NewController returns a controller for a server with that many slots.
+func NewController(slots int) *Controller {
+	return &Controller{
+		limiter: NewLimiter(slots),
+		shedder: NewShedder(),
+		running: make(map[RequestID]service),
+	}
+}
+
+// SetSlots changes the number of slots that the server announces.
+func (c *Controller) SetSlots(slots int) { c.limiter.SetSlots(slots) }
+
+// Running returns the number of requests in service.
+func (c *Controller) Running() int { return len(c.running) }
+
+// Queued returns the number of requests that wait.
+func (c *Controller) Queued() int { return c.queue.Len() }
+
+// Limit returns how many requests are served at once.
+func (c *Controller) Limit() int { return c.limiter.Limit() }
+
+// Level returns the shed level for an organisation; see Shedder.Level.
+func (c *Controller) Level(organisation coltsfootward.OrganisationName) uint32 {
+	return c.shedder.Level(organisation)
+}
+
+// Offer takes in a request that arrived. Refused then tells whether it, or one
+// that matters less, was refused.
+func (c *Controller) Offer(now time.Duration, r Request) {
+	c.shedder.Arrived(now, r)
+	estimate := c.limiter.Estimate(r.Class)
+	r.cost = estimate.Seconds()
+	if c.queue.Len() == 0 {
+		c.emptied = now
+	}
+	if now+c.wait(r)+estimate > r.Deadline && !c.trial(now, r) {
+		c.refuse(now, r, ReasonDeadline)
+		return
+	}
+	c.queue.Push(r)
+	// The queue is full of what matters less than the newcomer as often as not.
+	// Refusing whoever comes last would invert priorities under the very load
+	// that they are made for.
+	for c.queue.Len() > c.room() {
+		victim, _ := c.queue.Evict()
+		c.refuse(now, victim, ReasonFull)
+	}
+}
+
+// room is how many requests may wait. Those that can start at once do not count.
+func (c *Controller) room() int {
+	free := max(c.Limit()-len(c.running), 0)
+	return queueFactor*c.Limit() + free
+}
+
+// wait predicts how long a request would wait behind what leaves before it.
+func (c *Controller) wait(r Request) time.Duration {
+	if len(c.running) < c.Limit() && c.queue.Len() == 0 {
+		return 0
+	}
+	return time.Duration(c.queue.ahead(r) / float64(max(c.Limit(), 1)) * float64(time.Second))
+}
+
+// trial reports whether a request that seems too slow is tried all the same.
+func (c *Controller) trial(now time.Duration, r Request) bool {
+	if !r.Repeatable || now-c.lastTrial < trialInterval || now >= r.Deadline {
+		return false
+	}
+	c.lastTrial = now
+	return true
+}
+
+// Next returns the request that begins its service now, if there is room.
+func (c *Controller) Next(now time.Duration) (Request, bool) {
+	if len(c.running) >= c.Limit() {
+		return Request{}, false
+	}
+	r, ok := c.queue.Pop()
+	if !ok {
+		c.emptied = now
+		return Request{}, false
+	}
+	c.shedder.Served(r)
+	c.running[r.ID] = service{request: r, began: now, running: len(c.running) + 1}
+	return r, true
+}
+
+// Unsent takes back a request that Next returned and that did not begin after all.
+func (c *Controller) Unsent(id RequestID) { delete(c.running, id) }
+
+// Done says that a service ended. cut is set if it was ended early.
+func (c *Controller) Done(now time.Duration, id RequestID, cut bool) {
+	s, ok := c.running[id]
+	if !ok {
+		return
+	}
+	delete(c.running, id)
+	c.limiter.Observe(Sample{Class: s.request.Class, Began: s.began, Ended: now, Running: s.running, Cut: cut})
+}
+
+// Withdraw takes out a waiting request whose caller has left. It reports
+// whether the request waited.
+func (c *Controller) Withdraw(id RequestID) bool { return c.queue.Remove(id) }
+
+// Tick refuses what has waited too long and sets the shed levels.
+func (c *Controller) Tick(now time.Duration) {
+	if c.queue.Len() == 0 {
+		c.emptied = now
+	} else {
+		c.expire(now)
+	}
+	c.shedder.Tick(now)
+}
+
+func (c *Controller) expire(now time.Duration) {
+	limit := burstWait
+	if now-c.emptied > standingAfter {
+		limit = waitTarget
+	}
+	reason := func(r Request) Reason {
+		switch {
+		case now+c.limiter.Estimate(r.Class) > r.Deadline:
+			return ReasonDeadline
+		case now-r.Arrived > limit:
+			return ReasonWaited
+		default:
+			return ""
+		}
+	}
+	for _, r := range c.queue.RemoveFunc(func(r Request) bool { return reason(r) != "" }) {
+		c.refuse(now, r, reason(r))
+	}
+}
+
+func (c *Controller) refuse(now time.Duration, r Request, reason Reason) {
+	c.shedder.Shed(r)
+	if now-c.lastShed > time.Second {
+		c.overloadedSince = now
+	}
+	c.lastShed = now
+	c.refused = append(c.refused, Refused{Request: r, Reason: reason})
+}
+
+// Refused returns what has been refused since the last call.
+func (c *Controller) Refused() []Refused {
+	refused := c.refused
+	c.refused = nil
+	return refused
+}
+
+// ReturnAfter says when refused callers should come back, before spreading.
+// Nobody knows how long an overload will last; what has lasted for a while is
+// likely to last about as long again, so callers stay away for that time.
+func (c *Controller) ReturnAfter(now time.Duration) time.Duration {
+	return min(max(firstReturn, now-c.overloadedSince), lastReturn)
+}
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -16,6 +16,14 @@
 // refused together do not return together.
 const retryAfterSpread = 2 * time.Second
 
+// The bounds of what a caller shed at entry is told, before spreading. In
+// between it is as long as the node has been shedding: an overload that has
+// lasted for a while is likely to last about as long again.
+const (
+	shortestRetryAfter = time.Second
+	longestRetryAfter  = 8 * time.Second
+)
+
 // entryCall is a request at the node that its caller reached.
 type entryCall struct {
 	id      CallID
@@ -35,6 +43,8 @@
 	tried map[coltsfootward.InstanceID]bool
 	// target is where the attempt under way went.
 	target coltsfootward.InstanceID
+	// sent is when it went there, by Instant.Monotonic.
+	sent time.Duration
 	// running is set while an attempt is under way.
 	running bool
 	// answered is set once an answer has begun; from then on nothing is retried.
@@ -174,11 +184,12 @@
 // done for it. Under overload each hop that a doomed request takes is capacity
 // lost to the requests that will be answered.
 func (p *entryPart) shedAtEntry(call *entryCall) bool {
-	if !p.node.placement.shed(call.head.Service, call.head.ShedRank) {
+	if !p.node.placement.shed(call) {
 		return false
 	}
+	retryAfter := max(p.node.placement.shedFor(call.head.Service), shortestRetryAfter)
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the service sheds requests of this importance").
-		WithRetryAfter(p.node.spreadRetryAfter()))
+		WithRetryAfter(p.node.spread(min(retryAfter, longestRetryAfter))))
 	return true
 }
 
@@ -213,6 +224,7 @@
 	}
 	call.target = target.ID
 	call.running = true
+	p.node.placement.sent(call)
 	head := call.head
 	head.Budget = call.budget - call.attempts
 	head.Timeout = call.deadline - now
@@ -295,6 +307,10 @@
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
+	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
+}
+
+func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
 	}
@@ -336,6 +352,7 @@
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+		p.node.upstream.childRefused(call.parent, r)
 	}
 	p.refuse(call.id, call.head.Request, r)
 }
@@ -382,6 +399,9 @@
 		execution = coltsfootward.ExecutionUnknown
 		call.attempts = call.budget
 	}
+	if call.running {
+		p.node.placement.left(call, false)
+	}
 	if call.running || call.answered {
 		p.node.act(CancelAttempt{Call: id})
 	} else {
@@ -409,6 +429,7 @@
 func (p *entryPart) expire(call *entryCall) {
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out")
 	if call.running {
+		p.node.placement.left(call, true)
 		p.node.act(CancelAttempt{Call: call.id})
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 		call.attempts = call.budget
@@ -429,6 +450,12 @@
 	return retryAfterSpread/4 + time.Duration(n.source.Int64N(int64(retryAfterSpread)))
 }
 
+// spread returns a time around d, from half of it to one and a half, so that
+// callers refused together do not return together.
+func (n *Node) spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(n.source.Int64N(int64(max(d, 1))))
+}
+
 // shedHashBits is how many bits of a shed rank come from the request's hash.
 const shedHashBits = 28
 
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -39,19 +39,6 @@
 
 func (p *membershipPart) size() int { return len(p.peers) + 1 }
 
-// upstreams returns the backend servers of a service that take work, in the
-// order of their names. The slice is the caller's.
-func (p *membershipPart) upstreams(service coltsfootward.ServiceName) []message.Announcement {
-	var found []message.Announcement
-	for _, id := range slices.Sorted(maps.Keys(p.announced)) {
-		a := p.announced[id]
-		if a.Service == service && !a.Draining {
-			found = append(found, a)
-		}
-	}
-	return found
-}
-
 func (p *membershipPart) backendAnnounced(e BackendAnnounced) {
 	changed := p.local.Service != e.Service || p.local.Slots != e.Slots || p.local.Draining != e.Draining
 	if !changed {
@@ -99,6 +86,7 @@
 		return
 	}
 	p.announced[a.Instance.ID] = a
+	p.node.placement.announced(a, old)
 }
 
 func newerAnnouncement(a, old message.Announcement) bool {
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -1,74 +1,153 @@
 package node
 
 import (
-	"slices"
+	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/message"
+	"coltsfootward/core/placement"
+	"coltsfootward/core/retry"
 )
 
-// placementPart chooses the upstream for each attempt.
+// placementPart chooses the upstream for each attempt and says how much a
+// service may be retried.
 type placementPart struct {
-	node  *Node
-	loads map[coltsfootward.InstanceID]message.Load
+	node *Node
+	// started is when the node began, by Instant.Monotonic.
+	started time.Duration
+	pools   map[coltsfootward.ServiceName]*servicePool
+	// services tells which pool an instance is in.
+	services map[coltsfootward.InstanceID]coltsfootward.ServiceName
 }
 
+// servicePool is what the node knows of one service.
+type servicePool struct {
+	pool    *placement.Pool
+	retries retry.Allowance
+	// shedding is when shedding at entry began, shed when it last happened.
+	shedding, shed time.Duration
+}
+
+// settling is how long a new node takes servers that it hears of for old ones.
+const settling = 5 * time.Second
+
 func newPlacementPart(n *Node) *placementPart {
-	return &placementPart{node: n, loads: make(map[coltsfootward.InstanceID]message.Load)}
+	return &placementPart{
+		node:     n,
+		started:  n.now.Monotonic,
+		pools:    make(map[coltsfootward.ServiceName]*servicePool),
+		services: make(map[coltsfootward.InstanceID]coltsfootward.ServiceName),
+	}
 }
 
-// choose returns the less occupied of two upstreams picked at random among
-// those that the call has not tried, its own domain's first.
-func (p *placementPart) choose(call *entryCall) (coltsfootward.Instance, bool) {
-	candidates := p.candidates(call)
-	if len(candidates) == 0 {
-		return coltsfootward.Instance{}, false
+func (p *placementPart) service(name coltsfootward.ServiceName) *servicePool {
+	s, ok := p.pools[name]
+	if !ok {
+		s = &servicePool{pool: placement.NewPool(p.node.options.Self)}
+		p.pools[name] = s
 	}
-	first := candidates[p.node.source.IntN(len(candidates))]
-	second := candidates[p.node.source.IntN(len(candidates))]
-	if p.occupancy(second.Instance.ID) < p.occupancy(first.Instance.ID) {
-		return second.Instance, true
+	return s
+}
+
+// announced takes in the newest news of a backend server. A known instance
+// with a new incarnation has been restarted and starts cold.
+//
+// A node that has just started itself hears of everybody for the first time;
+// that does not make the others cold.
+func (p *placementPart) announced(a, before message.Announcement) {
+	id := a.Instance.ID
+	now := p.node.now.Monotonic
+	restarted := before.Instance.ID != "" && a.Instance.Incarnation > before.Instance.Incarnation
+	joined := before.Service == "" && (now-p.started > settling || id == p.node.options.Self.ID)
+	old, known := p.services[id]
+	if known && (old != a.Service || a.Draining || a.Service == "") {
+		p.service(old).pool.Remove(id)
+		delete(p.services, id)
+	}
+	if a.Draining || a.Service == "" {
+		return
 	}
-	return first.Instance, true
+	p.services[id] = a.Service
+	p.service(a.Service).pool.Set(now, a.Instance, a.Slots, restarted || joined)
 }
 
-func (p *placementPart) candidates(call *entryCall) []message.Announcement {
-	upstreams := p.node.membership.upstreams(call.head.Service)
-	upstreams = slices.DeleteFunc(upstreams, func(a message.Announcement) bool {
-		return call.tried[a.Instance.ID]
-	})
-	own := slices.DeleteFunc(slices.Clone(upstreams), func(a message.Announcement) bool {
-		return a.Instance.Domain != p.node.options.Self.Domain
-	})
-	if len(own) > 0 {
-		return own
+// choose returns the upstream for the call's next attempt.
+func (p *placementPart) choose(call *entryCall) (coltsfootward.Instance, bool) {
+	id, ok := p.service(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, call.tried)
+	if !ok {
+		return coltsfootward.Instance{}, false
 	}
-	return upstreams
+	return p.node.membership.announced[id].Instance, true
 }
 
-func (p *placementPart) occupancy(id coltsfootward.InstanceID) float64 {
-	load := p.loads[id]
-	return float64(load.Running+load.Queued) / float64(max(load.Limit, 1))
+// sent says that the call's attempt is on its way.
+func (p *placementPart) sent(call *entryCall) {
+	call.sent = p.node.now.Monotonic
+	p.service(call.head.Service).pool.Sent(call.target)
 }
 
-// shed reports whether every upstream of the service sheds the rank.
-func (p *placementPart) shed(service coltsfootward.ServiceName, rank uint32) bool {
-	upstreams := p.node.membership.upstreams(service)
-	for _, a := range upstreams {
-		level := p.loads[a.Instance.ID].ShedLevel
-		if level == 0 || rank <= level {
-			return false
-		}
+// left says that the call's attempt was cancelled.
+func (p *placementPart) left(call *entryCall, timeout bool) {
+	outcome := placement.OutcomeLeft
+	if timeout {
+		outcome = placement.OutcomeFailed
 	}
-	return len(upstreams) > 0
+	p.end(call, outcome)
+}
+
+func (p *placementPart) end(call *entryCall, outcome placement.Outcome) {
+	now := p.node.now.Monotonic
+	p.service(call.head.Service).pool.Ended(now, call.target, outcome, now-call.sent)
 }
 
 func (p *placementPart) observe(call *entryCall, e AttemptEnded) {
+	now := p.node.now.Monotonic
+	s := p.service(call.head.Service)
+	switch {
+	case e.Kind == AttemptAnswered:
+		s.retries.Succeeded(now)
+		p.end(call, placement.OutcomeAnswered)
+	case e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun:
+		p.end(call, placement.OutcomeRefused)
+	default:
+		p.end(call, placement.OutcomeFailed)
+	}
 	if e.Kind == AttemptAnswered || e.Kind == AttemptRefused {
-		p.loads[call.target] = e.Load
+		s.pool.Observe(now, call.target, call.head.Organisation, e.Load)
+	}
+}
+
+// mayRetry reports whether the service's allowance has room for one more
+// attempt, and counts it if so.
+func (p *placementPart) mayRetry(service coltsfootward.ServiceName) bool {
+	return p.service(service).retries.Take(p.node.now.Monotonic)
+}
+
+// shed reports whether every upstream of the service sheds the call.
+func (p *placementPart) shed(call *entryCall) bool {
+	now := p.node.now.Monotonic
+	s := p.service(call.head.Service)
+	if !s.pool.Sheds(now, call.head.Organisation, call.head.ShedRank) {
+		return false
 	}
+	if now-s.shed > time.Second {
+		s.shedding = now
+	}
+	s.shed = now
+	return true
+}
+
+// shedFor is how long the node has been shedding the service's requests.
+func (p *placementPart) shedFor(service coltsfootward.ServiceName) time.Duration {
+	return p.node.now.Monotonic - p.service(service).shedding
+}
+
+func (p *placementPart) load(id coltsfootward.InstanceID) message.Load {
+	return p.service(p.services[id]).pool.Load(id)
 }
 
 func (p *placementPart) peerLost(id coltsfootward.InstanceID) {
-	delete(p.loads, id)
+	if service, ok := p.services[id]; ok {
+		p.service(service).pool.Lost(id)
+	}
 }
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -67,7 +67,7 @@
 		PlatformAvailable: !n.table.away,
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.membership.announced)) {
-		status := UpstreamStatus{Announcement: n.membership.announced[id], Load: n.placement.loads[id]}
+		status := UpstreamStatus{Announcement: n.membership.announced[id], Load: n.placement.load(id)}
 		if id == n.options.Self.ID {
 			status.Load = n.Load()
 		}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"coltsfootward"
+	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/message"
 )
 
@@ -23,19 +25,22 @@
 	token CallToken
 	// remaining is how many attempts the calls below may still use.
 	remaining int
+	// childRefused is set once a further call of the request was refused, and
+	// childRetryAfter is when that one may come back.
+	childRefused    bool
+	childRetryAfter time.Duration
 }
 
 // upstreamPart stands before the local backend server: every request for it
 // passes here, so what was never started is known for certain.
 type upstreamPart struct {
-	node    *Node
-	calls   map[CallID]*upstreamCall
-	waiting []*upstreamCall
-	running int
+	node      *Node
+	calls     map[CallID]*upstreamCall
+	admission *admissioncontrol.Controller
 }
 
 func newUpstreamPart(n *Node) *upstreamPart {
-	return &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall)}
+	return &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
 }
 
 func (p *upstreamPart) count() int { return len(p.calls) }
@@ -57,8 +62,40 @@
 		p.refuse(call, *r)
 		return
 	}
-	p.waiting = append(p.waiting, call)
+	p.admission.Offer(now, p.request(call))
 	p.start()
+	p.refuseShed()
+}
+
+// request is the call as admission sees it.
+func (p *upstreamPart) request(call *upstreamCall) admissioncontrol.Request {
+	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
+	return admissioncontrol.Request{
+		ID:           admissioncontrol.RequestID(call.id),
+		Priority:     call.head.Priority.Rank(),
+		ShedRank:     call.head.ShedRank,
+		Deep:         call.head.Depth > 0,
+		Organisation: call.head.Organisation,
+		Weight:       organisation.Rate.PerSecond,
+		Class:        requestClass(call.head.Method, call.head.Path),
+		Arrived:      call.arrived,
+		Deadline:     call.deadline,
+		Repeatable:   !call.head.Unrepeatable,
+	}
+}
+
+// requestClass groups requests that probably take equally long: the method and
+// the path's first two parts. What follows is usually the name of one thing.
+func requestClass(method, path string) string {
+	end := 0
+	for range 2 {
+		next := strings.IndexByte(path[min(end+1, len(path)):], '/')
+		if next < 0 {
+			return method + " " + path
+		}
+		end += 1 + next
+	}
+	return method + " " + path[:end]
 }
 
 // check refuses what cannot be served here at all.
@@ -92,10 +129,15 @@
 
 // start dispatches waiting calls while the backend server has room.
 func (p *upstreamPart) start() {
-	for len(p.waiting) > 0 && p.running < p.node.membership.local.Slots {
-		call := p.waiting[0]
-		p.waiting = p.waiting[1:]
+	p.admission.SetSlots(p.node.membership.local.Slots)
+	for {
+		next, ok := p.admission.Next(p.node.now.Expiry)
+		if !ok {
+			return
+		}
+		call := p.calls[CallID(next.ID)]
 		if r := p.checkTime(call); r != nil {
+			p.admission.Unsent(next.ID)
 			p.refuse(call, *r)
 			continue
 		}
@@ -106,7 +148,6 @@
 func (p *upstreamPart) dispatch(call *upstreamCall) {
 	call.token = p.node.newCallToken()
 	p.node.ledger.open(call)
-	p.running++
 	p.node.act(Dispatch{
 		Call:         call.id,
 		Token:        call.token,
@@ -116,6 +157,22 @@
 	})
 }
 
+// refuseShed answers what admission has refused since the last time.
+func (p *upstreamPart) refuseShed() {
+	for _, shed := range p.admission.Refused() {
+		text := "more important requests fill the backend server's queue"
+		switch shed.Reason {
+		case admissioncontrol.ReasonWaited:
+			text = "the backend server is busy and the request has waited as long as any may"
+		case admissioncontrol.ReasonDeadline:
+			text = "the backend server cannot finish the request in the caller's time"
+		}
+		r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, text).
+			WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
+		p.refuse(p.calls[CallID(shed.Request.ID)], r)
+	}
+}
+
 func (p *upstreamPart) headed(DispatchHeaded) {}
 
 func (p *upstreamPart) ended(e DispatchEnded) {
@@ -123,14 +180,17 @@
 	if !ok {
 		return
 	}
-	p.running--
 	p.node.ledger.close(call)
+	if e.Kind == DispatchUnsent {
+		p.admission.Unsent(admissioncontrol.RequestID(call.id))
+	} else {
+		p.admission.Done(p.node.now.Expiry, admissioncontrol.RequestID(call.id), e.Kind != DispatchAnswered)
+	}
 	switch e.Kind {
 	case DispatchUnsent:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
 	case DispatchFailed:
-		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalUpstreamFailed, "the backend server broke off").
-			WithExecution(coltsfootward.ExecutionUnknown))
+		p.refuse(call, p.failed(call))
 	case DispatchTimeout:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out while the request ran").
 			WithExecution(coltsfootward.ExecutionUnknown))
@@ -138,6 +198,30 @@
 		delete(p.calls, call.id)
 	}
 	p.start()
+	p.refuseShed()
+}
+
+// failed is the refusal of a call that the backend server broke off.
+//
+// One that broke off because a further call of its own was refused is final:
+// the layer below has already attempted that call as often as is allowed. If
+// each layer above did so too, attempts would multiply with the depth just
+// when the deepest service is overloaded.
+func (p *upstreamPart) failed(call *upstreamCall) coltsfootward.Refusal {
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalUpstreamFailed, "the backend server broke off").
+		WithExecution(coltsfootward.ExecutionUnknown)
+	if call.childRefused {
+		r = r.WithFinal().WithRetryAfter(call.childRetryAfter)
+	}
+	return r
+}
+
+// childRefused notes that a further call of the request was refused for good.
+func (p *upstreamPart) childRefused(token CallToken, r coltsfootward.Refusal) {
+	if call, ok := p.node.ledger.parent(token); ok {
+		call.childRefused = true
+		call.childRetryAfter = r.RetryAfter
+	}
 }
 
 func (p *upstreamPart) callerLeft(id CallID) {
@@ -149,18 +233,14 @@
 		p.node.act(CancelDispatch{Call: id})
 		return
 	}
-	p.waiting = slices.DeleteFunc(p.waiting, func(w *upstreamCall) bool { return w.id == id })
+	p.admission.Withdraw(admissioncontrol.RequestID(id))
 	p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalCancelled, "the caller left before the request started"))
 }
 
+// tick refuses calls that have waited too long.
 func (p *upstreamPart) tick() {
-	p.waiting = slices.DeleteFunc(p.waiting, func(call *upstreamCall) bool {
-		r := p.checkTime(call)
-		if r != nil {
-			p.refuse(call, *r)
-		}
-		return r != nil
-	})
+	p.admission.Tick(p.node.now.Expiry)
+	p.refuseShed()
 }
 
 // refuse answers the peer. Attempts counts what the call and all below it used:
@@ -171,21 +251,32 @@
 	if r.Execution != coltsfootward.ExecutionNotRun {
 		used = call.head.Budget - call.remaining
 	}
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(), Attempts: used})
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head.Organisation), Attempts: used})
 }
 
-// load is what goes back with every answer.
-func (p *upstreamPart) load() message.Load {
+// load is what goes back with every answer to an organisation's request.
+func (p *upstreamPart) load(organisation coltsfootward.OrganisationName) message.Load {
 	return message.Load{
-		Running: p.running,
-		Queued:  len(p.waiting),
-		Limit:   p.node.membership.local.Slots,
+		Running:   p.admission.Running(),
+		Queued:    p.admission.Queued(),
+		Limit:     p.admission.Limit(),
+		ShedLevel: p.admission.Level(organisation),
 	}
 }
 
-// Load returns what the node would say of its upstream in an answer now.
+// Load returns the state of the node's own upstream, without a shed level.
 func (n *Node) Load() message.Load {
-	return n.upstream.load()
+	return n.upstream.load("")
+}
+
+// LoadFor returns what goes back with the answer to a call in service: the
+// upstream's state and the shed level for the call's organisation.
+func (n *Node) LoadFor(id CallID) message.Load {
+	call, ok := n.upstream.calls[id]
+	if !ok {
+		return n.Load()
+	}
+	return n.upstream.load(call.head.Organisation)
 }
 
 // AttemptsUsed returns how many attempts a dispatched call and all below it
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -153,7 +153,7 @@
 		return
 	}
 	delete(m.serving, call)
-	load := m.machine.Load()
+	load := m.machine.LoadFor(call)
 	used := m.machine.AttemptsUsed(call)
 	m.back(s, func() { s.origin.delivered(s, m.Instance.ID, load, used) })
 }
--- /dev/null
+++ b/core/placement/pool.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// SubsetSize is how many backend servers of a service a node spreads its
+	// requests over. Two choices need few candidates, and each one costs a
+	// connection at both ends.
+	SubsetSize = 16
+	// ownDomainPart is how many places of the subset go to the node's own
+	// failure domain first.
+	ownDomainPart = 8
+	// spillOccupancy is how full the own domain's choice must look before one
+	// in another domain is considered: beyond it requests would wait here while
+	// slots are free there.
+	spillOccupancy = 0.8
+	// slowPenalty is the latency, in multiples of the quickest alternative's,
+	// beyond which a server counts as fuller than it says.
+	slowPenalty = 2.0
+)
+
+// Pool is the backend servers of one service as one node sees them. Create it
+// with NewPool.
+type Pool struct {
+	self      coltsfootward.Instance
+	upstreams map[coltsfootward.InstanceID]*upstream
+	own       []*upstream
+	other     []*upstream
+	stale     bool
+}
+
+// NewPool returns an empty pool of the node self.
+func NewPool(self coltsfootward.Instance) *Pool {
+	return &Pool{self: self, upstreams: make(map[coltsfootward.InstanceID]*upstream)}
+}
+
+// Set adds a backend server or changes its slots. A server that was not known
+// before starts slowly if fresh is set.
+func (p *Pool) Set(now time.Duration, instance coltsfootward.Instance, slots int, fresh bool) {
+	u, ok := p.upstreams[instance.ID]
+	if !ok {
+		u = &upstream{id: instance.ID, domain: instance.Domain}
+		p.upstreams[instance.ID] = u
+		p.stale = true
+	}
+	if fresh {
+		u.joined = now
+		u.loaded = false
+		u.levels = nil
+	}
+	u.slots = slots
+}
+
+// Remove forgets a backend server that is leaving or gone.
+func (p *Pool) Remove(id coltsfootward.InstanceID) {
+	if _, ok := p.upstreams[id]; ok {
+		delete(p.upstreams, id)
+		p.stale = true
+	}
+}
+
+// Len returns the number of backend servers known.
+func (p *Pool) Len() int { return len(p.upstreams) }
+
+// subset picks by rendezvous hashing: every node has its own stable choice,
+// each server is chosen by about equally many nodes, and a server that joins
+// or leaves moves no other.
+func (p *Pool) subset() {
+	if !p.stale {
+		return
+	}
+	p.stale = false
+	all := make([]*upstream, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		all = append(all, u)
+	}
+	score := func(u *upstream) uint64 { return xxhash.Sum64String(string(p.self.ID) + "\x00" + string(u.id)) }
+	slices.SortFunc(all, func(a, b *upstream) int {
+		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.id, b.id))
+	})
+	p.own, p.other = nil, nil
+	for _, u := range all {
+		if u.domain == p.self.Domain {
+			p.own = append(p.own, u)
+		} else {
+			p.other = append(p.other, u)
+		}
+	}
+	p.own = p.own[:min(len(p.own), max(ownDomainPart, SubsetSize-len(p.other)))]
+	p.other = p.other[:min(len(p.other), SubsetSize-len(p.own))]
+}
+
+// Choose returns the server for an attempt, or false if there is none that
+// tried does not hold.
+func (p *Pool) Choose(now time.Duration, source *rand.Rand, tried map[coltsfootward.InstanceID]bool) (coltsfootward.InstanceID, bool) {
+	p.subset()
+	near := p.two(now, source, p.own, tried)
+	if near != nil && near.occupancy(now) < spillOccupancy {
+		return near.id, true
+	}
+	far := p.two(now, source, p.other, tried)
+	if best := better(now, near, far); best != nil {
+		return best.id, true
+	}
+	return p.any(tried)
+}
+
+// two returns the better of two servers picked at random. A server that may
+// get a trial request is one of the candidates like any other: it gets a
+// single request, so its share is bounded.
+func (p *Pool) two(now time.Duration, source *rand.Rand, from []*upstream, tried map[coltsfootward.InstanceID]bool) *upstream {
+	first := pick(now, source, from, tried, nil)
+	if first == nil {
+		return nil
+	}
+	return better(now, first, pick(now, source, from, tried, first))
+}
+
+// pick walks from a random place to the first server that may get a request.
+func pick(now time.Duration, source *rand.Rand, from []*upstream, tried map[coltsfootward.InstanceID]bool, but *upstream) *upstream {
+	if len(from) == 0 {
+		return nil
+	}
+	start := source.IntN(len(from))
+	for i := range from {
+		u := from[(start+i)%len(from)]
+		if u != but && !tried[u.id] && u.available(now) {
+			return u
+		}
+	}
+	return nil
+}
+
+// better returns the server with the lower occupancy, of which a slow one has
+// more than it says: its requests stay longer, so the same occupancy means a
+// longer wait.
+func better(now time.Duration, a, b *upstream) *upstream {
+	if a == nil {
+		return b
+	}
+	if b == nil {
+		return a
+	}
+	if b.occupancy(now)*b.slowness(a) < a.occupancy(now)*a.slowness(b) {
+		return b
+	}
+	return a
+}
+
+func (u *upstream) slowness(other *upstream) float64 {
+	if other.latency == 0 || u.latency <= slowPenalty*other.latency {
+		return 1
+	}
+	return u.latency / other.latency
+}
+
+// any returns the first known server that was not tried, ejected or not: with
+// all of the subset ejected or tried, a doubtful server is better than none.
+func (p *Pool) any(tried map[coltsfootward.InstanceID]bool) (coltsfootward.InstanceID, bool) {
+	for _, from := range [][]*upstream{p.own, p.other} {
+		for _, u := range from {
+			if !tried[u.id] {
+				return u.id, true
+			}
+		}
+	}
+	for _, id := range p.sorted() {
+		if !tried[id] {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (p *Pool) sorted() []coltsfootward.InstanceID {
+	ids := make([]coltsfootward.InstanceID, 0, len(p.upstreams))
+	for id := range p.upstreams {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Sent says that an attempt went to a server.
+func (p *Pool) Sent(id coltsfootward.InstanceID) {
+	if u, ok := p.upstreams[id]; ok {
+		u.sent()
+	}
+}
+
+// Ended says that an attempt at a server ended.
+func (p *Pool) Ended(now time.Duration, id coltsfootward.InstanceID, outcome Outcome, latency time.Duration) {
+	if u, ok := p.upstreams[id]; ok {
+		u.ended(now, outcome, latency)
+	}
+}
+
+// Observe takes in the load that came back with an answer to an organisation's request.
+func (p *Pool) Observe(now time.Duration, id coltsfootward.InstanceID, organisation coltsfootward.OrganisationName, load message.Load) {
+	if u, ok := p.upstreams[id]; ok {
+		u.observeLoad(now, organisation, load)
+	}
+}
+
+// Load returns what a server last said of itself.
+func (p *Pool) Load(id coltsfootward.InstanceID) message.Load {
+	if u, ok := p.upstreams[id]; ok {
+		return u.load
+	}
+	return message.Load{}
+}
+
+// Lost forgets a server's load, whose node the connection broke to.
+func (p *Pool) Lost(id coltsfootward.InstanceID) {
+	if u, ok := p.upstreams[id]; ok {
+		u.loaded = false
+		u.levels = nil
+	}
+}
+
+// Sheds reports whether every server that a request could go to sheds its
+// rank. Ejected ones do not count.
+func (p *Pool) Sheds(now time.Duration, organisation coltsfootward.OrganisationName, rank uint32) bool {
+	p.subset()
+	shed := false
+	for _, from := range [][]*upstream{p.own, p.other} {
+		for _, u := range from {
+			if !u.available(now) {
+				continue
+			}
+			if !u.sheds(now, organisation, rank) {
+				return false
+			}
+			shed = true
+		}
+	}
+	return shed
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -218,7 +218,7 @@
 // passOn streams the answer to the peer and reports whether it was whole.
 func (d *dispatch) passOn(response *http.Response, cancel context.CancelFunc) bool {
 	var load message.Load
-	d.server.loop.Inspect(func(n *node.Node) { load = n.Load() })
+	d.server.loop.Inspect(func(n *node.Node) { load = n.LoadFor(d.call.ID) })
 	head := message.Answer{Status: response.StatusCode, Header: caller.AnswerFields(response.Header), Load: load}
 	if d.writer.Head(head) != nil {
 		return false
