Come back within two seconds, repeats first, and a limit that tries before it falls

Change: a hint of 1 to 2 s before spreading; a caller's repeat moves up within its priority and organisation; the limiter lowers by 0.7 first and on only if latency followed, and does not judge by requests that were ended early, whose times say more of their deadlines.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -26,7 +26,7 @@
 	// they would spend their tries within the same burst. lastReturn is how
 	// late callers are asked back at most.
 	firstReturn = time.Second
-	lastReturn  = 8 * time.Second
+	lastReturn  = 2 * time.Second
 )
 
 // Reason says why a request was refused.
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -12,13 +12,16 @@
 	slowRatio = 2.0
 	// calmRatio is the latency below which a lowered limit is raised again.
 	calmRatio = 1.5
-	// largestStep bounds how far one judgement lowers the limit.
-	largestStep = 0.5
+	// trialStep is how far the first judgement lowers the limit. It is small,
+	// since a server that is slow for another reason loses that part of its
+	// capacity for the trial. largestStep bounds the steps of one that helped.
+	trialStep   = 0.7
+	largestStep = 0.3
 	// raiseStep is the part by which one judgement raises the limit.
-	raiseStep = 0.1
+	raiseStep = 0.5
 	// trialDepth is how far concurrency must have come down before it is asked
 	// whether that helped, trialGain by how much latency must have come down.
-	trialDepth = 0.7
+	trialDepth = 0.8
 	trialGain  = 0.85
 	// floorDrift is how much of the way a floor moves up to each later window,
 	// so that a server that has become slower for good gets a new floor.
@@ -119,6 +122,9 @@
 	if c.floor == 0 || s.Began < l.changed {
 		return
 	}
+	if s.Cut {
+		return
+	}
 	l.samples++
 	l.ratios += latency / c.floor
 	l.concurrency += float64(s.Running)
@@ -165,17 +171,19 @@
 // lower brings the limit down towards what Little's law says the server truly
 // runs at once, or ends a trial that did not help.
 func (l *Limiter) lower(now time.Duration, ratio, concurrency float64) {
-	if l.anchorRatio > 0 && concurrency <= trialDepth*l.anchorConcurrency {
+	step := trialStep
+	if l.anchorRatio > 0 {
+		if concurrency > trialDepth*l.anchorConcurrency {
+			return
+		}
 		if ratio > trialGain*l.anchorRatio {
 			l.abandon(now, ratio)
 			return
 		}
-		l.anchorRatio = 0
-	}
-	if l.anchorRatio == 0 {
-		l.anchorRatio, l.anchorConcurrency, l.anchorLimit = ratio, concurrency, l.limit
+		step = max(largestStep, calmRatio/ratio)
 	}
-	l.limit = max(1, min(l.limit, concurrency*max(largestStep, calmRatio/ratio)))
+	l.anchorRatio, l.anchorConcurrency, l.anchorLimit = ratio, concurrency, l.limit
+	l.limit = max(1, min(l.limit, concurrency*step))
 	l.changed = now
 }
 
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -21,7 +21,7 @@
 // lasted for a while is likely to last about as long again.
 const (
 	shortestRetryAfter = time.Second
-	longestRetryAfter  = 8 * time.Second
+	longestRetryAfter  = 2 * time.Second
 )
 
 // entryCall is a request at the node that its caller reached.
@@ -107,6 +107,7 @@
 		return nil, refused
 	}
 	call.mayRetry = e.Attempt <= 1
+	call.head.ShedRank = agedRank(call.head.ShedRank, e.Attempt)
 	return call, nil
 }
 
@@ -467,3 +468,18 @@
 	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
 	return uint32(priority.Rank())<<shedHashBits | uint32(hash>>(64-shedHashBits))
 }
+
+// agingLimit bounds how many repeats move a request up.
+const agingLimit = 3
+
+// agedRank moves a caller's repeat up within its priority: each repeat halves
+// its distance to the front. Under a long overload chance alone would refuse
+// some requests every time, and their callers give up after a few tries while
+// others succeed at once. A caller that overstates its repeats gets ahead of
+// its own organisation's requests only, since turns between organisations do
+// not depend on the rank.
+func agedRank(rank uint32, attempt int) uint32 {
+	class := rank &^ (1<<shedHashBits - 1)
+	hash := rank & (1<<shedHashBits - 1)
+	return class | hash>>min(max(attempt-1, 0), agingLimit)
+}
