--- a/core/node/options.go
+++ b/core/node/options.go
@@ -13,8 +13,8 @@
 	Self coltsfootward.Instance
 	// Domains lists every failure domain of the deployment.
 	Domains []coltsfootward.FailureDomain
-	// Attempts bounds the attempts of one request over the whole chain. The
-	// default is 4.
+	// Attempts bounds the attempts of one request over the whole chain, the
+	// first ones included. The default is 16: seven layers deep and some to spare.
 	Attempts int
 	// Timeout bounds a request that brings none. The default is 10 s.
 	Timeout time.Duration
@@ -23,14 +23,23 @@
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
+	// Contacts are instances that the node tries to reach at its start, besides
+	// those that the table names. Empty means only the table's.
+	Contacts []coltsfootward.Instance
+	// KeyGrace is how long a node goes on honouring keys that hears neither of
+	// the platform nor of most failure domains. A longer one serves callers
+	// through longer cuts; a key withdrawn meanwhile works behind the cut for
+	// as long. The default is 10 min.
+	KeyGrace time.Duration
 }
 
 // The defaults of Options.
 const (
-	DefaultAttempts       = 4
+	DefaultAttempts       = 16
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
+	DefaultKeyGrace       = 10 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -46,5 +55,8 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.KeyGrace <= 0 {
+		o.KeyGrace = DefaultKeyGrace
+	}
 	return o
 }
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -43,41 +43,42 @@
 func (p *placementPart) service(name coltsfootward.ServiceName) *servicePool {
 	s, ok := p.pools[name]
 	if !ok {
-		s = &servicePool{pool: placement.NewPool(p.node.options.Self)}
+		s = &servicePool{pool: placement.NewPool(p.node.options.Self, p.reachable)}
 		p.pools[name] = s
 	}
 	return s
 }
 
-// announced takes in the newest news of a backend server. A known instance
-// with a new incarnation has been restarted and starts cold.
-//
-// A node that has just started itself hears of everybody for the first time;
-// that does not make the others cold.
-func (p *placementPart) announced(a, before message.Announcement) {
+func (p *placementPart) reachable(domain coltsfootward.FailureDomain) bool {
+	return p.node.membership.machine.Reachable(domain)
+}
+
+// changed takes in news of a member. A backend server that is new, or whose
+// node runs anew, starts cold. A node that has just started itself hears of
+// everybody for the first time; that does not make the others cold.
+func (p *placementPart) changed(old, news message.News) {
+	a, before := news.Announcement, old.Announcement
 	id := a.Instance.ID
 	now := p.node.now.Monotonic
-	restarted := before.Instance.ID != "" && a.Instance.Incarnation > before.Instance.Incarnation
-	joined := before.Service == "" && (now-p.started > settling || id == p.node.options.Self.ID)
-	old, known := p.services[id]
-	if known && (old != a.Service || a.Draining || a.Service == "") {
-		p.service(old).pool.Remove(id)
+	takesWork := a.Service != "" && !a.Draining && !a.Leaving && news.State != message.MemberGone && news.State != message.MemberLeft
+	if service, known := p.services[id]; known && (!takesWork || service != a.Service) {
+		p.service(service).pool.Remove(id)
 		delete(p.services, id)
 	}
-	if a.Draining || a.Service == "" {
+	if !takesWork {
 		return
 	}
+	restarted := before.Instance.ID != "" && a.Instance.Incarnation > before.Instance.Incarnation
+	joined := before.Service == "" && (now-p.started > settling || id == p.node.options.Self.ID)
 	p.services[id] = a.Service
-	p.service(a.Service).pool.Set(now, a.Instance, a.Slots, restarted || joined)
+	pool := p.service(a.Service).pool
+	pool.Set(now, a.Instance, a.Slots, restarted || joined)
+	pool.Suspect(id, news.State == message.MemberSuspected)
 }
 
 // choose returns the upstream for the call's next attempt.
 func (p *placementPart) choose(call *entryCall) (coltsfootward.Instance, bool) {
-	id, ok := p.service(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, call.tried)
-	if !ok {
-		return coltsfootward.Instance{}, false
-	}
-	return p.node.membership.announced[id].Instance, true
+	return p.service(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, call.tried)
 }
 
 // sent says that the call's attempt is on its way.
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -9,6 +9,7 @@
 
 	"coltsfootward"
 	admissioncontrol "coltsfootward/core/admission"
+	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
 )
 
@@ -23,8 +24,8 @@
 	startBy time.Duration
 	// token is set once the call has been dispatched.
 	token CallToken
-	// remaining is how many attempts the calls below may still use.
-	remaining int
+	// escrow holds the attempts that the calls below may still use.
+	escrow *attempt.Escrow
 	// childRefused is set once a further call of the request was refused, and
 	// childRetryAfter is when that one may come back.
 	childRefused    bool
@@ -48,11 +49,11 @@
 func (p *upstreamPart) arrived(e PeerCallArrived) {
 	now := p.node.now.Expiry
 	call := &upstreamCall{
-		id:        e.Call,
-		head:      e.Head,
-		arrived:   now,
-		deadline:  now + e.Head.Timeout - e.Age,
-		remaining: e.Head.Budget - 1,
+		id:       e.Call,
+		head:     e.Head,
+		arrived:  now,
+		deadline: now + e.Head.Timeout - e.Age,
+		escrow:   attempt.NewEscrow(e.Head.Budget),
 	}
 	if e.Head.StartWithin > 0 {
 		call.startBy = now + e.Head.StartWithin - e.Age
@@ -194,6 +195,9 @@
 	case DispatchTimeout:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out while the request ran").
 			WithExecution(coltsfootward.ExecutionUnknown))
+	case DispatchAnswered:
+		delete(p.calls, call.id)
+		p.node.act(EndAnswer{Call: call.id, Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
 	default:
 		delete(p.calls, call.id)
 	}
@@ -249,7 +253,7 @@
 	delete(p.calls, call.id)
 	used := 0
 	if r.Execution != coltsfootward.ExecutionNotRun {
-		used = call.head.Budget - call.remaining
+		used = call.escrow.Used()
 	}
 	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head.Organisation), Attempts: used})
 }
@@ -269,24 +273,10 @@
 	return n.upstream.load("")
 }
 
-// LoadFor returns what goes back with the answer to a call in service: the
-// upstream's state and the shed level for the call's organisation.
-func (n *Node) LoadFor(id CallID) message.Load {
-	call, ok := n.upstream.calls[id]
-	if !ok {
-		return n.Load()
-	}
-	return n.upstream.load(call.head.Organisation)
-}
-
-// AttemptsUsed returns how many attempts a dispatched call and all below it
-// have used so far. The shell asks when it closes the call's answer.
-func (n *Node) AttemptsUsed(id CallID) int {
-	call, ok := n.upstream.calls[id]
-	if !ok {
-		return -1
-	}
-	return call.head.Budget - call.remaining
+// LoadFor returns what goes back with the answer to an organisation's request:
+// the upstream's state and the organisation's shed level.
+func (n *Node) LoadFor(organisation coltsfootward.OrganisationName) message.Load {
+	return n.upstream.load(organisation)
 }
 
 func (n *Node) newCallToken() CallToken {
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -33,15 +33,20 @@
 // with NewPool.
 type Pool struct {
 	self      coltsfootward.Instance
+	reachable func(coltsfootward.FailureDomain) bool
 	upstreams map[coltsfootward.InstanceID]*upstream
 	own       []*upstream
 	other     []*upstream
 	stale     bool
 }
 
-// NewPool returns an empty pool of the node self.
-func NewPool(self coltsfootward.Instance) *Pool {
-	return &Pool{self: self, upstreams: make(map[coltsfootward.InstanceID]*upstream)}
+// NewPool returns an empty pool of the node self. reachable says which failure
+// domains can be reached; nil means all.
+func NewPool(self coltsfootward.Instance, reachable func(coltsfootward.FailureDomain) bool) *Pool {
+	if reachable == nil {
+		reachable = func(coltsfootward.FailureDomain) bool { return true }
+	}
+	return &Pool{self: self, reachable: reachable, upstreams: make(map[coltsfootward.InstanceID]*upstream)}
 }
 
 // Set adds a backend server or changes its slots. A server that was not known
@@ -53,6 +58,7 @@
 		p.upstreams[instance.ID] = u
 		p.stale = true
 	}
+	u.instance = instance
 	if fresh {
 		u.joined = now
 		u.loaded = false
@@ -61,6 +67,14 @@
 	u.slots = slots
 }
 
+// Suspect says whether a backend server's node is suspected to be gone. It gets
+// no request then as long as there are others.
+func (p *Pool) Suspect(id coltsfootward.InstanceID, suspected bool) {
+	if u, ok := p.upstreams[id]; ok {
+		u.suspected = suspected
+	}
+}
+
 // Remove forgets a backend server that is leaving or gone.
 func (p *Pool) Remove(id coltsfootward.InstanceID) {
 	if _, ok := p.upstreams[id]; ok {
@@ -102,15 +116,15 @@
 
 // Choose returns the server for an attempt, or false if there is none that
 // tried does not hold.
-func (p *Pool) Choose(now time.Duration, source *rand.Rand, tried map[coltsfootward.InstanceID]bool) (coltsfootward.InstanceID, bool) {
+func (p *Pool) Choose(now time.Duration, source *rand.Rand, tried map[coltsfootward.InstanceID]bool) (coltsfootward.Instance, bool) {
 	p.subset()
 	near := p.two(now, source, p.own, tried)
 	if near != nil && near.occupancy(now) < spillOccupancy {
-		return near.id, true
+		return near.instance, true
 	}
 	far := p.two(now, source, p.other, tried)
 	if best := better(now, near, far); best != nil {
-		return best.id, true
+		return best.instance, true
 	}
 	return p.any(tried)
 }
@@ -119,22 +133,22 @@
 // get a trial request is one of the candidates like any other: it gets a
 // single request, so its share is bounded.
 func (p *Pool) two(now time.Duration, source *rand.Rand, from []*upstream, tried map[coltsfootward.InstanceID]bool) *upstream {
-	first := pick(now, source, from, tried, nil)
+	first := p.pick(now, source, from, tried, nil)
 	if first == nil {
 		return nil
 	}
-	return better(now, first, pick(now, source, from, tried, first))
+	return better(now, first, p.pick(now, source, from, tried, first))
 }
 
 // pick walks from a random place to the first server that may get a request.
-func pick(now time.Duration, source *rand.Rand, from []*upstream, tried map[coltsfootward.InstanceID]bool, but *upstream) *upstream {
+func (p *Pool) pick(now time.Duration, source *rand.Rand, from []*upstream, tried map[coltsfootward.InstanceID]bool, but *upstream) *upstream {
 	if len(from) == 0 {
 		return nil
 	}
 	start := source.IntN(len(from))
 	for i := range from {
 		u := from[(start+i)%len(from)]
-		if u != but && !tried[u.id] && u.available(now) {
+		if u != but && !tried[u.id] && p.available(now, u) {
 			return u
 		}
 	}
@@ -164,22 +178,27 @@
 	return u.latency / other.latency
 }
 
-// any returns the first known server that was not tried, ejected or not: with
-// all of the subset ejected or tried, a doubtful server is better than none.
-func (p *Pool) any(tried map[coltsfootward.InstanceID]bool) (coltsfootward.InstanceID, bool) {
+func (p *Pool) available(now time.Duration, u *upstream) bool {
+	return u.available(now) && p.reachable(u.domain)
+}
+
+// any returns a server that was not tried, ejected or suspected as it may be:
+// with all of the subset so, a doubtful server is better than none. It looks at
+// all servers only when the whole subset was tried.
+func (p *Pool) any(tried map[coltsfootward.InstanceID]bool) (coltsfootward.Instance, bool) {
 	for _, from := range [][]*upstream{p.own, p.other} {
 		for _, u := range from {
-			if !tried[u.id] {
-				return u.id, true
+			if !tried[u.id] && p.reachable(u.domain) {
+				return u.instance, true
 			}
 		}
 	}
 	for _, id := range p.sorted() {
-		if !tried[id] {
-			return id, true
+		if u := p.upstreams[id]; !tried[id] && p.reachable(u.domain) {
+			return u.instance, true
 		}
 	}
-	return "", false
+	return coltsfootward.Instance{}, false
 }
 
 func (p *Pool) sorted() []coltsfootward.InstanceID {
@@ -235,7 +254,7 @@
 	shed := false
 	for _, from := range [][]*upstream{p.own, p.other} {
 		for _, u := range from {
-			if !u.available(now) {
+			if !p.available(now, u) {
 				continue
 			}
 			if !u.sheds(now, organisation, rank) {
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -46,6 +46,7 @@
 // upstream is what a node knows of one backend server.
 type upstream struct {
 	id       coltsfootward.InstanceID
+	instance coltsfootward.Instance
 	domain   coltsfootward.FailureDomain
 	slots    int
 	joined   time.Duration
@@ -62,6 +63,7 @@
 	ejected      bool
 	trial        bool
 	ejections    int
+	suspected    bool
 	levels       map[coltsfootward.OrganisationName]level
 }
 
@@ -102,6 +104,9 @@
 // available reports whether the server may get a request: an ejected one gets
 // a single trial at a time.
 func (u *upstream) available(now time.Duration) bool {
+	if u.suspected {
+		return false
+	}
 	if !u.ejected {
 		return true
 	}
