--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -60,12 +60,6 @@
 // size returns the number of nodes that run, this one included.
 func (p *membershipPart) size() int { return p.machine.Size() }
 
-// upstreams returns the backend servers of a service that take work, in the
-// order of their names. The slice is the caller's.
-func (p *membershipPart) upstreams(service coltsfootward.ServiceName) []message.Announcement {
-	return p.machine.Upstreams(service)
-}
-
 // roster returns the members of a failure domain that have not said that they
 // leave, with when each was last heard, in an order that all nodes share. It
 // includes those that are gone, with that state, and this node.
@@ -85,6 +79,7 @@
 }
 
 func (p *membershipPart) changed(old, news message.News) {
+	p.node.placement.changed(old, news)
 	instance := news.Announcement.Instance
 	if old.Announcement.Instance.Incarnation != instance.Incarnation || news.State == message.MemberLeft {
 		p.node.confirmation.forget(instance.ID)
@@ -116,7 +111,7 @@
 		return
 	}
 	p.machine.Announce(e.Service, e.Slots, e.Draining)
-	p.local = p.machine.Local()
+	p.publishLocal()
 	code := record.BackendAnnounced
 	if e.Draining {
 		code = record.BackendDraining
@@ -127,7 +122,14 @@
 
 func (p *membershipPart) drain() {
 	p.machine.Leave()
+	p.publishLocal()
+}
+
+// publishLocal takes in what changed about the local backend server.
+func (p *membershipPart) publishLocal() {
+	old := message.News{Announcement: p.local, State: message.MemberAlive}
 	p.local = p.machine.Local()
+	p.node.placement.changed(old, message.News{Announcement: p.local, State: message.MemberAlive})
 }
 
 func (p *membershipPart) left() { p.machine.Left() }
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -56,5 +56,5 @@
 	if id == n.options.Self.ID {
 		return n.Load()
 	}
-	return n.placement.loads[id]
+	return n.placement.load(id)
 }
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -127,7 +127,8 @@
 	j.pending = len(children)
 	for _, child := range children {
 		child.Token = j.run.Token
-		b.member.Send(child).whenDone(func(o *Outcome) {
+		o := b.member.Send(child)
+		o.OnDone(func() {
 			j.pending--
 			switch {
 			case j.stopped:
@@ -155,7 +156,7 @@
 func (b *Backend) callChild(j *job, child Request) {
 	outcome := b.member.Send(child)
 	j.child = outcome
-	outcome.whenDone(func(*Outcome) {
+	outcome.OnDone(func() {
 		j.child = nil
 		if j.stopped {
 			return
@@ -168,15 +169,6 @@
 	})
 }
 
-// whenDone runs f once the outcome is final, which may be now.
-func (o *Outcome) whenDone(f func(*Outcome)) {
-	if o.Done {
-		f(o)
-		return
-	}
-	o.notify = func() { f(o) }
-}
-
 func (b *Backend) finish(j *job, completed bool) {
 	j.stopped = true
 	delete(b.running, j.call)
