--- /dev/null
+++ b/core/membership/broadcast_test.go
@@ -0,0 +1,123 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"coltsfootward"
+
+	"pgregory.net/rapid"
+)
+
+// broadcast is the naive version: whatever a member says reaches all others at
+// once and for certain.
+type broadcast map[coltsfootward.InstanceID]offer
+
+type offer struct {
+	service  coltsfootward.ServiceName
+	draining bool
+}
+
+func (b broadcast) upstreams(service coltsfootward.ServiceName) []coltsfootward.InstanceID {
+	var found []coltsfootward.InstanceID
+	for id, o := range b {
+		if o.service == service && !o.draining {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+// Members announce, drain, die and are replaced while domains are cut off from
+// each other and messages are lost. Within two minutes after the last trouble,
+// every member has to offer exactly what a broadcast to all would have told it.
+func TestGossipAgreesWithBroadcast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.Uint64().Draw(t, "seed"))
+		c.populate(3, 5)
+		c.run(20 * time.Second)
+		naive := make(broadcast)
+		for _, m := range c.members {
+			naive[m.self.ID] = offer{service: m.machine.Local().Service}
+		}
+		for range rapid.IntRange(3, 15).Draw(t, "steps") {
+			step(t, c, naive)
+			c.run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "milliseconds")) * time.Millisecond)
+		}
+		c.blocked = nil
+		var difference string
+		agree := func() bool { difference = disagreement(c, naive); return difference == "" }
+		if _, ok := c.until(2*time.Minute, agree); !ok {
+			t.Fatal(difference)
+		}
+	})
+}
+
+func step(t *rapid.T, c *cluster, naive broadcast) {
+	id := coltsfootward.InstanceID(fmt.Sprintf("d%02d-%05d", rapid.IntRange(0, 2).Draw(t, "domain"), rapid.IntRange(0, 4).Draw(t, "member")))
+	m := c.byID[id]
+	service := coltsfootward.ServiceName(fmt.Sprintf("service-%d", rapid.IntRange(0, 3).Draw(t, "service")))
+	switch rapid.SampledFrom([]string{"announce", "drain", "kill", "replace", "cut", "lossy", "heal"}).Draw(t, "step") {
+	case "announce":
+		if m.alive {
+			m.machine.Announce(service, 5, false)
+			naive[id] = offer{service: service}
+		}
+	case "drain":
+		if m.alive {
+			m.machine.Announce(service, 5, true)
+			naive[id] = offer{service: service, draining: true}
+		}
+	case "kill":
+		// The first is everybody's contact, and a domain keeps two.
+		if id != c.members[0].self.ID && c.livingIn(m.self.Domain) > 2 {
+			m.alive = false
+			delete(naive, id)
+		}
+	case "replace":
+		if id != c.members[0].self.ID {
+			c.add(string(id), string(m.self.Domain), m.self.Incarnation+1).machine.Announce(service, 7, false)
+			naive[id] = offer{service: service}
+		}
+	case "cut":
+		c.blocked = func(from, to coltsfootward.Instance) bool {
+			return (from.Domain == m.self.Domain) != (to.Domain == m.self.Domain)
+		}
+	case "lossy":
+		c.blocked = func(_, _ coltsfootward.Instance) bool { return c.source.IntN(3) == 0 }
+	case "heal":
+		c.blocked = nil
+	}
+}
+
+func (c *cluster) livingIn(domain coltsfootward.FailureDomain) int {
+	count := 0
+	for _, m := range c.byID {
+		if m.alive && m.self.Domain == domain {
+			count++
+		}
+	}
+	return count
+}
+
+func disagreement(c *cluster, naive broadcast) string {
+	for _, m := range c.members {
+		if !m.alive {
+			continue
+		}
+		for i := range 4 {
+			service := coltsfootward.ServiceName(fmt.Sprintf("service-%d", i))
+			var got []coltsfootward.InstanceID
+			for _, a := range m.machine.Upstreams(service) {
+				got = append(got, a.Instance.ID)
+			}
+			if want := naive.upstreams(service); !slices.Equal(got, want) {
+				return fmt.Sprintf("%s offers %v of %s, want %v", m.self.ID, got, service, want)
+			}
+		}
+	}
+	return ""
+}
--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -225,3 +225,47 @@
 		t.Errorf("got %+v, want no memory of it", got)
 	}
 }
+
+// A member loses every message for a few seconds, in which all others hear that
+// a backend server drains and cease to pass that on. Nobody tells the member any
+// more; it would send work there until the server's next change.
+func TestMissedNewsIsMadeUpFor(t *testing.T) {
+	for seed := range uint64(5) {
+		c := started(t, 20+seed, 3, 25)
+		deaf, drained := c.members[40], c.members[8]
+		service := drained.machine.Local().Service
+		c.blocked = func(_, to coltsfootward.Instance) bool { return to.ID == deaf.self.ID }
+		drained.machine.Announce(service, 10, true)
+		c.run(3 * time.Second)
+		c.blocked = nil
+		if !offers(deaf, service, drained.self.ID) {
+			t.Fatal("the deaf member heard the news all the same: the test does not show what it is for")
+		}
+		if took, ok := c.until(30*time.Second, func() bool { return !offers(deaf, service, drained.self.ID) }); !ok {
+			t.Errorf("seed %d: still offered after %v", seed, took)
+		}
+	}
+}
+
+// A node's own link is broken for three minutes. If it took all others for dead
+// meanwhile, it would accuse its whole domain at its return, and each would have
+// to refute that.
+func TestIsolatedMemberAccusesFew(t *testing.T) {
+	c := started(t, 9, 2, 25)
+	lone := c.members[5]
+	c.blocked = func(from, to coltsfootward.Instance) bool { return from.ID == lone.self.ID || to.ID == lone.self.ID }
+	c.run(3 * time.Minute)
+	accused := 0
+	for _, other := range lone.machine.All() {
+		if other.State != message.MemberAlive {
+			accused++
+		}
+	}
+	if accused > 3 {
+		t.Errorf("got %d of 50 members accused, want at most 3", accused)
+	}
+	c.blocked = nil
+	if took, ok := c.until(20*time.Second, c.converged); !ok {
+		t.Errorf("members do not know each other again after %v", took)
+	}
+}
--- /dev/null
+++ b/core/membership/slope_test.go
@@ -0,0 +1,178 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/membership"
+	"coltsfootward/core/message"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md. Run them once each:
+//
+//	go test ./core/membership -run '^$' -bench . -benchtime 1x
+
+const measured = time.Minute
+
+// BenchmarkQuiet gives what a node sends while nothing changes.
+func BenchmarkQuiet(b *testing.B) {
+	for _, size := range []int{52, 100, 200, 400} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(1)
+				c.populate(4, size/4)
+				c.run(2 * time.Minute)
+				report(b, c, size, func() { c.run(measured) })
+			}
+		})
+	}
+}
+
+// BenchmarkChurn gives what a node sends while members change what they offer,
+// at ten times the target's rate of news.
+func BenchmarkChurn(b *testing.B) {
+	for _, size := range []int{52, 100, 200, 400} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(1)
+				c.populate(4, size/4)
+				c.run(2 * time.Minute)
+				report(b, c, size, func() {
+					for range 60 {
+						m := c.members[c.source.IntN(size)]
+						m.machine.Announce("service-0", c.source.IntN(100)+1, false)
+						c.run(measured / 60)
+					}
+				})
+			}
+		})
+	}
+}
+
+// report runs a minute with messages weighed and reports them per node.
+func report(b *testing.B, c *cluster, size int, run func()) {
+	c.weigh, c.messages, c.bytes = true, 0, 0
+	began := time.Now()
+	run()
+	elapsed := time.Since(began)
+	perNode := float64(size) * measured.Seconds()
+	b.ReportMetric(float64(c.messages)/perNode, "messages/s/node")
+	b.ReportMetric(float64(c.bytes)/perNode, "bytes/s/node")
+	b.ReportMetric(elapsed.Seconds()*1e6/perNode, "cpu-us/s/node")
+	b.ReportMetric(0, "ns/op")
+}
+
+// roster returns a machine that knows size members, in 18 domains and 1,500
+// services, and the news of them.
+func roster(size int) (*membership.Machine, []message.News) {
+	self := coltsfootward.Instance{ID: "self", Domain: "d00", Address: "10.0.0.1:7000", Incarnation: 1}
+	options := membership.Options{Self: self, Send: func(coltsfootward.Instance, message.Message) {}}
+	m := membership.New(options, rand.New(rand.NewPCG(1, 2)), coltsfootward.At(time.Hour))
+	var page message.RosterPage
+	for i := range size {
+		page.News = append(page.News, message.News{State: message.MemberAlive, Announcement: message.Announcement{
+			Instance: coltsfootward.Instance{
+				ID: coltsfootward.InstanceID(fmt.Sprintf("instance-%05d", i)), Domain: coltsfootward.FailureDomain(fmt.Sprintf("d%02d", i%18)),
+				Address: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), OperatorAddress: fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250), Incarnation: 1_800_000_000_000_000_000,
+			},
+			Version: 3, Service: coltsfootward.ServiceName(fmt.Sprintf("service-%04d", i%1500)), Slots: 40,
+		}})
+	}
+	m.Receive(coltsfootward.At(time.Hour), "instance-00001", &page, 0)
+	return m, page.News
+}
+
+// BenchmarkRosterMemory gives the memory of a roster.
+func BenchmarkRosterMemory(b *testing.B) {
+	for _, size := range []int{6000, 12000, 24000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				m, _ := roster(size)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "bytes/member")
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+}
+
+// BenchmarkReceiveGossip gives the processor time of one gossip message with
+// its full number of news, at a full roster.
+func BenchmarkReceiveGossip(b *testing.B) {
+	for _, size := range []int{6000, 24000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			m, news := roster(size)
+			now := coltsfootward.At(2 * time.Hour)
+			b.ResetTimer()
+			for i := range b.N {
+				gossip := &message.Gossip{}
+				for k := range 8 {
+					n := &news[(i*8+k)%size]
+					n.Announcement.Version++
+					gossip.News = append(gossip.News, *n)
+				}
+				m.Receive(now, "instance-00001", gossip, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkTick gives the processor time of a tick at a full roster.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{6000, 24000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			m, _ := roster(size)
+			now := coltsfootward.At(2 * time.Hour)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(10 * time.Millisecond)
+				m.Tick(now)
+			}
+		})
+	}
+}
+
+// BenchmarkUpstreams gives the processor time of a look-up of a service's 16
+// backend servers at a full roster.
+func BenchmarkUpstreams(b *testing.B) {
+	m, _ := roster(24000)
+	b.ResetTimer()
+	for range b.N {
+		if got := len(m.Upstreams("service-0007")); got != 16 {
+			b.Fatalf("got %d, want 16", got)
+		}
+	}
+}
+
+// BenchmarkFirstRoster gives what a fresh node costs its contact until it knows
+// all members.
+func BenchmarkFirstRoster(b *testing.B) {
+	for _, size := range []int{6000, 24000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(1)
+				first := c.add("first", "d00", 1)
+				_, news := roster(size)
+				first.machine.Receive(coltsfootward.At(c.now), "nobody", &message.RosterPage{News: news}, 0)
+				c.weigh = true
+				fresh := c.add("fresh", "d00", 1)
+				took, ok := c.until(10*time.Minute, func() bool { return len(fresh.machine.All()) >= size })
+				if !ok {
+					b.Fatalf("the fresh node knows %d of %d", len(fresh.machine.All()), size)
+				}
+				b.ReportMetric(took.Seconds(), "s")
+				b.ReportMetric(float64(c.bytes)/1e6, "MB")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
