Talk to the same few members: ring neighbours instead of random ones

Cause: a probe or a piece of news to a random member opens a connection that stays for two minutes; at 4 messages a second that is hundreds of connections a node. Change: probes go to the eight next members in the domain's common order, news to those at distances of powers of two and to one partner in each other domain; one probe in eight goes to any member.

--- a/core/membership/cluster_test.go
+++ b/core/membership/cluster_test.go
@@ -31,6 +31,8 @@
 	// weigh turns on the counting of bytes.
 	weigh           bool
 	messages, bytes int
+	// links holds who sent to whom while bytes are counted.
+	links map[[2]coltsfootward.InstanceID]bool
 }
 
 type clusterMember struct {
@@ -43,6 +45,7 @@
 func newCluster(seed uint64) *cluster {
 	return &cluster{
 		now:    time.Hour,
+		links:  make(map[[2]coltsfootward.InstanceID]bool),
 		source: rand.New(rand.NewPCG(seed, 1)),
 		byID:   make(map[coltsfootward.InstanceID]*clusterMember),
 	}
@@ -95,6 +98,7 @@
 			panic(err)
 		}
 		c.bytes += len(data)
+		c.links[[2]coltsfootward.InstanceID{m.self.ID, to.ID}] = true
 	}
 	if c.blocked != nil && c.blocked(m.self, to) {
 		return
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -315,7 +315,7 @@
 	}
 }
 
-// gossip passes news on to a few random members.
+// gossip passes news on to a few members.
 func (m *Machine) gossip() {
 	targets := m.targets()
 	if len(targets) == 0 {
@@ -326,22 +326,15 @@
 	}
 }
 
-// targets returns random members, all but one of the own domain.
+// targets returns some fingers and the partner in one other domain.
 func (m *Machine) targets() []*member {
-	var chosen []*member
-	add := func(line *member) {
-		if line != nil && !slices.Contains(chosen, line) {
-			chosen = append(chosen, line)
-		}
-	}
-	for range gossipTargets - 1 {
-		add(m.randomMember(m.options.Self.Domain))
-	}
+	chosen := m.someFingers(gossipTargets - 1)
 	if len(m.foreign) == 0 {
-		add(m.randomMember(m.options.Self.Domain))
 		return chosen
 	}
-	add(m.randomMember(m.foreign[m.source.IntN(len(m.foreign))]))
+	if line := m.partner(m.foreign[m.source.IntN(len(m.foreign))]); line != nil {
+		chosen = append(chosen, line)
+	}
 	return chosen
 }
 
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -13,7 +13,8 @@
 	pending  []*probe
 	sequence uint64
 	next     time.Duration
-	// cursor walks over the own domain, foreignCursor over the other domains.
+	// cursor walks over the next members of the own domain, foreignCursor over
+	// the other domains.
 	cursor        int
 	foreignCursor int
 	// unanswered counts probes in a row without a sign of life from anybody.
@@ -37,40 +38,49 @@
 
 func (m *Machine) isolated() bool { return m.probes.unanswered >= isolatedProbes }
 
-// probeOwn probes the next member of the own domain. Those that are gone are
-// probed too: that is how a domain that was cut in two comes together again.
+// probeOwn probes the next of the members after this node in the ring, and now
+// and then any, also one that is gone: that is how a domain that was cut in two
+// comes together again.
 func (m *Machine) probeOwn() {
-	list := m.roster.domains[m.options.Self.Domain]
-	for range list {
-		m.probes.cursor = (m.probes.cursor + 1) % len(list)
-		line := list[m.probes.cursor]
-		if line.id() != m.options.Self.ID && line.news.State != message.MemberLeft {
-			m.probe(line, &probe{})
-			return
-		}
+	m.probes.cursor++
+	line := m.successor(1 + m.probes.cursor%successors)
+	if m.probes.cursor%strayProbe == 0 || line == nil {
+		line = m.anyMember(m.options.Self.Domain)
+	}
+	if line != nil {
+		m.probe(line, &probe{})
 	}
 }
 
-// probeForeign probes a random member of another domain: of one whose last
-// probe went unanswered, so that a cut is found in seconds, else of each in turn.
+// probeForeign probes a member of another domain: any of one whose last probe
+// went unanswered, so that a cut is found in seconds, else this node's partner
+// in each in turn.
 func (m *Machine) probeForeign() {
 	if len(m.foreign) == 0 {
 		return
 	}
-	domain := m.doubtful()
-	if domain == "" {
-		m.probes.foreignCursor = (m.probes.foreignCursor + 1) % len(m.foreign)
-		domain = m.foreign[m.probes.foreignCursor]
+	if domain := m.doubtful(); domain != "" {
+		m.probeAny(domain)
+		return
+	}
+	m.probes.foreignCursor++
+	domain := m.foreign[m.probes.foreignCursor%len(m.foreign)]
+	line := m.partner(domain)
+	if m.source.IntN(strayProbe) == 0 || line == nil {
+		m.probeAny(domain)
+		return
 	}
+	m.probe(line, &probe{foreign: true})
+}
+
+func (m *Machine) probeAny(domain coltsfootward.FailureDomain) {
 	line := m.randomMember(domain)
 	if line == nil {
-		list := m.roster.domains[domain]
-		if len(list) == 0 {
-			return
-		}
-		line = list[m.source.IntN(len(list))]
+		line = m.anyMember(domain)
+	}
+	if line != nil {
+		m.probe(line, &probe{foreign: true})
 	}
-	m.probe(line, &probe{foreign: true})
 }
 
 func (m *Machine) doubtful() coltsfootward.FailureDomain {
@@ -148,14 +158,10 @@
 }
 
 func (m *Machine) askOthers(p *probe) {
-	var asked []*member
-	for range indirectProbes {
-		line := m.randomMember(m.options.Self.Domain)
-		if line == nil || line.id() == p.target || slices.Contains(asked, line) {
-			continue
+	for _, line := range m.someFingers(indirectProbes + 1) {
+		if line.id() != p.target {
+			m.send(line, &message.ProbeRequest{Sequence: p.sequence, Target: p.target, Gossip: m.gossipFor(line)})
 		}
-		asked = append(asked, line)
-		m.send(line, &message.ProbeRequest{Sequence: p.sequence, Target: p.target, Gossip: m.gossipFor(line)})
 	}
 }
 
--- a/core/membership/query.go
+++ b/core/membership/query.go
@@ -108,18 +108,19 @@
 	})
 }
 
-// Sample returns up to count random running members of a failure domain other
-// than this node.
-func (m *Machine) Sample(domain coltsfootward.FailureDomain, count int) []coltsfootward.Instance {
+// Near returns up to count running members of a failure domain other than this
+// node, those that it talks to anyway: random ones of its fingers in the own
+// domain, its partner in another.
+func (m *Machine) Near(domain coltsfootward.FailureDomain, count int) []coltsfootward.Instance {
+	var lines []*member
+	if domain == m.options.Self.Domain {
+		lines = m.someFingers(count)
+	} else if line := m.partner(domain); line != nil {
+		lines = []*member{line}
+	}
 	var found []coltsfootward.Instance
-	for range count {
-		line := m.randomMember(domain)
-		if line == nil {
-			break
-		}
-		if !slices.ContainsFunc(found, func(i coltsfootward.Instance) bool { return i.ID == line.id() }) {
-			found = append(found, line.news.Announcement.Instance)
-		}
+	for _, line := range lines {
+		found = append(found, line.news.Announcement.Instance)
 	}
 	return found
 }
--- a/core/membership/slope_test.go
+++ b/core/membership/slope_test.go
@@ -55,13 +55,14 @@
 
 // report runs a minute with messages weighed and reports them per node.
 func report(b *testing.B, c *cluster, size int, run func()) {
-	c.weigh, c.messages, c.bytes = true, 0, 0
+	c.weigh, c.messages, c.bytes, c.links = true, 0, 0, make(map[[2]coltsfootward.InstanceID]bool)
 	began := time.Now()
 	run()
 	elapsed := time.Since(began)
 	perNode := float64(size) * measured.Seconds()
 	b.ReportMetric(float64(c.messages)/perNode, "messages/s/node")
 	b.ReportMetric(float64(c.bytes)/perNode, "bytes/s/node")
+	b.ReportMetric(float64(len(c.links))/float64(size), "peers/node")
 	b.ReportMetric(elapsed.Seconds()*1e6/perNode, "cpu-us/s/node")
 	b.ReportMetric(0, "ns/op")
 }
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -168,7 +168,7 @@
 	p.node.confirmation.advanced()
 }
 
-// push sends changes on to a few random members, one of them in another domain,
+// push sends changes on to a few members, one of them in another domain,
 // whose readers may be cut off from the table.
 func (p *configurationPart) push(changes []coltsfootward.Change) {
 	if len(changes) > pushLimit {
@@ -181,11 +181,11 @@
 
 func (p *configurationPart) pushTargets() []coltsfootward.Instance {
 	m := p.node.membership.machine
-	targets := m.Sample(p.node.options.Self.Domain, pushTargets)
+	targets := m.Near(p.node.options.Self.Domain, pushTargets)
 	domains := m.Domains()
 	foreign := domains[p.node.source.IntN(len(domains))]
 	if foreign != p.node.options.Self.Domain {
-		targets = append(targets, m.Sample(foreign, 1)...)
+		targets = append(targets, m.Near(foreign, 1)...)
 	}
 	return targets
 }
