Broken downloads go on by range; the key is looked for everywhere

Broken downloads: an answer that breaks off is fetched on from where it broke, through another attempt out of the same budget, if it is a GET with status 200, a length, ranges and a strong validator; else the caller's connection is aborted. Before, every broken download was lost. Since an answer that breaks uses all it carried, an attempt now carries at most half of a plentiful budget: with the first form the second break of one download found no attempt left (got 600000 of 1400000 bytes).

The key: the test records every byte between nodes and to the backend server. It found the key in a header field's name; looked at with it, path, query, Idempotency-Key and body could carry it too: such requests are refused. Fields whose name holds it are left out. Idempotency keys are bounded to 255 bytes.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -40,7 +40,7 @@
 	}
 	e.begun[service]++
 	share := (e.remaining*need + ahead - 1) / ahead
-	if surplus := e.remaining - ahead; surplus >= need && f.knows(service) {
+	if surplus := e.remaining - ahead; surplus >= need && f.Knows(service) {
 		share = need + (surplus-need)*need/ahead
 	}
 	return e.take(min(want, share))
@@ -72,17 +72,3 @@
 // Used returns how many attempts the request and all below it have used or may
 // still use.
 func (e *Escrow) Used() int { return e.budget - e.remaining }
-
-// Carry returns how many of the left attempts of a call its next attempt takes
-// along. need is what a call of the service usually uses; reserve is set if
-// another attempt may follow a lost one.
-//
-// An attempt that is lost counts as if it had used all that it carried. So
-// whatever lets a whole second attempt follow stays behind; if the budget is
-// too small for two, the first one has all of it.
-func Carry(left, need int, reserve bool) int {
-	if !reserve || left < 2*need {
-		return left
-	}
-	return left - need
-}
--- a/core/attempt/forecast.go
+++ b/core/attempt/forecast.go
@@ -36,6 +36,8 @@
 type demand struct {
 	children peak
 	need     peak
+	// missed is set if a call failed before any was answered.
+	missed bool
 }
 
 // Forecast is what a node has learned of the calls that pass it: how many
@@ -52,10 +54,40 @@
 	return max(f.services[service].need.rounded(1), 1)
 }
 
-func (f *Forecast) knows(service coltsfootward.ServiceName) bool {
+// Knows reports whether a call of the service has been answered.
+func (f *Forecast) Knows(service coltsfootward.ServiceName) bool {
 	return f.services[service].need.learned
 }
 
+// Carry returns how many of the left attempts of a call of the service its next
+// attempt takes along if another attempt may follow a lost one.
+//
+// An attempt that is lost counts as if it had used all that it carried. So what
+// lets a whole further attempt follow stays behind, and half of what is left if
+// that is plenty; if there is too little for two, the attempt has all of it.
+// Before anything is known a quarter stays behind, until a call has failed: it
+// may have failed for want of that quarter.
+func (f *Forecast) Carry(service coltsfootward.ServiceName, left int) int {
+	need := f.Need(service)
+	switch {
+	case !f.Knows(service) && f.services[service].missed:
+		return left
+	case !f.Knows(service):
+		return left - left/4
+	case left < 2*need:
+		return left
+	default:
+		return min(left-need, max(2*need, (left+1)/2))
+	}
+}
+
+// Missed takes in that a call was not answered.
+func (f *Forecast) Missed(service coltsfootward.ServiceName) {
+	d := f.services[service]
+	d.missed = true
+	f.set(service, d)
+}
+
 // Answered takes in how many attempts an answered call needed. Those that
 // failed are left out: the largest of many sums of failures would make every
 // call look too dear for another attempt.
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/attempt"
 	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
@@ -25,6 +24,8 @@
 	arrived time.Duration
 	// deadline is when the caller's time ends, by Instant.Expiry.
 	deadline time.Duration
+	// timeout is how long the request may wait for an answer to begin.
+	timeout time.Duration
 	// parent is the token of the request being served that made this call.
 	parent CallToken
 	// attempts is how many attempts have been used so far.
@@ -41,8 +42,8 @@
 	target coltsfootward.InstanceID
 	// running is set while an attempt is under way.
 	running bool
-	// lost is set once an attempt was lost, doubtful once one may have run.
-	lost, doubtful bool
+	// doubtful is set once an attempt may have run.
+	doubtful bool
 	// answered is set once an answer has begun; from then on nothing is retried.
 	answered bool
 	// claim is set while the call holds or asks for a claim on its key.
@@ -142,6 +143,7 @@
 		id:       e.Call,
 		arrived:  p.node.now.Expiry,
 		deadline: p.node.now.Expiry + timeout,
+		timeout:  timeout,
 		budget:   p.node.options.Attempts,
 		tried:    make(map[coltsfootward.InstanceID]bool),
 		body:     e.Body,
@@ -223,8 +225,7 @@
 	call.target = target.ID
 	call.running = true
 	head := call.head
-	reserve := call.parent == "" && call.mayRetry && !call.head.Unrepeatable && !call.lost
-	call.carried = attempt.Carry(call.budget-call.attempts, p.node.ledger.forecast.Need(call.head.Service), reserve)
+	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
@@ -252,7 +253,7 @@
 		return
 	}
 	call.attempts += attemptsUsed(call, e)
-	call.lost = call.lost || e.Kind == AttemptLost
+	p.node.ledger.forecast.Missed(call.head.Service)
 	p.settleAdmission(call, e)
 	refused := refusalOf(e)
 	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
@@ -379,6 +380,31 @@
 	p.node.act(Refuse{Call: id, Refusal: r})
 }
 
+// broken fetches the rest of an answer that broke off by another attempt, if
+// one is left. It waits for its beginning as long as the first: a download may
+// have outlasted the request's own time by far. The upstream is not marked as
+// tried, since it may have been only the connection that broke.
+func (p *entryPart) broken(e AnswerBroken) {
+	call, ok := p.calls[e.Call]
+	if !ok || !call.answered {
+		return
+	}
+	call.answered = false
+	call.running = false
+	call.doubtful = true
+	call.attempts += call.carried
+	if call.parent == "" {
+		call.deadline = max(call.deadline, p.node.now.Expiry+call.timeout)
+	}
+	p.node.ledger.topUp(call)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
+	if p.mayRetry(call, r) {
+		p.attempt(call)
+		return
+	}
+	p.finish(call, r)
+}
+
 func (p *entryPart) done(e CallDone) {
 	call, ok := p.calls[e.Call]
 	if !ok {
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -74,6 +74,11 @@
 	Attempts int
 }
 
+// AnswerBroken says that an answer broke off after part of its body had reached
+// the caller, and that the rest could be fetched by another attempt. Forward or
+// Refuse follows.
+type AnswerBroken struct{ Call CallID }
+
 // CallDone says that the entry call's answer has been delivered or given up.
 type CallDone struct {
 	Call CallID
@@ -163,6 +168,7 @@
 func (RequestArrived) isEvent()   {}
 func (CallerLeft) isEvent()       {}
 func (AttemptEnded) isEvent()     {}
+func (AnswerBroken) isEvent()     {}
 func (CallDone) isEvent()         {}
 func (PeerCallArrived) isEvent()  {}
 func (DispatchHeaded) isEvent()   {}
--- a/core/node/ledger.go
+++ b/core/node/ledger.go
@@ -49,6 +49,16 @@
 	child.budget += parent.escrow.TopUp(missing, &p.forecast)
 }
 
+// carry returns how many of the call's attempts the next one takes along. Only
+// entry nodes reserve: at every layer the reserves would add up to all there is.
+func (p *ledgerPart) carry(call *entryCall) int {
+	left := call.budget - call.attempts
+	if call.parent != "" || !call.mayRetry || call.head.Unrepeatable {
+		return left
+	}
+	return p.forecast.Carry(call.head.Service, left)
+}
+
 // enough reports whether the call's own attempts allow one more. An attempt
 // that begins with less than the service needs fails deeper down, after work
 // has been spent on it.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -70,6 +70,8 @@
 		n.upstream.callerLeft(e.Call)
 	case AttemptEnded:
 		n.entry.attemptEnded(e)
+	case AnswerBroken:
+		n.entry.broken(e)
 	case CallDone:
 		n.entry.done(e)
 	case PeerCallArrived:
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -28,6 +28,8 @@
 	// still be kept for repeats.
 	keep  bool
 	start []byte
+	// download is what has gone to the caller so far.
+	download download
 }
 
 // run carries out the machine's actions for the request until it is answered.
@@ -42,6 +44,9 @@
 			e.face.loop.Post(node.CallerLeft{Call: e.call.ID})
 			return
 		case <-e.face.loop.Done():
+			if e.download.begun {
+				panic(http.ErrAbortHandler)
+			}
 			writeRefusal(e.writer, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, "the node has stopped").
 				WithExecution(coltsfootward.ExecutionUnknown))
 			return
@@ -53,6 +58,9 @@
 func (e *exchange) perform(action node.Action) bool {
 	switch a := action.(type) {
 	case node.Refuse:
+		if e.download.begun {
+			panic(http.ErrAbortHandler) // the caller must not take the part that it has for whole
+		}
 		writeRefusal(e.writer, a.Refusal)
 		return true
 	case node.Replay:
@@ -69,7 +77,7 @@
 func (e *exchange) forward(a node.Forward) bool {
 	ctx, cancel := context.WithTimeout(e.request.Context(), a.Head.Timeout)
 	defer cancel()
-	a.Head.Header = e.header
+	a.Head.Header = e.download.header(e.header)
 	answer, err := e.face.transport.Call(ctx, a.To, a.Head, e.body)
 	if err != nil {
 		e.face.loop.Post(node.AttemptEnded{Call: e.call.ID, Kind: failedKind(err)})
@@ -82,8 +90,7 @@
 	e.face.loop.Post(node.AttemptEnded{
 		Call: e.call.ID, Kind: node.AttemptAnswered, Load: answer.Head.Load, Status: answer.Head.Status,
 	})
-	e.answered(answer)
-	return true
+	return e.answered(answer)
 }
 
 func failedKind(err error) node.AttemptKind {
@@ -108,16 +115,21 @@
 	return false
 }
 
-// answered passes the answer on. A body that breaks off ends the connection to
-// the caller, so that the caller never takes it for whole.
-func (e *exchange) answered(answer *peer.Answer) {
-	h := e.writer.Header()
-	for name, values := range answer.Head.Header {
-		h[name] = values
+// answered passes the answer on and reports whether the request is over. If a
+// body breaks off, its rest is fetched where that is possible; else the
+// connection to the caller ends, so that the caller never takes it for whole.
+func (e *exchange) answered(answer *peer.Answer) bool {
+	if !e.begin(answer) {
+		e.face.loop.Post(node.CallDone{Call: e.call.ID, Attempts: -1})
+		answer.Close()
+		panic(http.ErrAbortHandler)
 	}
-	e.writer.WriteHeader(answer.Head.Status)
 	e.keep = e.request.Header.Get(HeaderIdempotencyKey) != ""
 	whole := e.copy(answer)
+	if !whole && e.download.resumable() && e.request.Context().Err() == nil {
+		e.face.loop.Post(node.AnswerBroken{Call: e.call.ID})
+		return false
+	}
 	end, ok := answer.End()
 	if !ok {
 		end.Attempts = -1
@@ -127,6 +139,22 @@
 		answer.Close()
 		panic(http.ErrAbortHandler)
 	}
+	return true
+}
+
+// begin sends the answer's head to the caller, or checks that the answer is the
+// rest of what the caller has a part of.
+func (e *exchange) begin(answer *peer.Answer) bool {
+	if e.download.begun {
+		return e.download.continues(answer)
+	}
+	e.download.begin(e.request.Method, answer)
+	h := e.writer.Header()
+	for name, values := range answer.Head.Header {
+		h[name] = values
+	}
+	e.writer.WriteHeader(answer.Head.Status)
+	return true
 }
 
 // kept returns the answer for repeats of the request, or nil.
@@ -169,8 +197,10 @@
 		if n > 0 {
 			e.note(buffer[:n])
 			if _, failed := e.writer.Write(buffer[:n]); failed != nil {
+				e.download.validator = "" // it is the caller that has gone
 				return false
 			}
+			e.download.written += int64(n)
 			if n < copyBuffer {
 				_ = flusher.Flush() // a caller that left shows at the next write
 			}
--- a/io/caller/face.go
+++ b/io/caller/face.go
@@ -1,12 +1,14 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -73,6 +75,11 @@
 		writeRefusal(w, *refused)
 		return
 	}
+	if key != "" && keyInContent(r, body, key) {
+		writeRefusal(w, coltsfootward.NewRefusal(coltsfootward.RefusalBadRequest,
+			"path, query, Idempotency-Key or body hold the caller's key, which no backend server may see: send it in Authorization only"))
+		return
+	}
 	call := f.loop.Open()
 	defer call.Close()
 	event.Call = call.ID
@@ -93,6 +100,9 @@
 		Path:           servicePath(r),
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 	}
+	if len(e.IdempotencyKey) > maximumIdempotencyKey {
+		return e, "", badRequest(fmt.Errorf("%s is longer than %d bytes", HeaderIdempotencyKey, maximumIdempotencyKey))
+	}
 	var err error
 	if e.Attempt, err = positive(r, HeaderAttempt, 1); err != nil {
 		return e, "", badRequest(err)
@@ -117,6 +127,16 @@
 	return e, key, nil
 }
 
+// keyInContent reports whether the key stands where it would be passed on. It
+// can't be taken out of there without changing what the caller asks for.
+func keyInContent(r *http.Request, body []byte, key string) bool {
+	places := []string{r.URL.Path, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get(HeaderIdempotencyKey)}
+	if query, err := url.QueryUnescape(r.URL.RawQuery); err == nil {
+		places = append(places, query)
+	}
+	return holds(places, key) || bytes.Contains(body, []byte(key))
+}
+
 // servicePath returns path and query below the service's name, as sent.
 func servicePath(r *http.Request) string {
 	path := r.URL.EscapedPath()
@@ -140,6 +160,10 @@
 	return nil, refuse(coltsfootward.RefusalBadRequest, "the body broke off before its end")
 }
 
+// maximumIdempotencyKey bounds an idempotency key in bytes, since holders keep
+// many of them in memory.
+const maximumIdempotencyKey = 255
+
 // maximumHeaderNumber bounds the numbers in header fields, so that they cannot
 // overflow a duration.
 const maximumHeaderNumber = math.MaxInt32
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -45,8 +45,8 @@
 
 // PassedOn returns the fields of a request that go to the backend server:
 // none that belong to the connection, none that may hold the caller's key and
-// none that only nodes set. A field whose value holds the key is left out
-// whatever its name.
+// none that only nodes set. A field whose name or value holds the key is left
+// out whatever it is.
 func PassedOn(h http.Header, key string) map[string][]string {
 	connection := connectionFields(h)
 	passed := make(map[string][]string, len(h))
@@ -54,7 +54,7 @@
 		if hopFields[name] || connection[name] || credentialFields[name] || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
-		if key != "" && holds(values, key) {
+		if key != "" && (holds(values, key) || containsFold(name, key)) {
 			continue
 		}
 		passed[name] = values
@@ -93,3 +93,9 @@
 	}
 	return false
 }
+
+// containsFold reports whether the text holds the key in any case: the names of
+// fields are brought into their canonical one.
+func containsFold(text, key string) bool {
+	return strings.Contains(strings.ToLower(text), strings.ToLower(key))
+}
--- /dev/null
+++ b/io/caller/key_test.go
@@ -0,0 +1,154 @@
+package caller_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"coltsfootward"
+	"coltsfootward/core/node"
+	"coltsfootward/io/iotest"
+)
+
+// wire records every byte that passes its connections, both ways.
+type wire struct {
+	mu    sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (w *wire) note(p []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes.Write(p)
+}
+
+func (w *wire) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes.String()
+}
+
+type recordedListener struct {
+	net.Listener
+	wire *wire
+}
+
+func (l *recordedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &recordedConn{Conn: c, wire: l.wire}, nil
+}
+
+type recordedConn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c *recordedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.wire.note(p[:n])
+	return n, err
+}
+
+func (c *recordedConn) Write(p []byte) (int, error) {
+	c.wire.note(p)
+	return c.Conn.Write(p)
+}
+
+// A key that leaks into a log, a frame between nodes or a request to a backend
+// server works for whoever reads it there, until it is withdrawn. Callers put
+// keys where they don't belong, so the test does too.
+func TestKeyAppearsNowhere(t *testing.T) {
+	const secret = "s3cret-key-of-the-inspectors"
+	table := iotest.NewTable(
+		coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: "inspectors", Rate: coltsfootward.Rate{PerSecond: 1e6, Burst: 1e6}}},
+		coltsfootward.Change{Key: &coltsfootward.Key{ID: "k", Digest: coltsfootward.DigestKey(secret), Organisation: "inspectors"}},
+		coltsfootward.Change{Service: &coltsfootward.Service{Name: "results"}},
+	)
+	domains := []coltsfootward.FailureDomain{"north", "south"}
+	peers, upstreams := &wire{}, &wire{}
+	record := func(l net.Listener) net.Listener { return &recordedListener{Listener: l, wire: peers} }
+	north := iotest.Start(t, node.Options{Self: coltsfootward.Instance{ID: "north-1", Domain: "north"}, Domains: domains}, table, record)
+	south := iotest.Start(t, node.Options{Self: coltsfootward.Instance{ID: "south-1", Domain: "south"}, Domains: domains}, table, record)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, "friction 0.43")
+	}))
+	server.Listener = &recordedListener{Listener: server.Listener, wire: upstreams}
+	server.Start()
+	t.Cleanup(server.Close)
+	south.Announce(t, server.Listener.Addr().String(), "results", 4)
+	north.AwaitUpstreams(t, 1)
+
+	for _, header := range []http.Header{
+		{"Authorization": {"Bearer " + secret}},
+		{"Authorization": {"Bearer " + secret}, "X-Api-Key": {secret}, "Cookie": {"key=" + secret}},
+		{"Authorization": {"Bearer " + secret}, "X-Copy": {"again " + secret}, "X-" + secret: {"as a name"}},
+		{"Authorization": {"Bearer " + secret}, "Idempotency-Key": {"order-1"}, "Expect": {"100-continue"}},
+		{"Authorization": {"Bearer " + secret}, "Coltsfootward-Call-Token": {secret}},
+	} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+north.Callers+"/results/site-4", strings.NewReader("a body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header = header
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK || string(body) != "friction 0.43" {
+			t.Errorf("header %v: got %d %q and %v, want an answer", header, response.StatusCode, body, err)
+		}
+		if text := fmt.Sprint(response.Header); strings.Contains(text, secret) {
+			t.Errorf("the answer's header holds the key: %s", text)
+		}
+	}
+	for name, path := range map[string]string{
+		"path": "/results/" + secret, "query": "/results/site?key=" + secret, "escaped path": "/results/%73" + secret[1:], "body": "/results/site", "idempotency key": "/results/site",
+	} {
+		body, idempotencyKey := "", ""
+		if name == "idempotency key" {
+			idempotencyKey = secret
+		}
+		if name == "body" {
+			body = "key=" + secret
+		}
+		request, err := http.NewRequest(http.MethodPost, "http://"+north.Callers+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+secret)
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest {
+			t.Errorf("key in the %s: got status %d, want %d", name, response.StatusCode, http.StatusBadRequest)
+		}
+	}
+	if peers.text() == "" || upstreams.text() == "" {
+		t.Fatal("nothing was recorded; the test looks in the wrong place")
+	}
+	for place, text := range map[string]string{
+		"frames between nodes":        peers.text(),
+		"requests to backend servers": upstreams.text(),
+		"records of the entry node":   fmt.Sprint(north.Records()),
+		"records of the upstream's":   fmt.Sprint(south.Records()),
+	} {
+		if strings.Contains(strings.ToLower(text), secret) {
+			t.Errorf("%s hold the key", place)
+		}
+	}
+}
--- /dev/null
+++ b/io/caller/resume_test.go
@@ -0,0 +1,138 @@
+package caller_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/node"
+	"coltsfootward/io/iotest"
+)
+
+const callerKey = "key-of-the-field-crews"
+
+// startPair runs two nodes; the service archive has a backend server beside each.
+func startPair(t *testing.T, handler http.Handler) (*iotest.Node, *iotest.Node) {
+	t.Helper()
+	table := iotest.NewTable(
+		coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: "crews", Rate: coltsfootward.Rate{PerSecond: 1e6, Burst: 1e6}}},
+		coltsfootward.Change{Key: &coltsfootward.Key{ID: "k", Digest: coltsfootward.DigestKey(callerKey), Organisation: "crews"}},
+		coltsfootward.Change{Service: &coltsfootward.Service{Name: "archive"}},
+	)
+	domains := []coltsfootward.FailureDomain{"north", "south"}
+	var nodes []*iotest.Node
+	for _, domain := range domains {
+		self := coltsfootward.Instance{ID: coltsfootward.InstanceID(domain) + "-1", Domain: domain}
+		n := iotest.Start(t, node.Options{Self: self, Domains: domains}, table, nil)
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		n.Announce(t, server.Listener.Addr().String(), "archive", 4)
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		n.AwaitUpstreams(t, 2)
+	}
+	return nodes[0], nodes[1]
+}
+
+func get(t *testing.T, n *iotest.Node, path string) (*http.Response, []byte, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.Callers+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+// A field crew downloads a trailer's run log and the backend server dies half
+// way. The crew must get the whole log, from another backend server, or see
+// that the download broke; never half of one version and half of another.
+func TestBrokenDownload(t *testing.T) {
+	log := bytes.Repeat([]byte("friction 0.43\n"), 100_000)
+	other := bytes.Repeat([]byte("friction 0.51\n"), 100_000)
+	old := time.Now().Add(-time.Hour)
+	for _, test := range []struct {
+		name, tag, laterTag string
+		modified            time.Time
+		ranges, whole       bool
+		breaks              int32
+		after               int
+		later               []byte
+	}{
+		{name: "strong tag", tag: `"v1"`, laterTag: `"v1"`, ranges: true, breaks: 1, later: log, whole: true},
+		{name: "breaks twice", tag: `"v1"`, laterTag: `"v1"`, ranges: true, breaks: 2, later: log, whole: true},
+		{name: "old date", modified: old, ranges: true, breaks: 1, later: log, whole: true},
+		{name: "young date", modified: time.Now(), ranges: true, breaks: 1, later: log},
+		{name: "weak tag", tag: `W/"v1"`, laterTag: `W/"v1"`, ranges: true, breaks: 1, later: log},
+		{name: "changed meanwhile", tag: `"v1"`, laterTag: `"v2"`, ranges: true, breaks: 1, later: other},
+		{name: "no ranges", tag: `"v1"`, laterTag: `"v1"`, breaks: 1, later: log},
+		{name: "breaks for ever", tag: `"v1"`, laterTag: `"v1"`, ranges: true, breaks: 1000, after: 50_000, later: log},
+	} {
+		if test.after == 0 {
+			test.after = 300_000
+		}
+		t.Run(test.name, func(t *testing.T) {
+			var served atomic.Int32
+			n, _ := startPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				number := served.Add(1)
+				content, tag := log, test.tag
+				if number > 1 {
+					content, tag = test.later, test.laterTag
+				}
+				if tag != "" {
+					w.Header().Set("ETag", tag)
+				}
+				if number <= test.breaks {
+					w = &breaking{ResponseWriter: w, left: test.after}
+				}
+				if !test.ranges {
+					w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+					_, _ = w.Write(content)
+					return
+				}
+				http.ServeContent(w, r, "", test.modified, bytes.NewReader(content))
+			}))
+			_, body, err := get(t, n, "/archive/run-17")
+			switch {
+			case err == nil && !bytes.Equal(body, log):
+				t.Errorf("got %d bytes as whole that are not the log of %d bytes", len(body), len(log))
+			case err == nil && !test.whole:
+				t.Error("got a whole log, want the download aborted")
+			case err != nil && test.whole:
+				t.Errorf("got %v after %d bytes and %d attempts, want the whole log", err, len(body), served.Load())
+			}
+			if got := served.Load(); got > node.DefaultAttempts {
+				t.Errorf("got %d attempts, want at most %d", got, node.DefaultAttempts)
+			}
+		})
+	}
+}
+
+// breaking breaks the connection off after some bytes of the body.
+type breaking struct {
+	http.ResponseWriter
+	left int
+}
+
+func (b *breaking) Write(p []byte) (int, error) {
+	if len(p) >= b.left {
+		_, _ = b.ResponseWriter.Write(p[:b.left])
+		http.NewResponseController(b.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	b.left -= len(p)
+	return b.ResponseWriter.Write(p)
+}
