--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -17,6 +17,16 @@
 // refused together do not return together.
 const retryAfterSpread = 2 * time.Second
 
+// The bounds of what a caller shed at entry is told, before spreading. In
+// between it is as long as the node has been shedding: an overload that has
+// lasted for a while is likely to last about as long again. The upper bound is
+// short because a refusal at entry costs microseconds, and callers that are
+// asked to stay away longer than they wait are lost.
+const (
+	shortestRetryAfter = time.Second
+	longestRetryAfter  = 1500 * time.Millisecond
+)
+
 // entryCall is a request at the node that its caller reached.
 type entryCall struct {
 	id      CallID
@@ -40,6 +50,8 @@
 	tried map[coltsfootward.InstanceID]bool
 	// target is where the attempt under way went.
 	target coltsfootward.InstanceID
+	// sent is when it went there, by Instant.Monotonic.
+	sent time.Duration
 	// running is set while an attempt is under way.
 	running bool
 	// doubtful is set once an attempt may have run.
@@ -101,6 +113,7 @@
 		return nil, refused
 	}
 	call.mayRetry = e.Attempt <= 1
+	call.head.ShedRank = agedRank(call.head.ShedRank, e.Attempt)
 	return call, nil
 }
 
@@ -180,11 +193,12 @@
 // done for it. Under overload each hop that a doomed request takes is capacity
 // lost to the requests that will be answered.
 func (p *entryPart) shedAtEntry(call *entryCall) bool {
-	if !p.node.placement.shed(call.head.Service, call.head.ShedRank) {
+	if !p.node.placement.shed(call) {
 		return false
 	}
+	retryAfter := max(p.node.placement.shedFor(call.head.Service), shortestRetryAfter)
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the service sheds requests of this importance").
-		WithRetryAfter(p.node.spreadRetryAfter()))
+		WithRetryAfter(p.node.spread(min(retryAfter, longestRetryAfter))))
 	return true
 }
 
@@ -224,6 +238,7 @@
 	}
 	call.target = target.ID
 	call.running = true
+	p.node.placement.sent(call)
 	head := call.head
 	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
@@ -315,6 +330,10 @@
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
+	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
+}
+
+func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
 	}
@@ -357,6 +376,7 @@
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+		p.node.upstream.childRefused(call.parent, r)
 	}
 	p.refuse(call.id, call.head.Request, r)
 }
@@ -442,6 +462,9 @@
 	if call.running || call.answered {
 		call.attempts += call.carried
 	}
+	if call.running {
+		p.node.placement.left(call, false)
+	}
 	if call.running || call.answered {
 		p.node.act(CancelAttempt{Call: id})
 	} else {
@@ -469,6 +492,7 @@
 func (p *entryPart) expire(call *entryCall) {
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out")
 	if call.running {
+		p.node.placement.left(call, true)
 		p.node.act(CancelAttempt{Call: call.id})
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 		call.attempts += call.carried
@@ -497,6 +521,13 @@
 	return retryAfterSpread/4 + time.Duration(n.source.Int64N(int64(retryAfterSpread)))
 }
 
+// spread returns a time around d, up to a quarter less or more, so that
+// callers refused together do not return together. A wider spread would ask
+// some back after they have given up.
+func (n *Node) spread(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(n.source.Int64N(int64(max(d/2, 1))))
+}
+
 // shedHashBits is how many bits of a shed rank come from the request's hash.
 const shedHashBits = 28
 
@@ -508,3 +539,18 @@
 	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
 	return uint32(priority.Rank())<<shedHashBits | uint32(hash>>(64-shedHashBits))
 }
+
+// agingLimit bounds how many repeats move a request up.
+const agingLimit = 3
+
+// agedRank moves a caller's repeat up within its priority: each repeat halves
+// its distance to the front. Under a long overload chance alone would refuse
+// some requests every time, and their callers give up after a few tries while
+// others succeed at once. A caller that overstates its repeats gets ahead of
+// its own organisation's requests only, since turns between organisations do
+// not depend on the rank.
+func agedRank(rank uint32, attempt int) uint32 {
+	class := rank &^ (1<<shedHashBits - 1)
+	hash := rank & (1<<shedHashBits - 1)
+	return class | hash>>min(max(attempt-1, 0), agingLimit)
+}
