--- a/core/message/message.go
+++ b/core/message/message.go
@@ -89,6 +89,9 @@
 	ShedRank uint32 `msgpack:"shed_rank"`
 	// Budget is the number of attempts that this call and all below it may use.
 	Budget int `msgpack:"budget"`
+	// NoRetries is set for the repeats of a caller that retries by itself: were
+	// the chain to retry as well, the two would multiply.
+	NoRetries bool `msgpack:"no_retries"`
 	// Timeout is what is left of the caller's time.
 	Timeout time.Duration `msgpack:"timeout"`
 	// StartWithin is how long the call's admission lasts: it must have been
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -113,6 +113,7 @@
 		return nil, refused
 	}
 	call.mayRetry = e.Attempt <= 1
+	call.head.NoRetries = !call.mayRetry
 	call.head.ShedRank = agedRank(call.head.ShedRank, e.Attempt)
 	return call, nil
 }
@@ -135,7 +136,8 @@
 	}
 	call.budget = slice
 	call.parent = e.Token
-	call.mayRetry = true
+	call.mayRetry = !parent.head.NoRetries
+	call.head.NoRetries = parent.head.NoRetries
 	call.deadline = min(call.deadline, parent.deadline)
 	call.head.Request = parent.head.Request
 	call.head.ShedRank = parent.head.ShedRank
