--- a/core/scenario/deployment.go
+++ b/core/scenario/deployment.go
@@ -59,6 +59,17 @@
 	panic(fmt.Sprintf("scenario: no service %q in deployment %s", name, d.Name))
 }
 
+// chain returns the services that a request to the top one passes.
+func (d Deployment) chain(top coltsfootward.ServiceName) []Service {
+	var all []Service
+	for name := top; name != ""; {
+		s := d.Service(name)
+		all = append(all, s)
+		name = s.Next
+	}
+	return all
+}
+
 // host is one instance and the service of its backend server.
 type host struct {
 	instance coltsfootward.Instance
--- a/core/scenario/measure.go
+++ b/core/scenario/measure.go
@@ -15,6 +15,9 @@
 	Offered, Answered int
 	// TroubleAnswered counts those answered that arrived in the trouble.
 	TroubleAnswered int
+	// Begun counts the services that began at backend servers, Useful how many
+	// the answered requests needed.
+	Begun, Useful int
 	// Runs is how many runs the counts are of; zero means one.
 	Runs int
 	// Critical counts the offered requests of the highest priority,
@@ -50,6 +53,10 @@
 // CriticalShare is the part of the most important requests that was answered.
 func (m Measures) CriticalShare() float64 { return ratio(m.CriticalAnswered, m.Critical) }
 
+// WastedShare is the part of the backend servers' work that did not end in an
+// answered request.
+func (m Measures) WastedShare() float64 { return ratio(max(m.Begun-m.Useful, 0), m.Begun) }
+
 // Share is the part of the offered requests that was answered.
 func (m Measures) Share() float64 { return ratio(m.Answered, m.Offered) }
 
@@ -81,6 +88,8 @@
 	m.TroubleAnswered += other.TroubleAnswered
 	m.Critical += other.Critical
 	m.CriticalAnswered += other.CriticalAnswered
+	m.Begun += other.Begun
+	m.Useful += other.Useful
 	m.InRate += other.InRate
 	m.InRateRefused += other.InRateRefused
 	m.Recovery = max(m.Recovery, other.Recovery)
@@ -125,6 +134,8 @@
 	m.Offered, m.Answered = c.count(began, whole, func(*wanted) bool { return true })
 	_, m.TroubleAnswered = c.count(began, relieved, func(*wanted) bool { return true })
 	m.Critical, m.CriticalAnswered = c.count(began, whole, func(w *wanted) bool { return w.critical })
+	m.Begun = c.world.work()
+	m.Useful = m.Answered * len(c.deployment.chain(c.scenario.top(c.deployment)))
 	m.Recovery, m.Recovered = c.recovery()
 	c.measureOrganisations(&m)
 	return m
--- a/core/scenario/naive.go
+++ b/core/scenario/naive.go
@@ -26,6 +26,7 @@
 	source     *rand.Rand
 	servers    []*naiveServer
 	cut        bool
+	begun      int
 }
 
 // naiveServer is a backend server with slots and a queue without bound.
@@ -125,6 +126,9 @@
 // serve makes the further call, then takes the service time, all in one slot.
 func (n *naive) serve(s *naiveServer, path string, done func(bool)) {
 	start := s.starts
+	if n.now() >= began {
+		n.begun++
+	}
 	end := func(ok bool) {
 		if s.starts != start {
 			done(false)
@@ -171,3 +175,5 @@
 }
 
 func (n *naive) end() { n.cut = false }
+
+func (n *naive) work() int { return n.begun }
--- a/core/scenario/real.go
+++ b/core/scenario/real.go
@@ -119,6 +119,18 @@
 	})
 }
 
+func (m *machines) work() int {
+	begun := 0
+	for _, member := range m.members {
+		for _, run := range member.Backend.Runs {
+			if run.Began >= began {
+				begun++
+			}
+		}
+	}
+	return begun
+}
+
 // announceFalsely announces slots that the backend server does not have.
 func (m *machines) announceFalsely(member *nodetest.Member, service Service, slots int) {
 	member.Announce(service.Name, slots)
--- a/core/scenario/table.go
+++ b/core/scenario/table.go
@@ -57,13 +57,13 @@
 // Table renders rows as a Markdown table.
 func Table(rows []Row) string {
 	var b strings.Builder
-	b.WriteString("| deployment | scenario | variant | goodput/s | in trouble/s | answered | critical answered | recovery | worst-served | in-rate refused |\n")
-	b.WriteString("|---|---|---|---:|---:|---:|---:|---:|---:|---:|\n")
+	b.WriteString("| deployment | scenario | variant | goodput/s | in trouble/s | answered | critical answered | recovery | worst-served | in-rate refused | work wasted |\n")
+	b.WriteString("|---|---|---|---:|---:|---:|---:|---:|---:|---:|---:|\n")
 	for _, r := range rows {
 		m := r.Measures
-		fmt.Fprintf(&b, "| %s | %s | %s | %.0f | %.0f | %.1f%% | %.1f%% | %s | %.1f%% | %d (%.1f%%) |\n",
+		fmt.Fprintf(&b, "| %s | %s | %s | %.0f | %.0f | %.1f%% | %.1f%% | %s | %.1f%% | %d (%.1f%%) | %.1f%% |\n",
 			r.Deployment, r.Scenario, r.Variant, m.Goodput(), m.TroubleGoodput(), 100*m.Share(), 100*m.CriticalShare(),
-			recoveryText(m), 100*m.Worst().Share(), m.InRateRefused, 100*m.InRateShare())
+			recoveryText(m), 100*m.Worst().Share(), m.InRateRefused, 100*m.InRateShare(), 100*m.WastedShare())
 	}
 	return b.String()
 }
--- a/core/scenario/world.go
+++ b/core/scenario/world.go
@@ -51,6 +51,9 @@
 	// service time.
 	begin()
 	end()
+	// work counts the services that began since the trouble did, at all backend
+	// servers.
+	work() int
 }
 
 // The paths of requests by their class.
