Let the first request of all pass seven services

Cause: until a node has seen how many calls its backend server makes, it keeps half of a request's attempts back for a second one; with a default of 16 the fifth service of a chain had none left, so the first callers of a fresh deployment were refused though nothing had failed. Ruled out: a lost call (the trace shows budgets of 12, 6, 3, 1 and a refusal for want of attempts). Change: the default is 128, and the setting's range ends at 65,536. Before: the new test fails at request 1; after: 5 of 5 answered.

--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -27,7 +27,7 @@
 		webAddress("platform.url", "Where the platform's table and object store are.",
 			func(s *Settings) *string { return &s.PlatformURL }),
 
-		whole("requests.attempts", "attempts", "Bounds the attempts of one request over the whole chain of calls.", 1, 64,
+		whole("requests.attempts", "attempts", "Bounds the attempts of one request over the whole chain of calls.", 1, 1<<16,
 			func(s *Settings) *int { return &s.Node.Attempts }),
 		duration("requests.timeout", "Bounds a request that brings no timeout of its own.", time.Millisecond, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.Timeout }),
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -15,7 +15,9 @@
 	// Domains lists every failure domain of the deployment.
 	Domains []coltsfootward.FailureDomain
 	// Attempts bounds the attempts of one request over the whole chain, the
-	// first ones included. The default is 16: seven layers deep and some to spare.
+	// first ones included. The default is 128: with so many the first request of
+	// all passes seven services, each of which keeps half back for a second call
+	// until it has seen that there is none. Later requests need seven.
 	Attempts int
 	// Timeout bounds a request that brings none. The default is 10 s.
 	Timeout time.Duration
@@ -48,7 +50,7 @@
 
 // The defaults of Options.
 const (
-	DefaultAttempts       = 16
+	DefaultAttempts       = 128
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
--- /dev/null
+++ b/core/nodetest/chain_test.go
@@ -0,0 +1,57 @@
+package nodetest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+)
+
+// deepest is how many services one request passes at the most.
+const deepest = 7
+
+// newDefaultChain returns a rig in which each service calls the next one, all by one
+// node and backend server each, with every option at its default.
+func newDefaultChain(seed uint64) (*nodetest.Rig, *nodetest.Member) {
+	r := nodetest.New(seed)
+	domains := []coltsfootward.FailureDomain{"north"}
+	r.Submit(
+		coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: "traders", Rate: coltsfootward.Rate{PerSecond: 1e4, Burst: 1e4}}},
+		coltsfootward.Change{Key: &coltsfootward.Key{ID: "k", Digest: key, Organisation: "traders"}},
+	)
+	var first *nodetest.Member
+	for depth := range deepest {
+		service := coltsfootward.ServiceName(fmt.Sprintf("service-%d", depth))
+		r.Submit(coltsfootward.Change{Service: &coltsfootward.Service{Name: service}})
+		m := r.Add(node.Options{Self: nodetest.Instance(coltsfootward.InstanceID(fmt.Sprintf("north-%d", depth)), "north"), Domains: domains})
+		m.Announce(service, 4)
+		if depth+1 < deepest {
+			next := coltsfootward.ServiceName(fmt.Sprintf("service-%d", depth+1))
+			m.Backend.Children = func(message.Call) []nodetest.Request { return []nodetest.Request{{Service: next}} }
+		}
+		if first == nil {
+			first = m
+		}
+	}
+	r.Run(15 * time.Second)
+	return r, first
+}
+
+// The first callers after a deployment starts are refused for want of attempts,
+// although nothing fails. No node has seen how many calls its backend server
+// makes, so each keeps half of the attempts back for a second call, and the
+// deepest service is left without any.
+func TestFirstRequestPassesTheDeepestChain(t *testing.T) {
+	r, first := newDefaultChain(1)
+	for i := range 5 {
+		o := first.Send(nodetest.Request{Key: key, Service: "service-0"})
+		r.Run(time.Second)
+		if !o.Answered {
+			t.Errorf("request %d: got %v, want an answer", i+1, o.Refusal)
+		}
+	}
+}
