Claims can be handed over to the next holder

A holder that gives its lease up by itself knows all of its claims; without them its successor would hold opaque keys off for a window after every planned restart.

--- a/core/claim/holder_test.go
+++ b/core/claim/holder_test.go
@@ -57,6 +57,12 @@
 		w.holder = claim.NewHolder(claim.Options{}, w.now)
 		return true
 	}},
+	{"handover", func(w *world) bool {
+		next := claim.NewHolder(claim.Options{}, w.now)
+		next.Take(w.now, w.holder.Handover(w.now))
+		w.holder = next
+		return true
+	}},
 	{"half a window passes", func(w *world) bool { w.now = w.now.Add(window / 2); return true }},
 	{"a moment passes", func(w *world) bool { w.now = w.now.Add(20 * time.Second); return true }},
 }
@@ -203,6 +209,14 @@
 			h.Claim(start, first)
 			h.End(start, first.Key, "z", coltsfootward.ExecutionNotRun, nil)
 		}, repeat, time.Second, claim.Running},
+		{"opaque key after a handover", false, func(h *claim.Holder) {
+			h.Take(start, claim.NewFirstHolder(claim.Options{}, start).Handover(start))
+		}, first, time.Second, claim.Granted},
+		{"repeat after a handover", false, func(h *claim.Holder) {
+			before := claim.NewFirstHolder(claim.Options{}, start)
+			before.Claim(start, first)
+			h.Take(start, before.Handover(start))
+		}, repeat, time.Second, claim.Running},
 		{"opaque key after a takeover", false, func(*claim.Holder) {}, first, window + claim.DefaultLife - 1, claim.HeldOff},
 		{"opaque key a window later", false, func(*claim.Holder) {}, first, window + claim.DefaultLife, claim.Granted},
 		{"key made before the term", false, func(*claim.Holder) {}, claim.Request{Key: claim.Key{Text: mint(start.Wall)}}, time.Minute, claim.Forgotten},
--- a/io/peer/hostile_test.go
+++ b/io/peer/hostile_test.go
@@ -180,6 +180,7 @@
 		f.Add(data)
 	}
 	f.Add(peer.Encode(&message.Call{Path: "/", Header: map[string][]string{"A": {"b"}}}))
+	f.Add([]byte("\x82\xdb\x7fni\xa7\x050")) // a text of two gigabytes, cut off
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x82, 0xa4, 'k', 'i', 'n', 'd', 0xdb, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
