--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -69,10 +69,18 @@
 	p.serve(faces.callers, p.callerRouter())
 	p.serve(faces.backend, p.backendRouter(handler.upstream))
 	p.serve(faces.operators, p.operatorRouter(operator.New(p.loop, p.table, p.reporter.timeline)))
-	p.reporter.event(record.NodeStarted, "instance", p.settings.Instance.ID)
+	p.started()
 	return nil
 }
 
+// started tells where the node listens, since the machine may have chosen ports.
+func (p *parts) started() {
+	l := p.settings.Listen
+	p.reporter.report(record.New(record.NodeStarted, time.Now(),
+		record.Field{Name: "callers", Value: l.Callers}, record.Field{Name: "backend", Value: l.Backend},
+		record.Field{Name: "peers", Value: l.Peers}, record.Field{Name: "operators", Value: l.Operators}))
+}
+
 func (p *parts) send(to coltsfootward.Instance, m message.Message) {
 	p.reporter.stamp(m)
 	p.transport.Send(to, m)
@@ -92,10 +100,10 @@
 	for _, server := range p.servers {
 		all = append(all, server.Shutdown(ctx))
 	}
-	p.transport.Close()
+	p.transport.Shutdown(ctx)
 	p.loop.Close()
 	p.wait.Wait()
 	p.table.Close()
-	p.reporter.event(record.NodeStopped, "instance", p.settings.Instance.ID)
+	p.reporter.report(record.New(record.NodeStopped, time.Now()))
 	return errors.Join(all...)
 }
--- a/cmd/daemon/report.go
+++ b/cmd/daemon/report.go
@@ -18,7 +18,7 @@
 }
 
 func newReporter(s settings.Settings, logger *zap.Logger) *reporter {
-	return &reporter{logger: logger.With(zap.String("instance", s.Instance.ID)), timeline: record.NewRing(s.Log.Timeline)}
+	return &reporter{logger: logger.With(zap.String("node", s.Instance.ID)), timeline: record.NewRing(s.Log.Timeline)}
 }
 
 // event reports one event with one field.
@@ -30,9 +30,7 @@
 	r.timeline.Add(found)
 	fields := []zap.Field{zap.Int("code", int(found.Code))}
 	for _, f := range found.Fields {
-		if f.Name != "instance" {
-			fields = append(fields, zap.String(f.Name, f.Value))
-		}
+		fields = append(fields, zap.String(f.Name, f.Value))
 	}
 	write := r.logger.Info
 	switch record.Lookup(found.Code).Level {
--- /dev/null
+++ b/cmd/endtoend/ctl_test.go
@@ -0,0 +1,71 @@
+package endtoend_test
+
+import (
+	"strings"
+	"testing"
+)
+
+// The exit codes are what scripts of operators branch on.
+func TestExitCodes(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	tests := []struct {
+		name, input string
+		args        []string
+		code        int
+		want        string
+	}{
+		{"list", "", []string{"organisation", "list"}, 0, "traders"},
+		{"help", "", []string{"service", "set", "--help"}, 0, "unrepeatable"},
+		{"unknown command", "", []string{"dance"}, 2, "--help"},
+		{"missing argument", "", []string{"organisation", "set", "brokers"}, 2, "rate"},
+		{"bad name", "", []string{"organisation", "set", "two words", "--rate", "1", "--burst", "1"}, 2, "letters"},
+		{"bad mark", "", []string{"service", "set", "other", "--mark", "GET"}, 2, "METHOD"},
+		{"bad priority", "", []string{"service", "set", "other", "--mark", "GET / urgent"}, 2, "critical, high, normal or low"},
+		{"object exists", "", []string{"organisation", "set", "traders", "--rate", "1", "--burst", "1"}, 3, "read it again"},
+		{"old revision", "", []string{"service", "set", service, "--based-on", "999"}, 3, "read it again"},
+		{"key's name is taken", "", []string{"key", "issue", "traders-1", "--organisation", "traders"}, 3, "read it again"},
+		{"no such organisation", "", []string{"key", "issue", "nobody-1", "--organisation", "nobody"}, 1, "organisation set"},
+		{"no such key", "", []string{"key", "withdraw", "nobody-1"}, 1, "key list"},
+		{"short key", "short\n", []string{"key", "issue", "traders-2", "--organisation", "traders", "--from-stdin"}, 2, "at least"},
+		{"revision to come", "", []string{"watch", "9999", "--wait", "100ms"}, 4, "coltsfootctl watch 9999"},
+		{"no node", "", []string{"--node", "127.0.0.1:1", "organisation", "set", "brokers", "--rate", "1", "--burst", "1"}, 5, "--change-id"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := tryCtl(t, test.input, d.north.operators, test.args...)
+			if got.code != test.code || !strings.Contains(got.out+got.errout, test.want) {
+				t.Errorf("got exit code %d, %q and %q, want %d and %q", got.code, got.out, got.errout, test.code, test.want)
+			}
+		})
+	}
+}
+
+// An operator reads one time line of all nodes, a node that is down is named,
+// and the caller's key stands in no log and on no time line.
+func TestTimelineOfAllNodes(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	get(t, d.north.callers, "/"+service+"/page?key="+"other", d.key+"x")
+	ctl(t, d.south.operators, "key", "withdraw", "traders-1")
+	eventually(t, "both nodes refuse the withdrawn key", func() bool {
+		return get(t, d.north.callers, "/"+service+"/page", d.key).status == 401 &&
+			get(t, d.south.callers, "/"+service+"/page", d.key).status == 401
+	})
+	found := tryCtl(t, "", d.north.operators, "timeline", "--limit", "0")
+	for _, want := range []string{"north-1", "south-1", "node_started", "backend_announced", "key_withdrawn"} {
+		if !strings.Contains(found.out, want) {
+			t.Errorf("got no %q on the time line:\n%s", want, found.out)
+		}
+	}
+	d.south.kill()
+	without := tryCtl(t, "", d.north.operators, "timeline")
+	if without.code != 0 || !strings.Contains(without.errout, d.south.operators) {
+		t.Errorf("got exit code %d and %q, want 0 and the node that is down named", without.code, without.errout)
+	}
+	for _, text := range []string{found.out, d.north.output.String(), d.south.output.String()} {
+		if strings.Contains(text, d.key) {
+			t.Errorf("got the key in a log or on the time line")
+		}
+	}
+}
--- /dev/null
+++ b/cmd/endtoend/input_test.go
@@ -0,0 +1,169 @@
+package endtoend_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// raw sends bytes to an address and returns all that comes back until the
+// other side closes.
+func raw(t *testing.T, address string, data []byte) string {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	if err := connection.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = connection.Write(data) }() // the node may close before it has read all
+	answered, err := io.ReadAll(connection)
+	if err != nil && len(answered) == 0 && !strings.Contains(err.Error(), "reset") {
+		t.Fatalf("got %v, want the node to answer or to close the connection", err)
+	}
+	return string(answered)
+}
+
+// Hostile and broken callers reach a node. Each gets a clear answer, and the
+// node goes on serving the others.
+func TestBadInputFromCallers(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	request := func(head, body string) []byte {
+		return fmt.Appendf(nil, "%s\r\nHost: node\r\nConnection: close\r\n\r\n%s", head, body)
+	}
+	good := "\r\nAuthorization: Bearer " + d.key
+	tests := []struct {
+		name string
+		data []byte
+		want string
+	}{
+		{"oversized header", request("GET /quotes/a HTTP/1.1\r\nX-Large: "+strings.Repeat("x", 64<<10), ""), " 431 "},
+		{"oversized body", request("POST /quotes/a HTTP/1.1\r\nContent-Length: 4194304"+good, strings.Repeat("x", 4<<20)), `"kind":"too_large"`},
+		{"truncated request", []byte("GET /quo"), ""},
+		{"not HTTP", []byte("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 hello\r\n\r\n"), " 400 "},
+		{"unknown service", request("GET /nowhere/a HTTP/1.1"+good, ""), `"kind":"unknown_service"`},
+		{"no path", request("GET / HTTP/1.1"+good, ""), " 404 "},
+		{"no key", request("GET /quotes/a HTTP/1.1", ""), `"kind":"unauthenticated"`},
+		{"other scheme", request("GET /quotes/a HTTP/1.1\r\nAuthorization: Basic "+d.key, ""), `"kind":"unauthenticated"`},
+		{"malformed key", request("GET /quotes/a HTTP/1.1\r\nAuthorization: Bearer \xff\xfe "+strings.Repeat("k", 9000), ""), `"kind":"unauthenticated"`},
+		{"bad timeout", request("GET /quotes/a HTTP/1.1\r\nColtsfootward-Timeout-Ms: soon"+good, ""), `"kind":"bad_request"`},
+		{"bad attempt", request("GET /quotes/a HTTP/1.1\r\nColtsfootward-Attempt: 99999999999999999999"+good, ""), `"kind":"bad_request"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			data := test.data
+			if test.name == "truncated request" {
+				data = append(data, "\r\n\r\n"...)
+			}
+			if got := raw(t, d.north.callers, data); !strings.Contains(got, test.want) {
+				t.Errorf("got %.300q, want %q in it", got, test.want)
+			}
+		})
+	}
+	d.awaitAnswer(d.north)
+}
+
+// Many connections send their header a byte at a time and hold the node's
+// memory. The node ends them, and serves others meanwhile.
+func TestSlowCallers(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	const slow = 100
+	ended := make(chan error, slow)
+	for range slow {
+		connection, err := net.Dial("tcp", d.north.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		if _, err := connection.Write([]byte("GET /quotes/a HTTP/1.1\r\nHost: no")); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			_ = connection.SetReadDeadline(time.Now().Add(patience)) // a passed deadline is reported below
+			_, err := io.Copy(io.Discard, connection)
+			ended <- err
+		}()
+	}
+	c := startCallers(d, d.north, 2)
+	c.further(t, 50)
+	for range slow {
+		if err := <-ended; err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("got %v, want the node to end the slow connection", err)
+		}
+	}
+	if bad := c.end(); len(bad) > 0 {
+		t.Errorf("got %d of %d callers refused, the first %s, want none", len(bad), c.count(), bad[0])
+	}
+}
+
+// hello returns the first frame of a peer connection with a version.
+func hello(t *testing.T, version int) []byte {
+	t.Helper()
+	payload, err := msgpack.Marshal(map[string]any{
+		"version":  version,
+		"instance": map[string]any{"id": "stranger", "domain": "north", "address": "127.0.0.1:1", "operator_address": "127.0.0.1:1", "incarnation": 1},
+		"probe":    0,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame(t, "hello", payload)
+}
+
+func frame(t *testing.T, kind string, payload []byte) []byte {
+	t.Helper()
+	data, err := msgpack.Marshal([]any{kind, uint32(0), int64(0), payload})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
+}
+
+// Something that is no node, or one of another version, reaches the peers'
+// port. The connection ends, the event says why, and the node goes on.
+func TestBadInputFromPeers(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	tests := []struct {
+		name string
+		data []byte
+		want string
+	}{
+		{"garbage", bytes.Repeat([]byte("GET / HTTP/1.1\r\n"), 1000), "bytes are more than"},
+		{"frame that is none", []byte("\x00\x00\x00\x05hello"), "undecodable"},
+		{"other version", hello(t, 99), "protocol version 99"},
+		{"call before hello", frame(t, "call", nil), "first frame is no hello"},
+		{"garbage after hello", append(hello(t, 1), bytes.Repeat([]byte{0xc1}, 64)...), "bytes are more than"},
+		{"unknown message", append(hello(t, 1), frame(t, "message", []byte("\x82\xa4kind\xa4none\xa7message\xc0"))...), "unknown message kind"},
+		{"frame kind of another version", append(hello(t, 1), frame(t, "dance", nil)...), "unexpected frame dance"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			raw(t, d.north.peers, test.data)
+			eventually(t, "the event says why", func() bool {
+				for line := range strings.Lines(d.north.output.String()) {
+					if strings.Contains(line, `"code":903`) && strings.Contains(line, test.want) {
+						return true
+					}
+				}
+				return false
+			})
+		})
+	}
+	d.awaitAnswer(d.north)
+	if got := get(t, d.south.callers, "/"+service+"/after", d.key).status; got != http.StatusOK {
+		t.Errorf("got status %d at the other node, want 200", got)
+	}
+}
--- a/cmd/endtoend/path_test.go
+++ b/cmd/endtoend/path_test.go
@@ -7,14 +7,10 @@
 )
 
 func TestWholePath(t *testing.T) {
-	platform := addresses(t, 1)[0]
-	start(t, "standin", "platform", "--listen", platform)
+	platform := startPlatform(t)
 	north := startNode(t, "north-1", "north", platform)
 	south := startNode(t, "south-1", "south", platform)
 	start(t, "standin", "backend", "--node", south.backend, "--service", "quotes")
-	eventually(t, "the operators' interface answers", func() bool {
-		return get(t, north.operators, "/debug/vars", "").status == http.StatusOK
-	})
 	ctl(t, north.operators, "service", "set", "quotes")
 	ctl(t, north.operators, "organisation", "set", "traders", "--rate", "0.001", "--burst", "40")
 	key := ctl(t, north.operators, "key", "issue", "traders-1", "--organisation", "traders")
--- a/cmd/endtoend/process_test.go
+++ b/cmd/endtoend/process_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +18,10 @@
 
 var programs string
 
+// patience bounds every wait. It is long, so that no verdict hangs on the
+// machine's speed.
+const patience = 90 * time.Second
+
 func TestMain(m *testing.M) {
 	os.Exit(runTests(m))
 }
@@ -89,6 +94,51 @@
 	})
 }
 
+// wait waits until the process ends by itself and returns its exit code.
+func (p *process) wait() int {
+	p.t.Helper()
+	ended := make(chan error, 1)
+	p.once.Do(func() {
+		go func() { ended <- p.command.Wait() }()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			_ = p.command.Process.Kill() // reported below
+			<-ended
+			p.t.Error("the process did not end by itself")
+		}
+	})
+	return p.command.ProcessState.ExitCode()
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(signal os.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// outcome is what one run of coltsfootctl gave.
+type outcome struct {
+	code        int
+	out, errout string
+}
+
+// tryCtl runs coltsfootctl and returns what it gave.
+func tryCtl(t *testing.T, input, node string, args ...string) outcome {
+	t.Helper()
+	command := exec.Command(filepath.Join(programs, "coltsfootctl"), append([]string{"--node", node}, args...)...)
+	var out, errout bytes.Buffer
+	command.Stdin, command.Stdout, command.Stderr = strings.NewReader(input), &out, &errout
+	err := command.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return outcome{command.ProcessState.ExitCode(), strings.TrimSpace(out.String()), strings.TrimSpace(errout.String())}
+}
+
 func ctl(t *testing.T, node string, args ...string) string {
 	t.Helper()
 	command := exec.Command(filepath.Join(programs, "coltsfootctl"), append([]string{"--node", node}, args...)...)
@@ -101,23 +151,17 @@
 	return strings.TrimSpace(string(output))
 }
 
-// addresses returns n free loopback addresses.
-func addresses(t *testing.T, n int) []string {
-	t.Helper()
-	var found []string
-	var held []net.Listener
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		held = append(held, listener)
-		found = append(found, listener.Addr().String())
-	}
-	for _, listener := range held {
-		listener.Close()
-	}
-	return found
+// listening waits until a stand-in has said where it listens.
+func (p *process) listening() string {
+	p.t.Helper()
+	var address string
+	eventually(p.t, "the stand-in listens", func() bool {
+		_, rest, found := strings.Cut(p.output.String(), "listening on ")
+		line, _, whole := strings.Cut(rest, "\n")
+		address = line
+		return found && whole
+	})
+	return address
 }
 
 // nodeProcess is a running node with its addresses.
@@ -126,36 +170,57 @@
 	callers, backend, peers, operators string
 }
 
+// startNode starts a node on ports that the machine chooses and waits until it
+// has said which. Ports chosen beforehand could be taken by others meanwhile.
 func startNode(t *testing.T, id, domain, platform string) *nodeProcess {
 	t.Helper()
-	a := addresses(t, 4)
-	n := &nodeProcess{callers: a[0], backend: a[1], peers: a[2], operators: a[3]}
 	text := fmt.Sprintf(`[instance]
 id = %q
 domain = %q
 domains = ["north", "south"]
 
 [listen]
-callers = %q
-backend = %q
-peers = %q
-operators = %q
+callers = "127.0.0.1:0"
+backend = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
 
 [platform]
 url = "http://%s"
-`, id, domain, n.callers, n.backend, n.peers, n.operators, platform)
+
+[log]
+level = "debug"
+`, id, domain, platform)
+	return startNodeFrom(t, id, text)
+}
+
+// startNodeFrom starts a node with the text of a settings file.
+func startNodeFrom(t *testing.T, id, text string) *nodeProcess {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), id+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n.process = start(t, "coltsfootward", "run", file)
+	n := &nodeProcess{process: start(t, "coltsfootward", "run", file)}
+	var started struct {
+		Callers, Backend, Peers, Operators string
+	}
+	eventually(t, "the node has started", func() bool {
+		for line := range strings.Lines(n.output.String()) {
+			if strings.Contains(line, `"code":101`) {
+				return json.Unmarshal([]byte(line), &started) == nil
+			}
+		}
+		return false
+	})
+	n.callers, n.backend, n.peers, n.operators = started.Callers, started.Backend, started.Peers, started.Operators
 	return n
 }
 
 // eventually waits until check returns true.
 func eventually(t *testing.T, what string, check func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(20 * time.Second)
+	deadline := time.Now().Add(patience)
 	for time.Now().Before(deadline) {
 		if check() {
 			return
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	announce(listener)
 	server := &http.Server{Handler: platform.New().Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	waitForStop()
@@ -57,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	announce(listener)
 	b := backend.New(listener, backend.Options{
 		Announcement: upstream.Announcement{
 			Service: coltsfootward.ServiceName(c.Service), Slots: c.Slots, Connections: c.Connections,
@@ -76,6 +78,12 @@
 	return nil
 }
 
+// announce prints where the program listens, since the machine may have chosen
+// the port.
+func announce(listener net.Listener) {
+	fmt.Printf("listening on %s\n", listener.Addr())
+}
+
 func waitForStop() {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -18,11 +18,17 @@
 // errConnectionClosed says that the connection broke or was closed.
 var errConnectionClosed = errors.New("peer: connection closed: the call may be sent to another instance")
 
+// errPeerLeaving says that the peer takes no further call on the connection.
+var errPeerLeaving = errors.New("peer: the peer is leaving: the call may be sent to another instance")
+
 // outgoing is a frame on its way to the writer.
 type outgoing struct {
 	frame frame
 	// begun is called before the first byte may leave; nil for none.
 	begun func()
+	// flushed, if not nil, takes the place of a frame: the writer closes it once
+	// all that was queued before has left.
+	flushed chan struct{}
 }
 
 // connection is one TCP connection with its reader and writer goroutines. The
@@ -40,6 +46,10 @@
 	mu      sync.Mutex
 	streams map[uint32]*stream
 	next    uint32
+	// leaving is set once the peer has said goodbye.
+	leaving bool
+	// told is set once this node has said goodbye.
+	told    bool
 	offsets offsets
 	// lastUsed is when a call or message last passed, by Instant.Monotonic.
 	lastUsed time.Duration
@@ -132,6 +142,11 @@
 }
 
 func (c *connection) writeOne(w *bufio.Writer, o outgoing) error {
+	if o.flushed != nil {
+		err := w.Flush()
+		close(o.flushed)
+		return err
+	}
 	if o.begun != nil {
 		o.begun()
 	}
@@ -187,6 +202,9 @@
 	if c.closed() {
 		return nil, errConnectionClosed
 	}
+	if c.leaving {
+		return nil, errPeerLeaving
+	}
 	c.next++
 	s := newStream(c, c.next)
 	c.streams[s.id] = s
@@ -217,8 +235,12 @@
 
 func (c *connection) forget(id uint32) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.streams, id)
+	over := c.leaving && len(c.streams) == 0
+	c.mu.Unlock()
+	if over {
+		c.close()
+	}
 }
 
 func (c *connection) touch() {
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -44,6 +44,9 @@
 	frameCredit  frameKind = "credit"
 	frameEnd     frameKind = "end"
 	frameReset   frameKind = "reset"
+	// frameGoodbye says that the sender leaves: it answers what was sent before
+	// its receipt and takes no further call.
+	frameGoodbye frameKind = "goodbye"
 )
 
 // frame is the unit on the wire: a length in four bytes, then this in msgpack.
--- /dev/null
+++ b/io/peer/shutdown_test.go
@@ -0,0 +1,58 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coltsfootward/core/message"
+	"coltsfootward/io/peer"
+)
+
+// A node is replaced under steady traffic. Some callers at its peers are told
+// "unknown" for orders that never ran, or lose an answer that was complete:
+// their calls crossed the close of the connection, or the answer's end was
+// queued and dropped with it. Every call must be answered whole, or known not
+// to have been sent.
+func TestShutdownCutsOffNoCall(t *testing.T) {
+	for round := range 20 {
+		north, _ := newTransport(t, "north-1")
+		leaving, south := newTransport(t, "south-1")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		var answered atomic.Int64
+		var wait sync.WaitGroup
+		for caller := range 16 {
+			wait.Go(func() {
+				for i := 0; ; i++ {
+					path := fmt.Sprintf("/%d/%d", caller, i)
+					answer, err := north.Call(ctx, south, message.Call{Path: path}, nil)
+					var failed *peer.CallError
+					if errors.As(err, &failed) {
+						if failed.Sent {
+							t.Errorf("round %d, call %s: got %v, want an answer or a call that was not sent", round, path, err)
+						}
+						return
+					}
+					body, err := io.ReadAll(answer)
+					answer.Close()
+					if err != nil || string(body) != path {
+						t.Errorf("round %d, call %s: got body %q and %v, want the path and no error", round, path, body, err)
+						return
+					}
+					answered.Add(1)
+				}
+			})
+		}
+		for answered.Load() < 200 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		leaving.Shutdown(ctx)
+		wait.Wait()
+		cancel()
+	}
+}
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -152,6 +152,23 @@
 	case <-s.ended:
 		return s.lastChunk()
 	case <-s.done:
+		return s.afterDone()
+	}
+}
+
+// afterDone returns what arrived before the call broke. A peer that leaves
+// closes the connection right after its answer's end: with both known, the
+// body is whole.
+func (s *stream) afterDone() ([]byte, error) {
+	select {
+	case chunk := <-s.chunks:
+		return chunk, nil
+	default:
+	}
+	select {
+	case <-s.ended:
+		return s.lastChunk()
+	default:
 		return nil, s.err
 	}
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -259,6 +259,9 @@
 		return nil
 	case framePong:
 		return c.pong(f)
+	case frameGoodbye:
+		c.takeGoodbye()
+		return nil
 	case frameMessage:
 		m, err := decodeMessage(f.Payload)
 		if err != nil {
@@ -268,8 +271,10 @@
 		return nil
 	case frameCall:
 		return t.takeCall(c, f)
-	default:
+	case frameAnswer, frameBody, frameCredit, frameEnd, frameReset:
 		return c.streamFrame(f)
+	default:
+		return &FrameError{Reason: "unexpected frame " + string(f.Kind)}
 	}
 }
 
@@ -374,7 +379,7 @@
 	}
 	select {
 	case <-d.ready:
-		return d.err == nil && !d.connection.closed()
+		return d.err == nil && !d.connection.closed() && !d.connection.isLeaving()
 	default:
 		return true
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -19,6 +19,8 @@
 	Outage bool `json:"outage"`
 	// LoseAnswers lets operations take effect and then go unanswered.
 	LoseAnswers bool `json:"lose_answers"`
+	// LoseWriteAnswers does so for writes alone; reads are answered.
+	LoseWriteAnswers bool `json:"lose_write_answers"`
 	// Delay is added to every operation, in nanoseconds.
 	Delay time.Duration `json:"delay"`
 }
@@ -107,7 +109,7 @@
 
 // Transact implements coltsfootward.Table.
 func (p *Platform) Transact(ctx context.Context, t coltsfootward.Transaction) error {
-	return p.operate(ctx, func() error {
+	err := p.operate(ctx, func() error {
 		for _, c := range t.Conditions {
 			if p.rows[c.Key].Version != c.Version {
 				return coltsfootward.ErrConflict
@@ -119,6 +121,16 @@
 		}
 		return nil
 	})
+	if p.losesWriteAnswers() {
+		return coltsfootward.ErrUnavailable
+	}
+	return err
+}
+
+func (p *Platform) losesWriteAnswers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failure.LoseWriteAnswers
 }
 
 func (p *Platform) write(w coltsfootward.Write) {
@@ -147,9 +159,13 @@
 
 // Put implements coltsfootward.Objects.
 func (p *Platform) Put(ctx context.Context, name string, data []byte) error {
-	return p.operate(ctx, func() error {
+	err := p.operate(ctx, func() error {
 		p.writes++
 		p.objects[name] = slices.Clone(data)
 		return nil
 	})
+	if p.losesWriteAnswers() {
+		return coltsfootward.ErrUnavailable
+	}
+	return err
 }
