--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -101,6 +101,7 @@
 		all = append(all, server.Shutdown(ctx))
 	}
 	p.transport.Shutdown(ctx)
+	p.transport.Close()
 	p.loop.Close()
 	p.wait.Wait()
 	p.table.Close()
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -14,9 +14,24 @@
 // The kinds of message.
 const (
 	KindAnnouncement         Kind = "announcement"
+	KindGossip               Kind = "gossip"
+	KindProbe                Kind = "probe"
+	KindProbeRequest         Kind = "probe_request"
+	KindProbeAnswer          Kind = "probe_answer"
+	KindRosterDigest         Kind = "roster_digest"
+	KindRosterBuckets        Kind = "roster_buckets"
+	KindRosterPage           Kind = "roster_page"
 	KindConfigurationDigest  Kind = "configuration_digest"
 	KindConfigurationPull    Kind = "configuration_pull"
 	KindConfigurationChanges Kind = "configuration_changes"
+	KindConfigurationPage    Kind = "configuration_page"
+	KindConfirmation         Kind = "confirmation"
+	KindConfirmationQuery    Kind = "confirmation_query"
+	KindDomainConfirmation   Kind = "domain_confirmation"
+	KindClaimRequest         Kind = "claim_request"
+	KindClaimVerdict         Kind = "claim_verdict"
+	KindClaimEnd             Kind = "claim_end"
+	KindClaimEndTaken        Kind = "claim_end_taken"
 )
 
 // Message is one message between nodes.
@@ -29,9 +44,24 @@
 // here and nowhere else.
 var prototypes = map[Kind]func() Message{
 	KindAnnouncement:         func() Message { return &Announcement{} },
+	KindGossip:               func() Message { return &Gossip{} },
+	KindProbe:                func() Message { return &Probe{} },
+	KindProbeRequest:         func() Message { return &ProbeRequest{} },
+	KindProbeAnswer:          func() Message { return &ProbeAnswer{} },
+	KindRosterDigest:         func() Message { return &RosterDigest{} },
+	KindRosterBuckets:        func() Message { return &RosterBuckets{} },
+	KindRosterPage:           func() Message { return &RosterPage{} },
 	KindConfigurationDigest:  func() Message { return &ConfigurationDigest{} },
 	KindConfigurationPull:    func() Message { return &ConfigurationPull{} },
 	KindConfigurationChanges: func() Message { return &ConfigurationChanges{} },
+	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
+	KindConfirmation:         func() Message { return &Confirmation{} },
+	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
+	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
+	KindClaimRequest:         func() Message { return &ClaimRequest{} },
+	KindClaimVerdict:         func() Message { return &ClaimVerdict{} },
+	KindClaimEnd:             func() Message { return &ClaimEnd{} },
+	KindClaimEndTaken:        func() Message { return &ClaimEndTaken{} },
 }
 
 // New returns an empty message of that kind to decode into, or nil for a kind
@@ -43,47 +73,6 @@
 	return nil
 }
 
-// Announcement says what a backend server offers. The higher Incarnation, then
-// the higher Version, is the newer one.
-type Announcement struct {
-	Instance coltsfootward.Instance `msgpack:"instance"`
-	// Version orders the announcements of one incarnation.
-	Version uint64                    `msgpack:"version"`
-	Service coltsfootward.ServiceName `msgpack:"service"`
-	// Slots is the number of requests that the backend server serves at once.
-	Slots int `msgpack:"slots"`
-	// Draining is set when the backend server takes no new work.
-	Draining bool `msgpack:"draining"`
-}
-
-// MessageKind implements Message.
-func (*Announcement) MessageKind() Kind { return KindAnnouncement }
-
-// ConfigurationDigest tells a peer which revision the sender has in force.
-type ConfigurationDigest struct {
-	Revision coltsfootward.Revision `msgpack:"revision"`
-	Stamped
-}
-
-// MessageKind implements Message.
-func (*ConfigurationDigest) MessageKind() Kind { return KindConfigurationDigest }
-
-// ConfigurationPull asks a peer for the changes after a revision.
-type ConfigurationPull struct {
-	After coltsfootward.Revision `msgpack:"after"`
-}
-
-// MessageKind implements Message.
-func (*ConfigurationPull) MessageKind() Kind { return KindConfigurationPull }
-
-// ConfigurationChanges answers a pull with consecutive changes.
-type ConfigurationChanges struct {
-	Changes []coltsfootward.Change `msgpack:"changes"`
-}
-
-// MessageKind implements Message.
-func (*ConfigurationChanges) MessageKind() Kind { return KindConfigurationChanges }
-
 // Call is the head of a request that an entry node sends to an upstream's
 // node. It never holds the caller's key.
 type Call struct {
@@ -139,4 +128,6 @@
 type End struct {
 	// Attempts is how many attempts this call and all below it used.
 	Attempts int `msgpack:"attempts"`
+	// Needed is how many they would have used if none had failed.
+	Needed int `msgpack:"needed"`
 }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 )
 
@@ -33,6 +34,9 @@
 	Method         string
 	Path           string
 	IdempotencyKey string
+	// Body is a digest of the body; it is read for requests with an
+	// idempotency key.
+	Body uint64
 	// Attempt is the caller's own count of its repeats; the first is 1.
 	Attempt int
 	// Timeout is the caller's; zero means that it set none.
@@ -65,7 +69,8 @@
 	Load    message.Load
 	// Status is the backend server's, for an answered attempt.
 	Status int
-	// Attempts is how many attempts the upstream's side used, for a refused one.
+	// Attempts is how many attempts the upstream's side used, for a refused
+	// one; negative means that it is unknown.
 	Attempts int
 }
 
@@ -75,8 +80,13 @@
 	// Attempts is how many attempts the upstream's side used; negative means
 	// that it is unknown, so that the whole slice counts as used.
 	Attempts int
+	// Needed is how many it would have used if none had failed.
+	Needed int
 	// Whole is set when the complete answer reached the caller.
 	Whole bool
+	// Answer is the whole answer of a request with an idempotency key, if its
+	// body is at most MaximumKeptAnswer long; it is kept for repeats.
+	Answer *claim.Answer
 }
 
 // PeerCallArrived says that an entry node sent a call for the local upstream.
@@ -99,6 +109,9 @@
 	DispatchUnsent DispatchKind = "unsent"
 	// DispatchFailed means that the upstream broke off after bytes may have reached it.
 	DispatchFailed DispatchKind = "failed"
+	// DispatchTruncated means that the answer broke off after it had begun; the
+	// peer has been told.
+	DispatchTruncated DispatchKind = "truncated"
 	// DispatchCancelled means that nobody waited for it any more.
 	DispatchCancelled DispatchKind = "cancelled"
 	// DispatchTimeout means that the deadline passed while it ran.
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 )
 
 // Options are a node's settings as far as the decisions need them. The zero
@@ -13,24 +14,45 @@
 	Self coltsfootward.Instance
 	// Domains lists every failure domain of the deployment.
 	Domains []coltsfootward.FailureDomain
-	// Attempts bounds the attempts of one request over the whole chain. The
-	// default is 4.
+	// Attempts bounds the attempts of one request over the whole chain, the
+	// first ones included. The default is 16: seven layers deep and some to spare.
 	Attempts int
 	// Timeout bounds a request that brings none. The default is 10 s.
 	Timeout time.Duration
 	// MaximumTimeout caps what a caller may ask for. The default is 60 s.
 	MaximumTimeout time.Duration
+	// ClaimWindow is how long the claims on idempotency keys are remembered. A
+	// key that carries no time runs at most once within it. The default is 10 min.
+	ClaimWindow time.Duration
+	// ClaimClockMargin is how far the wall clocks of callers and nodes may
+	// differ. The default is 5 s.
+	ClaimClockMargin time.Duration
+	// MaximumClaims bounds the claims remembered for each slot that this node
+	// holds. Beyond it further keys are refused. The default is 100 000.
+	MaximumClaims int
+	// KeptAnswerBytes bounds the memory for answers that are kept for repeats,
+	// for each slot that this node holds. The default is 16 MiB.
+	KeptAnswerBytes int
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
+	// Contacts are instances that the node tries to reach at its start, besides
+	// those that the table names. Empty means only the table's.
+	Contacts []coltsfootward.Instance
+	// KeyGrace is how long a node goes on honouring keys that hears neither of
+	// the platform nor of most failure domains. A longer one serves callers
+	// through longer cuts; a key withdrawn meanwhile works behind the cut for
+	// as long. The default is 10 min.
+	KeyGrace time.Duration
 }
 
 // The defaults of Options.
 const (
-	DefaultAttempts       = 4
+	DefaultAttempts       = 16
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
+	DefaultKeyGrace       = 10 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -46,5 +68,26 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	o.setClaimDefaults()
+	if o.KeyGrace <= 0 {
+		o.KeyGrace = DefaultKeyGrace
+	}
 	return o
 }
+
+func (o *Options) setClaimDefaults() {
+	claims := o.claims().WithDefaults()
+	o.ClaimWindow = claims.Window
+	o.ClaimClockMargin = claims.ClockMargin
+	o.MaximumClaims = claims.Claims
+	o.KeptAnswerBytes = claims.AnswerBytes
+}
+
+func (o Options) claims() claim.Options {
+	return claim.Options{
+		Window:      o.ClaimWindow,
+		ClockMargin: o.ClaimClockMargin,
+		Claims:      o.MaximumClaims,
+		AnswerBytes: o.KeptAnswerBytes,
+	}
+}
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -23,6 +23,9 @@
 	HeaderExecution = "Coltsfootward-Execution"
 	// HeaderRefusal is the kind of a refusal.
 	HeaderRefusal = "Coltsfootward-Refusal"
+	// HeaderReplayed marks an answer that is the first request's, kept for
+	// repeats of its Idempotency-Key.
+	HeaderReplayed = "Coltsfootward-Replayed"
 	// HeaderDeadline tells the backend server how many milliseconds are left.
 	HeaderDeadline = "Coltsfootward-Deadline-Ms"
 )
@@ -30,9 +33,10 @@
 // ownPrefix marks the fields that only nodes set.
 const ownPrefix = "Coltsfootward-"
 
-// hopFields belong to one connection by RFC 9110 and are not passed on.
+// hopFields belong to one connection by RFC 9110 and are not passed on. Expect
+// is answered by the node that reads the body.
 var hopFields = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Expect": true, "Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -85,8 +85,10 @@
 	key.Withdrawn = true
 	// Withdrawing wins every race: it only ever grows, so it needs no revision
 	// that the operator saw.
-	if r.Msg.Context != nil {
+	if r.Msg.Context != nil && r.Msg.Context.ChangeId != "" {
 		r.Msg.Context.Force = true
+		// The key stops now: the platform may take long to store the change.
+		s.loop.Inspect(func(n *node.Node) { n.WithdrawKey(key.Digest) })
 	}
 	return s.change(ctx, r.Msg.Context, coltsfootward.Change{Key: &key})
 }
@@ -189,6 +191,17 @@
 }
 
 func changeError(err error) error {
+	for code, kinds := range map[connect.Code][]any{
+		connect.CodeFailedPrecondition: {new(*configuration.UnknownOrganisationError), new(*configuration.WithdrawnError)},
+		connect.CodeAlreadyExists:      {new(*configuration.ChangeIDError), new(*configuration.KeyReusedError)},
+		connect.CodeUnavailable:        {new(*configuration.BusyError)},
+	} {
+		for _, kind := range kinds {
+			if errors.As(err, kind) {
+				return connect.NewError(code, err)
+			}
+		}
+	}
 	var conflict *configuration.ConflictError
 	if errors.As(err, &conflict) {
 		return connect.NewError(connect.CodeAborted, err)
--- a/io/peer/shutdown.go
+++ b/io/peer/shutdown.go
@@ -5,95 +5,80 @@
 	"time"
 )
 
-const (
-	// goodbyeTimeout bounds the wait for peers that do not close their
-	// connections after a goodbye, such as one that was cut off.
-	goodbyeTimeout = 5 * time.Second
-	// goodbyeInterval is the time between two looks at who is still connected.
-	goodbyeInterval = 2 * time.Millisecond
-)
+// goodbyeInterval is the time between two looks at who has answered a goodbye.
+const goodbyeInterval = 2 * time.Millisecond
 
-// Shutdown ends the transport so that no call is cut off, then closes it. The
-// handler must go on answering until it returns.
+// takeLeave tells every peer goodbye and waits until each has promised to send
+// no further call, or for finishTimeout. The handler must go on answering
+// meanwhile.
 //
-// Closing alone loses what is queued or on the wire: an answer whose end has
-// not left is truncated for its caller, and a call that crosses the close ends
-// in doubt, although it never ran. So each peer is told goodbye. It opens no
-// further call on the connection, which is certain not to run then, and closes
-// it once the calls it had sent are answered.
-func (t *Transport) Shutdown(ctx context.Context) {
-	defer t.Close()
-	ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
+// A call that crosses the close of a connection ends in doubt, although it
+// never ran. So each peer is told goodbye first. It opens no further call on
+// the connection, which is certain not to run then, and says so behind the
+// last one that it sent: what has to be answered is then known.
+func (t *Transport) takeLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
 	if t.listener != nil {
 		t.listener.Close()
 	}
-	for t.sayGoodbye() > 0 {
+	for !t.allAcknowledged() {
 		select {
 		case <-time.After(goodbyeInterval):
 		case <-ctx.Done():
 			return
 		}
 	}
-	for _, c := range t.connections() {
-		c.flush(ctx)
-	}
 }
 
-// sayGoodbye tells those who have not been told and returns how many are still
-// connected. Connections whose handshake was under way appear later.
-func (t *Transport) sayGoodbye() int {
+// allAcknowledged says goodbye to those who have not been told, since
+// connections whose handshake was under way appear later.
+func (t *Transport) allAcknowledged() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	all := true
 	for c := range t.accepted {
-		c.goodbye()
+		all = c.sayGoodbye() && all
 	}
-	return len(t.accepted)
+	return all
 }
 
-// goodbye queues the goodbye once; a full ring is tried again later.
-func (c *connection) goodbye() {
+// sayGoodbye queues the goodbye once and reports whether it was acknowledged. A
+// full ring is tried again later.
+func (c *connection) sayGoodbye() bool {
 	c.mu.Lock()
-	told := c.told
-	c.mu.Unlock()
-	if told || !c.trySend(frameGoodbye, nil) {
-		return
+	defer c.mu.Unlock()
+	if !c.told {
+		c.told = c.trySend(frameGoodbye, nil)
 	}
-	c.mu.Lock()
-	c.told = true
-	c.mu.Unlock()
+	return c.acknowledged
 }
 
-// takeGoodbye handles the peer's goodbye.
+// takeGoodbye handles the peer's goodbye. The promise is queued while no call
+// is being opened, so that it stands behind every call that was.
 func (c *connection) takeGoodbye() {
 	c.mu.Lock()
 	c.leaving = true
-	over := len(c.streams) == 0
 	c.mu.Unlock()
-	if over {
-		c.close()
-	}
+	go func() {
+		select {
+		case c.opening <- struct{}{}:
+		case <-c.done:
+			return
+		}
+		defer func() { <-c.opening }()
+		_ = c.send(context.Background(), frameNoMoreCalls, 0, nil) // a closed connection promises the same
+	}()
 }
 
-func (c *connection) isLeaving() bool {
+func (c *connection) takeNoMoreCalls() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leaving
+	c.acknowledged = true
 }
 
-// flush waits until all that was queued has left.
-func (c *connection) flush(ctx context.Context) {
-	flushed := make(chan struct{})
-	select {
-	case c.outgoing <- outgoing{flushed: flushed}:
-	case <-c.done:
-		return
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case <-flushed:
-	case <-c.done:
-	case <-ctx.Done():
-	}
+func (c *connection) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
 }
