--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -19,6 +19,9 @@
 // errConnectionClosed says that the connection broke or was closed.
 var errConnectionClosed = errors.New("peer: connection closed: the call may be sent to another instance")
 
+// errPeerLeaving says that the peer takes no further call on the connection.
+var errPeerLeaving = errors.New("peer: the peer is leaving: the call may be sent to another instance")
+
 // outgoing is a frame on its way to the writer.
 type outgoing struct {
 	frame frame
@@ -45,7 +48,12 @@
 	mu      sync.Mutex
 	streams map[uint32]*stream
 	next    uint32
-	offsets offsets
+	// leaving is set once the peer has said goodbye.
+	leaving bool
+	// told is set once this node has said goodbye, acknowledged once the peer
+	// has promised to send no further call.
+	told, acknowledged bool
+	offsets            offsets
 	// lastUsed is when a call or message last passed, by Instant.Monotonic.
 	lastUsed time.Duration
 }
@@ -259,6 +267,9 @@
 	if c.closed() {
 		return nil, errConnectionClosed
 	}
+	if c.leaving {
+		return nil, errPeerLeaving
+	}
 	c.next++
 	s := newStream(c, c.next)
 	c.streams[s.id] = s
