Hold the outcome of a connection closed at once against what may have run

Cause: the test of a backend server that closes before reading wanted 'unknown'. Under load (42 on 12 cores) the close once arrived before the request's first byte passed the gate, and the caller was told not_run, which was true: the server read nothing and the gate lets no byte through afterwards. Which comes first is chance, so the verdict hung on speed.

--- a/io/upstream/outcome_test.go
+++ b/io/upstream/outcome_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -37,8 +38,8 @@
 	// serve handles the n-th request on a connection, whose head has been read,
 	// and reports whether the connection stays open.
 	serve func(c net.Conn, r *http.Request, n int) bool
-	// refuse closes connections before a byte is read.
-	refuse bool
+	// closes says when connections are closed before a request's head was read.
+	closes closing
 	wait   sync.WaitGroup
 
 	mu    sync.Mutex
@@ -46,13 +47,25 @@
 	conns []net.Conn
 }
 
-func newFragile(t *testing.T, refuse bool, serve func(net.Conn, *http.Request, int) bool) *fragile {
+// closing says when a fragile server closes a connection early.
+type closing string
+
+const (
+	// closesNever lets every request's head be read.
+	closesNever closing = ""
+	// closesAtOnce closes as soon as the connection is accepted.
+	closesAtOnce closing = "at once"
+	// closesAtFirstByte closes once a byte of the request has arrived.
+	closesAtFirstByte closing = "at the first byte"
+)
+
+func newFragile(t *testing.T, closes closing, serve func(net.Conn, *http.Request, int) bool) *fragile {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
-	f := &fragile{listener: l, refuse: refuse, serve: serve, runs: make(map[string]int)}
+	f := &fragile{listener: l, closes: closes, serve: serve, runs: make(map[string]int)}
 	f.wait.Go(f.accept)
 	t.Cleanup(f.close)
 	return f
@@ -83,10 +96,14 @@
 
 func (f *fragile) take(c net.Conn) {
 	defer c.Close()
-	if f.refuse {
+	if f.closes == closesAtOnce {
 		return
 	}
 	reader := bufio.NewReader(c)
+	if f.closes == closesAtFirstByte {
+		_, _ = reader.Peek(1)
+		return
+	}
 	for n := 0; ; n++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -156,7 +173,7 @@
 	for _, test := range []struct {
 		name    string
 		serve   func(net.Conn, *http.Request, int) bool
-		refuse  bool
+		closes  closing
 		down    bool
 		body    string
 		timeout string
@@ -164,7 +181,10 @@
 		runs    int
 	}{
 		{name: "nothing listens", down: true, want: notRun, runs: 0},
-		{name: "connection closed before the request is read", refuse: true, want: unknown, runs: 0},
+		// Whether the request's first byte or the close was first is chance; both
+		// outcomes are true, since nothing can have run.
+		{name: "connection closed at once", closes: closesAtOnce, want: notRun + " or " + unknown, runs: 0},
+		{name: "connection closed before the request is read", closes: closesAtFirstByte, want: unknown, runs: 0},
 		{name: "killed after the head", serve: func(net.Conn, *http.Request, int) bool { return false }, body: strings.Repeat("x", 1<<19), want: unknown, runs: 1},
 		{name: "killed after the request", serve: answer("", false), body: "order", want: unknown, runs: 1},
 		{name: "killed within the answer's head", serve: answer("HTTP/1.1 200 OK\r\nContent-Le", false), want: unknown, runs: 1},
@@ -188,13 +208,13 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			n := start(t)
-			backend := newFragile(t, test.refuse, test.serve)
+			backend := newFragile(t, test.closes, test.serve)
 			if test.down {
 				backend.close()
 			}
 			n.Announce(t, backend.listener.Addr().String(), "orders", 4)
 			n.AwaitUpstreams(t, 1)
-			if got := send(t, n, "order-1", test.body, test.timeout); got != test.want {
+			if got := send(t, n, "order-1", test.body, test.timeout); !slices.Contains(strings.Split(test.want, " or "), got) {
 				t.Errorf("got outcome %s, want %s", got, test.want)
 			}
 			if got := backend.count("order-1"); got != test.runs {
@@ -210,7 +230,7 @@
 func TestOrderOnBrokenKeptConnectionRunsOnce(t *testing.T) {
 	for _, body := range []string{"", "order"} {
 		n := start(t)
-		backend := newFragile(t, false, func(c net.Conn, r *http.Request, number int) bool {
+		backend := newFragile(t, closesNever, func(c net.Conn, r *http.Request, number int) bool {
 			if number == 0 {
 				return answer(wholeAnswer, true)(c, r, number)
 			}
@@ -234,7 +254,7 @@
 // The same break on net/http alone, to show that the guard is needed: without
 // it the second request reaches the backend server twice.
 func TestTransportAloneSendsTwice(t *testing.T) {
-	backend := newFragile(t, false, func(c net.Conn, r *http.Request, number int) bool {
+	backend := newFragile(t, closesNever, func(c net.Conn, r *http.Request, number int) bool {
 		return number == 0 && answer(wholeAnswer, true)(c, r, number)
 	})
 	transport := &http.Transport{}
