Near full load nobody is refused for waiting; overload and limits on the time line

Change: a fresh request may wait for half of its caller's time; a deep one, for which slots are held above, keeps 300 and 50 ms. The queue holds five times the limit. New scenario near_capacity. Events 303 limit_changed, 304 overload_began, 305 overload_ended.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -7,14 +7,18 @@
 )
 
 const (
-	// queueFactor bounds the queue in multiples of the limit. A burst of a few
-	// times the slots waits; more could only wait beyond any target.
-	queueFactor = 4
-	// waitTarget is how long requests may wait while there is a standing queue.
-	// A standing queue adds delay and serves no more, so it is kept short.
+	// queueFactor bounds the queue in multiples of the limit, and so its memory.
+	queueFactor = 5
+	// freshWait is how much of its caller's time a fresh request may wait. Near
+	// full load the queue of a few slots swings over hundreds of milliseconds
+	// without any overload; who is refused then is refused for nothing. Half of
+	// the time is left for the service itself.
+	freshWait = 0.5
+	// burstWait is how long a deep request may wait in a burst, and waitTarget
+	// how long while there is a standing queue. Each one that waits holds slots
+	// of all services above it, so a long queue here fills those up.
+	burstWait  = 300 * time.Millisecond
 	waitTarget = 50 * time.Millisecond
-	// burstWait is how long requests may wait in a burst.
-	burstWait = 300 * time.Millisecond
 	// standingAfter is how long the queue must not have been empty to count as
 	// a standing queue and no longer as a burst.
 	standingAfter = 300 * time.Millisecond
@@ -22,6 +26,8 @@
 	// although they seem to take too long: without them an estimate that has
 	// become wrong would never be corrected.
 	trialInterval = 500 * time.Millisecond
+	// overloadMemory is how long after the last refusal an overload has ended.
+	overloadMemory = time.Second
 	// firstReturn is how soon the first refused callers are asked back: sooner
 	// they would spend their tries within the same burst. lastReturn is how
 	// late callers are asked back at most: a refusal costs little, and callers
@@ -61,6 +67,7 @@
 	emptied time.Duration
 	// overloadedSince is when refusing began, lastShed the latest refusal.
 	overloadedSince, lastShed time.Duration
+	shed                      bool
 	lastTrial                 time.Duration
 }
 
@@ -195,15 +202,12 @@
 }
 
 func (c *Controller) expire(now time.Duration) {
-	limit := burstWait
-	if now-c.emptied > standingAfter {
-		limit = waitTarget
-	}
+	standing := now-c.emptied > standingAfter
 	reason := func(r Request) Reason {
 		switch {
 		case now+c.limiter.Estimate(r.Class) > r.Deadline:
 			return ReasonDeadline
-		case now-r.Arrived > limit:
+		case now-r.Arrived > waitOf(r, standing):
 			return ReasonWaited
 		default:
 			return ""
@@ -214,11 +218,23 @@
 	}
 }
 
+// waitOf returns how long a request may wait.
+func waitOf(r Request, standing bool) time.Duration {
+	if !r.Deep {
+		return time.Duration(freshWait * float64(r.Deadline-r.Arrived))
+	}
+	if standing {
+		return waitTarget
+	}
+	return burstWait
+}
+
 func (c *Controller) refuse(now time.Duration, r Request, reason Reason) {
 	c.shedder.Shed(r)
-	if now-c.lastShed > time.Second {
+	if !c.Overloaded(now) {
 		c.overloadedSince = now
 	}
+	c.shed = true
 	c.lastShed = now
 	c.refused = append(c.refused, Refused{Request: r, Reason: reason})
 }
@@ -230,6 +246,12 @@
 	return refused
 }
 
+// Overloaded reports whether a request was refused for want of capacity within
+// the last second.
+func (c *Controller) Overloaded(now time.Duration) bool {
+	return c.shed && now-c.lastShed <= overloadMemory
+}
+
 // ReturnAfter says when refused callers should come back, before spreading.
 // Nobody knows how long an overload will last; what has lasted for a while is
 // likely to last about as long again, so callers stay away for that time.
--- /dev/null
+++ b/core/node/overload_test.go
@@ -0,0 +1,152 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
+)
+
+// newServing returns a node whose backend server of the service quotes has one slot.
+func newServing(t *testing.T) *single {
+	s := newSingle(t)
+	s.configure(coltsfootward.Rate{PerSecond: 1000, Burst: 1000})
+	s.handle(node.BackendAnnounced{Service: "quotes", Slots: 1})
+	return s
+}
+
+// arrive brings a call of a peer and returns what the node does.
+func (s *single) arrive(call node.CallID, priority coltsfootward.Priority) []node.Action {
+	return s.handle(node.PeerCallArrived{Call: call, Head: message.Call{
+		Request: "r", Organisation: "traders", Service: "quotes", Method: "GET", Path: "/",
+		Priority: priority, Budget: 2, Timeout: time.Second,
+	}})
+}
+
+// dispatched returns the calls that the actions dispatch.
+func dispatched(actions []node.Action) []node.CallID {
+	var calls []node.CallID
+	for _, action := range actions {
+		if dispatch, ok := action.(node.Dispatch); ok {
+			calls = append(calls, dispatch.Call)
+		}
+	}
+	return calls
+}
+
+// refusals returns the refusals among the actions.
+func refusals(actions []node.Action) []node.Refuse {
+	var all []node.Refuse
+	for _, action := range actions {
+		if refuse, ok := action.(node.Refuse); ok {
+			all = append(all, refuse)
+		}
+	}
+	return all
+}
+
+// Callers time out and leave while the backend server works for them and others
+// wait. If their work went on, the server would be busy with answers for nobody
+// just when it is short of slots, and the next ones would time out as well.
+func TestSlotOfALeavingCallerIsFreeAtOnce(t *testing.T) {
+	s := newServing(t)
+	if got := dispatched(s.arrive(1, coltsfootward.PriorityNormal)); len(got) != 1 {
+		t.Fatalf("got %v dispatched, want the first call", got)
+	}
+	s.arrive(2, coltsfootward.PriorityNormal)
+	s.arrive(3, coltsfootward.PriorityNormal)
+	left := refusals(s.handle(node.CallerLeft{Call: 2}))
+	if len(left) != 1 || left[0].Refusal.Execution != coltsfootward.ExecutionNotRun {
+		t.Errorf("got %+v for a caller that left the queue, want one refusal that says not run", left)
+	}
+	s.handle(node.CallerLeft{Call: 1})
+	got := dispatched(s.handle(node.DispatchEnded{Call: 1, Kind: node.DispatchCancelled}))
+	if len(got) != 1 || got[0] != 3 {
+		t.Errorf("got %v dispatched after the cancellation, want call 3", got)
+	}
+}
+
+// The server is busy. What waited longest is of low priority, and the critical
+// request that came last goes first.
+func TestImportantCallGoesFirst(t *testing.T) {
+	s := newServing(t)
+	s.arrive(1, coltsfootward.PriorityNormal)
+	s.arrive(2, coltsfootward.PriorityLow)
+	s.arrive(3, coltsfootward.PriorityCritical)
+	got := dispatched(s.handle(node.DispatchEnded{Call: 1, Kind: node.DispatchAnswered}))
+	if len(got) != 1 || got[0] != 3 {
+		t.Errorf("got %v dispatched, want call 3", got)
+	}
+}
+
+// A backend server breaks off because its own further call was refused. Had
+// the layer above retried too, each layer would multiply the attempts of the
+// one below, on the deepest service, which is the overloaded one.
+func TestRefusalOfAFurtherCallIsFinal(t *testing.T) {
+	s := newServing(t)
+	s.handle(node.MessageArrived{Message: &message.ConfigurationChanges{Changes: []coltsfootward.Change{
+		{Revision: 4, Service: &coltsfootward.Service{Name: "archive"}},
+	}}})
+	var token node.CallToken
+	for _, action := range s.arrive(1, coltsfootward.PriorityNormal) {
+		if dispatch, ok := action.(node.Dispatch); ok {
+			token = dispatch.Token
+		}
+	}
+	child := refusals(s.handle(node.RequestArrived{Call: 2, Token: token, Service: "archive", Method: "GET", Path: "/", Attempt: 1}))
+	if len(child) != 1 {
+		t.Fatalf("got %d refusals of the further call, want 1", len(child))
+	}
+	parent := refusals(s.handle(node.DispatchEnded{Call: 1, Kind: node.DispatchFailed}))
+	if len(parent) != 1 || !parent[0].Refusal.Final || parent[0].Refusal.Execution != coltsfootward.ExecutionUnknown {
+		t.Errorf("got %+v, want one final refusal that says unknown", parent)
+	}
+}
+
+// Every attempt at a service is refused as overloaded. Retries must stop after
+// what was saved up: the service gets the callers' requests and no more.
+func TestRetriesStopWhenAServiceRefusesEverything(t *testing.T) {
+	s := newSingle(t)
+	s.configure(coltsfootward.Rate{PerSecond: 10000, Burst: 10000})
+	s.handle(node.BackendAnnounced{Service: "quotes", Slots: 1})
+	s.meet("north-2")
+	s.meet("north-3")
+	attempts := 0
+	for call := node.CallID(1); call <= 200; call++ {
+		actions := s.handle(node.RequestArrived{Call: call, Key: testKey, Service: "quotes", Method: "GET", Path: "/", Attempt: 1})
+		for forwards(actions) > 0 {
+			attempts++
+			actions = s.handle(node.AttemptEnded{Call: call, Kind: node.AttemptRefused,
+				Refusal: coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "busy")})
+		}
+		if got := refusals(actions); len(got) != 1 {
+			t.Fatalf("got %d refusals of request %d, want 1 at once", len(got), call)
+		}
+	}
+	if attempts <= 200 || attempts > 200+25 {
+		t.Errorf("got %d attempts for 200 requests, want some retries and at most 25", attempts)
+	}
+}
+
+// meet lets the node hear of another one with a backend server of quotes.
+func (s *single) meet(id coltsfootward.InstanceID) {
+	s.handle(node.MessageArrived{From: id, Message: &message.Gossip{News: []message.News{{
+		Announcement: message.Announcement{
+			Instance: coltsfootward.Instance{ID: id, Domain: "north", Address: "127.0.0.1:2", Incarnation: 1},
+			Version:  1, Service: "quotes", Slots: 1,
+		},
+		State: message.MemberAlive,
+	}}}})
+}
+
+func forwards(actions []node.Action) int {
+	count := 0
+	for _, action := range actions {
+		if _, ok := action.(node.Forward); ok {
+			count++
+		}
+	}
+	return count
+}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -11,6 +11,7 @@
 	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
+	"coltsfootward/core/record"
 )
 
 // upstreamCall is a call for the local backend server.
@@ -38,6 +39,11 @@
 	node      *Node
 	calls     map[CallID]*upstreamCall
 	admission *admissioncontrol.Controller
+	// overloaded and reportedLimit are what was reported last, nextReport is
+	// when the limit may be reported again.
+	overloaded    bool
+	reportedLimit int
+	nextReport    time.Duration
 }
 
 func newUpstreamPart(n *Node) *upstreamPart {
@@ -248,6 +254,37 @@
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
 	p.refuseShed()
+	p.reportOverload()
+	p.reportLimit()
+}
+
+func (p *upstreamPart) reportOverload() {
+	overloaded := p.admission.Overloaded(p.node.now.Expiry)
+	if overloaded == p.overloaded {
+		return
+	}
+	p.overloaded = overloaded
+	code := record.OverloadEnded
+	if overloaded {
+		code = record.OverloadBegan
+	}
+	p.node.report(code, field("service", string(p.node.membership.local.Service)), field("queued", number(p.admission.Queued())))
+}
+
+// reportLimit reports the limit's moves, at most once a second. The first limit
+// is what the backend server announced and has been reported as such.
+func (p *upstreamPart) reportLimit() {
+	limit, now := p.admission.Limit(), p.node.now.Monotonic
+	if limit == p.reportedLimit || now < p.nextReport {
+		return
+	}
+	first := p.reportedLimit == 0
+	p.reportedLimit = limit
+	if first {
+		return
+	}
+	p.nextReport = now + time.Second
+	p.node.report(record.LimitChanged, field("limit", number(limit)), field("slots", number(p.node.membership.local.Slots)))
 }
 
 // refuse answers the peer. Attempts counts what the call and all below it used:
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -18,6 +18,9 @@
 	AttemptFailed       Code = 202
 	BackendAnnounced    Code = 301
 	BackendDraining     Code = 302
+	LimitChanged        Code = 303
+	OverloadBegan       Code = 304
+	OverloadEnded       Code = 305
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -57,6 +60,9 @@
 		{AttemptFailed, "attempt_failed", "debug", "An attempt ended without an answer; the request may be attempted again."},
 		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
+		{LimitChanged, "limit_changed", "info", "The number of requests that the backend server is given at once moved, at most one report a second. Below its slots it slows down with more; check what it announces and its machine."},
+		{OverloadBegan, "overload_began", "warn", "The node began to refuse requests that its backend server has no room for. The least important go first; add backend servers if it lasts."},
+		{OverloadEnded, "overload_ended", "info", "The node has refused nothing for want of room for a second."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
--- a/core/scenario/scenario.go
+++ b/core/scenario/scenario.go
@@ -55,6 +55,7 @@
 // All returns every scenario.
 func All() []Scenario {
 	return []Scenario{
+		{Name: "near_capacity", Demand: 0.97, Rate: 4},
 		{Name: "burst", Demand: 0.6, Surge: 5, SurgeFor: time.Second, Rate: 8},
 		{Name: "greedy_organisation", Demand: 0.8, Greedy: 6, Rate: 1.2},
 		{Name: "flood_inside_rate", Demand: 0.6, Greedy: 8, Rate: 10},
