--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -52,6 +52,10 @@
 	frameCredit  frameKind = "credit"
 	frameEnd     frameKind = "end"
 	frameReset   frameKind = "reset"
+	// frameGoodbye says that the sender leaves and asks for no further call.
+	frameGoodbye frameKind = "goodbye"
+	// frameNoMoreCalls answers a goodbye: no call follows on the connection.
+	frameNoMoreCalls frameKind = "no_more_calls"
 )
 
 // frame is the unit on the wire: a length in four bytes, then this in msgpack.
