Claims follow the slots: redirects, and handover by a holder that leaves

A node asked in vain names the holder it knows. A holder that gives a slot up sends its claims to those who may take it; whoever takes it in the next epoch goes on where the last one stopped. Slots are still the roster's until leases land, so nothing is released yet.

Also: a message sent while a transport closed started a goroutine that Close no longer waited for (data race found by the race detector in a stopping daemon: the loop sends until it is closed itself).

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -30,6 +30,7 @@
 	KindDomainConfirmation   Kind = "domain_confirmation"
 	KindClaimRequest         Kind = "claim_request"
 	KindClaimVerdict         Kind = "claim_verdict"
+	KindClaimHandover        Kind = "claim_handover"
 	KindClaimEnd             Kind = "claim_end"
 	KindClaimEndTaken        Kind = "claim_end_taken"
 )
@@ -60,6 +61,7 @@
 	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
 	KindClaimRequest:         func() Message { return &ClaimRequest{} },
 	KindClaimVerdict:         func() Message { return &ClaimVerdict{} },
+	KindClaimHandover:        func() Message { return &ClaimHandover{} },
 	KindClaimEnd:             func() Message { return &ClaimEnd{} },
 	KindClaimEndTaken:        func() Message { return &ClaimEndTaken{} },
 }
--- a/core/node/claims.go
+++ b/core/node/claims.go
@@ -18,6 +18,8 @@
 	// claimResend is the time after which an unanswered claim message is sent
 	// again; links between failure domains take a few milliseconds.
 	claimResend = 200 * time.Millisecond
+	// claimRedirect is the time before whoever was named instead is asked.
+	claimRedirect = 10 * time.Millisecond
 	// claimWait bounds how long a request waits for its claim. A holder that
 	// has not answered by then is cut off or gone: waiting longer would only
 	// keep the caller from trying later.
@@ -33,15 +35,17 @@
 type entryClaim struct {
 	call    *entryCall
 	request claim.Request
-	slot    claimSlot
+	slot    slotID
 	// holder is the instance that was asked last.
 	holder coltsfootward.Instance
 	// granted is set once the request may be dispatched, until expires by
 	// Instant.Expiry.
 	granted bool
 	expires time.Duration
-	asked   time.Duration
-	resend  time.Duration
+	// redirected is set while the last answer named another instance.
+	redirected bool
+	asked      time.Duration
+	resend     time.Duration
 }
 
 // claimEnding is the end of a claim on its way to the holder.
@@ -57,9 +61,11 @@
 type claimsPart struct {
 	node    *Node
 	slots   claimSlots
-	holders map[claimSlot]*slotHolder
-	asking  map[claim.ID]*entryClaim
-	ending  map[claim.ID]*claimEnding
+	holders map[slotID]*slotHolder
+	// handovers are on their way from the last holders of slots.
+	handovers map[slotID]*incomingHandover
+	asking    map[claim.ID]*entryClaim
+	ending    map[claim.ID]*claimEnding
 }
 
 // slotHolder holds the claims of one slot for one term of its lease.
@@ -70,11 +76,12 @@
 
 func newClaimsPart(n *Node) *claimsPart {
 	return &claimsPart{
-		node:    n,
-		slots:   newClaimSlots(n),
-		holders: make(map[claimSlot]*slotHolder),
-		asking:  make(map[claim.ID]*entryClaim),
-		ending:  make(map[claim.ID]*claimEnding),
+		node:      n,
+		slots:     newClaimSlots(n),
+		handovers: make(map[slotID]*incomingHandover),
+		holders:   make(map[slotID]*slotHolder),
+		asking:    make(map[claim.ID]*entryClaim),
+		ending:    make(map[claim.ID]*claimEnding),
 	}
 }
 
@@ -114,7 +121,7 @@
 
 // holder returns the claims of a slot whose lease this node holds now. Another
 // epoch means another term: in between, others may have granted any key.
-func (p *claimsPart) holder(slot claimSlot) (*slotHolder, bool) {
+func (p *claimsPart) holder(slot slotID) (*slotHolder, bool) {
 	term, ok := p.slots.term(slot)
 	if !ok {
 		return nil, false
@@ -129,6 +136,7 @@
 		h.claims = claim.NewHolder(p.node.options.claims(), term.began)
 	}
 	p.holders[slot] = h
+	p.takeOver(slot, h)
 	return h, true
 }
 
@@ -147,8 +155,8 @@
 		return
 	}
 	verdict := message.ClaimVerdict{ID: m.Request.ID, Verdict: p.decide(m.Request)}
-	if h, ok := p.holders[p.slotOf(m.Request.Key)]; ok {
-		verdict.Epoch = h.epoch
+	if verdict.Verdict.Decision == claim.Elsewhere {
+		verdict.Holder = p.slots.known(p.slotOf(m.Request.Key))
 	}
 	p.node.act(Send{To: peer, Message: &verdict})
 }
@@ -160,7 +168,10 @@
 		return
 	}
 	if m.Verdict.Decision == claim.Elsewhere {
-		return // the next resend asks whoever holds the slot by then
+		p.slots.elsewhere(c.slot, m.Holder)
+		c.redirected = true
+		c.resend = min(c.resend, p.node.now.Expiry+claimRedirect)
+		return
 	}
 	delete(p.asking, m.ID)
 	if m.Verdict.Decision != claim.Granted {
@@ -257,6 +268,8 @@
 		p.requested(e.From, *m)
 	case *message.ClaimVerdict:
 		p.verdict(*m, e.Age)
+	case *message.ClaimHandover:
+		p.handoverReceived(*m)
 	case *message.ClaimEnd:
 		p.endReceived(e.From, *m)
 	case *message.ClaimEndTaken:
@@ -266,6 +279,11 @@
 
 // tick sends again what went unanswered and gives up on holders that do not answer.
 func (p *claimsPart) tick() {
+	for _, id := range p.slots.own() {
+		p.holder(id) // its term counts from when it is noticed
+	}
+	p.handOver()
+	p.forgetHandovers()
 	now := p.node.now.Expiry
 	for _, id := range slices.Sorted(maps.Keys(p.asking)) {
 		c := p.asking[id]
@@ -273,6 +291,7 @@
 		case now >= c.asked+claimWait:
 			p.giveUp(c)
 		case now >= c.resend:
+			p.unanswered(c)
 			p.ask(c)
 		}
 	}
@@ -288,6 +307,15 @@
 	}
 }
 
+// unanswered notes that the instance asked last did not answer, so that the next
+// one believed to hold the slot is asked. A redirect is an answer.
+func (p *claimsPart) unanswered(c *entryClaim) {
+	if c.holder.ID != "" && c.holder.ID != p.node.options.Self.ID && !c.redirected {
+		p.slots.elsewhere(c.slot, coltsfootward.Instance{})
+	}
+	c.redirected = false
+}
+
 // giveUp refuses a call whose claim nobody decided on. The claim may have been
 // granted and the verdict lost, so the holder is told that nothing ran.
 func (p *claimsPart) giveUp(c *entryClaim) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -115,7 +115,7 @@
 		n.configuration.digest(e, m.Gossip.Digest)
 	case *message.ProbeAnswer:
 		n.configuration.digest(e, m.Gossip.Digest)
-	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimEnd, *message.ClaimEndTaken:
+	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimHandover, *message.ClaimEnd, *message.ClaimEndTaken:
 		n.claims.message(e)
 	case *message.ConfigurationDigest:
 		n.configuration.digest(e, *m)
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -25,6 +25,8 @@
 	SnapshotInForce     Code = 405
 	ClaimRefused        Code = 601
 	ClaimUnanswered     Code = 602
+	ClaimsHandedOver    Code = 603
+	ClaimsTakenOver     Code = 604
 	MemberSuspected     Code = 701
 	MemberGone          Code = 702
 	MemberLeft          Code = 703
@@ -64,6 +66,8 @@
 		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
 		{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; the decision says why."},
 		{ClaimUnanswered, "claim_unanswered", "warn", "Nobody decided on a claim in time; the request was refused as not run. Check the links to the other failure domains."},
+		{ClaimsHandedOver, "claims_handed_over", "info", "The node gave a slot up and sent its claims to those who may take it."},
+		{ClaimsTakenOver, "claims_taken_over", "info", "The node holds a slot and has the claims of its last holder; no key is held off."},
 		{MemberSuspected, "member_suspected", "info", "A member of the node's failure domain answers no probes; it gets no new work if others can take it."},
 		{MemberGone, "member_gone", "warn", "A member of the node's failure domain did not answer in time and gets no new work. Check that instance."},
 		{MemberLeft, "member_left", "info", "A member of the node's failure domain said that it stops."},
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -71,7 +71,11 @@
 	// outbound holds every connection that this node dialled, also those that
 	// a newer one to the same peer has replaced.
 	outbound map[*connection]struct{}
-	serving  sync.WaitGroup
+	closed   bool
+	// serving counts the calls being served; whenIdle is closed when it reaches
+	// zero. New calls may come while a stop waits, so it is no WaitGroup.
+	serving  int
+	whenIdle chan struct{}
 }
 
 // dialled is the outbound connection to one peer, or the attempt to make it.
@@ -105,6 +109,9 @@
 // Close ends all connections and waits for their goroutines.
 func (t *Transport) Close() {
 	t.once.Do(func() {
+		t.mu.Lock()
+		t.closed = true
+		t.mu.Unlock()
 		close(t.done)
 		if t.listener != nil {
 			t.listener.Close()
@@ -121,13 +128,8 @@
 // before Close for a stop that cuts off no answer: the last bytes of one may
 // still be on their way to the writer when the machine has nothing left to do.
 func (t *Transport) Shutdown(ctx context.Context) {
-	served := make(chan struct{})
-	t.wait.Go(func() {
-		t.serving.Wait()
-		close(served)
-	})
 	select {
-	case <-served:
+	case <-t.idle():
 	case <-ctx.Done():
 	}
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
@@ -314,9 +316,9 @@
 		return t.refuseCall(c, f.Stream)
 	}
 	call := IncomingCall{From: c.remote, Head: head, Age: c.age(f), Body: s}
-	t.serving.Add(1)
+	t.countServing(1)
 	t.wait.Go(func() {
-		defer t.serving.Done()
+		defer t.countServing(-1)
 		defer cancel()
 		w := &AnswerWriter{stream: s, ctx: ctx}
 		t.handler.ServeCall(ctx, call, w)
@@ -325,6 +327,31 @@
 	return nil
 }
 
+func (t *Transport) countServing(change int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serving += change
+	if t.serving == 0 && t.whenIdle != nil {
+		close(t.whenIdle)
+		t.whenIdle = nil
+	}
+}
+
+// idle returns a channel that is closed once no call is being served.
+func (t *Transport) idle() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.whenIdle == nil {
+		t.whenIdle = make(chan struct{})
+	}
+	idle := t.whenIdle
+	if t.serving == 0 {
+		close(idle)
+		t.whenIdle = nil
+	}
+	return idle
+}
+
 // refuseCall answers a call beyond the bound on open calls. It is sent by the
 // reader, which must not wait: a peer that fills the ring as well loses the
 // connection.
@@ -388,7 +415,7 @@
 func (t *Transport) dial(ctx context.Context, to coltsfootward.Instance) (*connection, error) {
 	d, mine := t.reserve(to)
 	if mine {
-		t.wait.Go(func() { t.connect(d, to) })
+		t.startConnect(d, to)
 	}
 	select {
 	case <-d.ready:
@@ -425,6 +452,26 @@
 	}
 }
 
+func (t *Transport) startConnect(d *dialled, to coltsfootward.Instance) {
+	if !t.start(func() { t.connect(d, to) }) {
+		d.err = errConnectionClosed
+		close(d.ready)
+	}
+}
+
+// start runs f in a goroutine that Close waits for. It returns false once the
+// transport is closed: the loop may send until it is closed itself, and a
+// goroutine begun while Close waits would escape it.
+func (t *Transport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.wait.Go(f)
+	return true
+}
+
 func (t *Transport) connect(d *dialled, to coltsfootward.Instance) {
 	c, reader, err := t.handshake(to)
 	if err == nil {
@@ -499,13 +546,13 @@
 	}
 	d, mine := t.reserve(to)
 	if mine {
-		t.wait.Go(func() { t.connect(d, to) })
+		t.startConnect(d, to)
 	}
 	select {
 	case <-d.ready:
 		d.deliver(payload)
 	default:
-		t.wait.Go(func() {
+		t.start(func() {
 			select {
 			case <-d.ready:
 				d.deliver(payload)
