--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -123,11 +123,13 @@
 	t.wait.Wait()
 }
 
-// Shutdown waits until the calls being served have been answered and all that
-// was queued for peers has been taken in by them, or until ctx ends. Call it
-// before Close for a stop that cuts off no answer: the last bytes of one may
-// still be on their way to the writer when the machine has nothing left to do.
+// Shutdown tells every peer goodbye, waits until the calls being served have
+// been answered and all that was queued for peers has been taken in by them, or
+// until ctx ends. Call it before Close for a stop that cuts off no answer: the
+// last bytes of one may still be on their way to the writer when the machine
+// has nothing left to do.
 func (t *Transport) Shutdown(ctx context.Context) {
+	t.takeLeave(ctx)
 	select {
 	case <-t.idle():
 	case <-ctx.Done():
@@ -286,6 +288,12 @@
 		return nil
 	case framePong:
 		return c.pong(f)
+	case frameGoodbye:
+		c.takeGoodbye()
+		return nil
+	case frameNoMoreCalls:
+		c.takeNoMoreCalls()
+		return nil
 	case frameMessage:
 		m, err := decodeMessage(f.Payload)
 		if err != nil {
@@ -295,8 +303,10 @@
 		return nil
 	case frameCall:
 		return t.takeCall(c, f)
-	default:
+	case frameAnswer, frameBody, frameCredit, frameEnd, frameReset:
 		return c.streamFrame(f)
+	default:
+		return &FrameError{Reason: "unexpected frame " + string(f.Kind)}
 	}
 }
 
@@ -446,7 +456,7 @@
 	}
 	select {
 	case <-d.ready:
-		return d.err == nil && !d.connection.closed()
+		return d.err == nil && !d.connection.closed() && !d.connection.isLeaving()
 	default:
 		return true
 	}
