--- a/core/message/message.go
+++ b/core/message/message.go
@@ -32,6 +32,9 @@
 	KindConfigurationDigest:  func() Message { return &ConfigurationDigest{} },
 	KindConfigurationPull:    func() Message { return &ConfigurationPull{} },
 	KindConfigurationChanges: func() Message { return &ConfigurationChanges{} },
+	KindDraw:                 func() Message { return &Draw{} },
+	KindGrant:                func() Message { return &Grant{} },
+	KindReturn:               func() Message { return &Return{} },
 }
 
 // New returns an empty message of that kind to decode into, or nil for a kind
--- /dev/null
+++ b/core/node/bucket.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/rate"
+)
+
+// bucketID names the bucket of one part at the holder of its slot.
+type bucketID struct {
+	slot         int
+	organisation coltsfootward.OrganisationName
+}
+
+// heldBucket is a bucket that this node keeps for one epoch of the slot.
+type heldBucket struct {
+	bucket *rate.Bucket
+	epoch  uint64
+	part   rate.Part
+}
+
+// drawn answers another node's draw.
+func (p *ratePart) drawn(m message.Draw) {
+	p.refresh()
+	grant := p.grant(m)
+	p.node.act(Send{To: m.From, Message: &grant})
+}
+
+// grant draws from the bucket of a slot that this node holds. The lease is
+// checked here, in the step that takes the tokens: a node that was paused
+// finds itself lapsed and grants nothing.
+func (p *ratePart) grant(m message.Draw) message.Grant {
+	id := slotID{domain: m.Domain, index: m.Slot}
+	slot, ok := p.node.lease.own(id)
+	if !ok || !slot.Held(p.node.now) {
+		return message.Grant{ID: m.ID, Ask: p.node.lease.known(id)}
+	}
+	g := p.bucket(m.Organisation, m.Slot).Draw(p.node.now, m.Need, m.Ahead)
+	return message.Grant{
+		ID: m.ID, Held: true, Epoch: slot.Epoch(),
+		Tokens: g.Tokens, Life: g.Life, EmptyFor: g.EmptyFor, Level: g.Level,
+	}
+}
+
+// bucket returns the bucket of an organisation's part in a slot that is held.
+func (p *ratePart) bucket(organisation coltsfootward.OrganisationName, index int) *rate.Bucket {
+	slot := p.node.lease.slots[index]
+	a, ok := p.accounts[organisation]
+	if !ok {
+		return rate.NewBucket(rate.Part{}, p.node.now.Monotonic)
+	}
+	part := a.share.Part(p.node.now, p.node.options.Self.Domain, index)
+	id := bucketID{slot: index, organisation: organisation}
+	held, ok := p.buckets[id]
+	if !ok || held.epoch != slot.Epoch() {
+		held = &heldBucket{bucket: p.newBucket(a, index, part), epoch: slot.Epoch(), part: part}
+		p.buckets[id] = held
+	}
+	if held.part != part {
+		held.bucket.Reshape(p.node.now, part)
+		held.part = part
+	}
+	return held.bucket
+}
+
+// newBucket returns the bucket at its first use in an epoch. It starts empty
+// unless nobody can have drawn from the part before: in the slot's first epoch,
+// or if the organisation was created so long after the epoch's begin that no
+// earlier holder knew it. After a change that moved shares between parts it is
+// empty too: what the part gains was another's, and may have been drawn there.
+func (p *ratePart) newBucket(a *account, index int, part rate.Part) *rate.Bucket {
+	slot := p.node.lease.slots[index]
+	since := max(slot.Since(), a.share.Settled())
+	unused := slot.Epoch() == 1 || (a.created && a.since >= slot.Since()+configurationSpread)
+	if unused && a.share.Settled() == 0 {
+		return rate.NewFullBucket(part, since)
+	}
+	return rate.NewBucket(part, since)
+}
+
+// returned puts unspent tokens back if they came from the present epoch.
+func (p *ratePart) returned(m message.Return) {
+	slot, ok := p.node.lease.own(slotID{domain: m.Domain, index: m.Slot})
+	if !ok || !slot.Held(p.node.now) || slot.Epoch() != m.Epoch {
+		return
+	}
+	held, ok := p.buckets[bucketID{slot: m.Slot, organisation: m.Organisation}]
+	if ok && held.epoch == m.Epoch {
+		held.bucket.Return(p.node.now, m.Tokens)
+	}
+}
--- /dev/null
+++ b/core/node/lease.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/lease"
+	"coltsfootward/core/record"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// slotWatchers is how many nodes look after one slot: its holder and those
+// that would take it over. The others never read its record, so that the
+// platform's load does not grow with the number of nodes; they are told the
+// holder by whom they ask.
+const slotWatchers = 3
+
+// rankInterval is the time between two looks at who should look after which
+// slot. At 64 slots and 1,333 nodes each look costs 85,000 hashes.
+const rankInterval = 2 * time.Second
+
+// releaseWait bounds how long a leaving node waits for the platform to take
+// its slots back. Longer is not worth it: the slots come free by themselves.
+const releaseWait = 2 * time.Second
+
+// slotID names a slot of the deployment.
+type slotID struct {
+	domain coltsfootward.FailureDomain
+	index  int
+}
+
+// route is whom a node asks for a slot's holder.
+type route struct {
+	// holder answered as the holder, or was named as it; empty if unknown.
+	holder coltsfootward.Instance
+	// try counts the candidates that were asked in vain.
+	try int
+}
+
+// leasePart holds slots of the node's own failure domain and knows whom to ask
+// about the others.
+type leasePart struct {
+	node  *Node
+	slots []*lease.Slot
+	// ranks is where this node stands in the order of each slot's candidates.
+	ranks []int
+	// held is what was reported last.
+	held   []bool
+	fair   int
+	booted time.Duration
+	ranked time.Duration
+	routes map[slotID]*route
+	// lost holds the peers whose connection broke and that were not heard since.
+	lost        map[coltsfootward.InstanceID]bool
+	releaseFrom time.Duration
+}
+
+func newLeasePart(n *Node) *leasePart {
+	p := &leasePart{
+		node:   n,
+		ranks:  make([]int, n.options.Slots),
+		held:   make([]bool, n.options.Slots),
+		booted: n.now.Monotonic,
+		routes: make(map[slotID]*route),
+		lost:   make(map[coltsfootward.InstanceID]bool),
+	}
+	for range n.options.Slots {
+		p.slots = append(p.slots, lease.New(lease.Options{Self: n.options.Self, Term: n.options.LeaseTerm, Margin: n.options.LeaseMargin}))
+	}
+	return p
+}
+
+func (p *leasePart) tick() {
+	now := p.node.now
+	// A node that has just started knows no other and would take every slot,
+	// only to hand most of them over with their buckets empty.
+	settled := now.Monotonic >= p.booted+p.node.options.PollInterval+p.node.options.PollInterval/10
+	if settled && now.Monotonic >= p.ranked {
+		p.ranked = now.Monotonic + rankInterval
+		p.rank()
+		p.handOver()
+	}
+	for i, s := range p.slots {
+		p.perform(i, s.Tick(now, p.candidacy(i, settled)))
+		p.reportHeld(i)
+	}
+}
+
+func (p *leasePart) candidacy(index int, settled bool) lease.Candidacy {
+	rank := p.ranks[index]
+	term := p.term()
+	c := lease.Candidacy{Eligible: settled && !p.node.draining && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
+	if p.mine() >= p.fair {
+		c.Delay += 2 * term
+	}
+	return c
+}
+
+func (p *leasePart) term() time.Duration {
+	return cmp.Or(p.node.options.LeaseTerm, lease.DefaultTerm)
+}
+
+func (p *leasePart) mine() int {
+	count := 0
+	for _, s := range p.slots {
+		if s.Mine() {
+			count++
+		}
+	}
+	return count
+}
+
+// rank finds this node's place in the order of each slot's candidates.
+func (p *leasePart) rank() {
+	domain := p.node.options.Self.Domain
+	count := 1
+	for i := range p.slots {
+		order := p.candidates(slotID{domain: domain, index: i})
+		count = len(order)
+		p.ranks[i] = slices.IndexFunc(order, func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
+	}
+	p.fair = (len(p.slots) + count - 1) / count
+}
+
+// candidates returns the nodes of the slot's domain in the order in which they
+// should hold it, the same at every node that knows the same peers.
+func (p *leasePart) candidates(id slotID) []coltsfootward.Instance {
+	var found []coltsfootward.Instance
+	if id.domain == p.node.options.Self.Domain {
+		found = append(found, p.node.options.Self)
+	}
+	for peer := range maps.Keys(p.node.membership.peers) {
+		instance := p.node.membership.peers[peer]
+		if instance.Domain == id.domain && !p.lost[peer] && !p.node.membership.announced[peer].Draining {
+			found = append(found, instance)
+		}
+	}
+	weights := make(map[coltsfootward.InstanceID]uint64, len(found))
+	for _, c := range found {
+		weights[c.ID] = xxhash.Sum64String(fmt.Sprintf("%s/%d/%s", id.domain, id.index, c.ID))
+	}
+	slices.SortFunc(found, func(a, b coltsfootward.Instance) int {
+		return cmp.Or(cmp.Compare(weights[a.ID], weights[b.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return found
+}
+
+// handOver gives up one slot if the node holds more than its share: a node
+// that started first would otherwise keep them all, and its loss would stop
+// the whole domain.
+func (p *leasePart) handOver() {
+	if p.mine() <= p.fair && !p.node.draining {
+		return
+	}
+	worst := -1
+	for i, s := range p.slots {
+		if s.Mine() && (worst < 0 || p.ranks[i] > p.ranks[worst]) {
+			worst = i
+		}
+	}
+	p.slots[worst].Release()
+}
+
+// drain gives every slot up.
+func (p *leasePart) drain() {
+	p.releaseFrom = p.node.now.Monotonic
+	for _, s := range p.slots {
+		s.Release()
+	}
+}
+
+// leaving reports whether the platform is still to take slots back.
+func (p *leasePart) leaving() bool {
+	return p.mine() > 0 && !p.node.table.away && p.node.now.Monotonic < p.releaseFrom+releaseWait
+}
+
+func (p *leasePart) perform(index int, action lease.Action) {
+	key := lease.Key(p.node.options.Self.Domain, index)
+	slot := p.slots[index]
+	switch a := action.(type) {
+	case lease.Read:
+		p.node.table.read(key, func(row coltsfootward.Row, err error) {
+			p.perform(index, slot.ReadAnswered(p.node.now, row, err))
+		})
+	case lease.Write:
+		t := coltsfootward.Transaction{
+			Conditions: []coltsfootward.Condition{{Key: key, Version: a.Version}},
+			Writes:     []coltsfootward.Write{{Key: key, Value: a.Record.Encode()}},
+		}
+		p.node.table.transact(t, func(err error) {
+			p.perform(index, slot.WriteAnswered(p.node.now, err))
+		})
+	}
+	p.reportHeld(index)
+}
+
+func (p *leasePart) reportHeld(index int) {
+	held := p.slots[index].Held(p.node.now)
+	if held == p.held[index] {
+		return
+	}
+	p.held[index] = held
+	code := record.SlotLost
+	if held {
+		code = record.SlotHeld
+	}
+	p.node.report(code, field("slot", number(index)), field("epoch", number(p.slots[index].Epoch())))
+}
+
+// own returns the slot if it is one that this node may hold.
+func (p *leasePart) own(id slotID) (*lease.Slot, bool) {
+	if id.domain != p.node.options.Self.Domain || id.index < 0 || id.index >= len(p.slots) {
+		return nil, false
+	}
+	return p.slots[id.index], true
+}
+
+// holder returns whom to ask for a slot.
+func (p *leasePart) holder(id slotID) (coltsfootward.Instance, bool) {
+	if s, ok := p.own(id); ok && s.Held(p.node.now) {
+		return p.node.options.Self, true
+	}
+	r := p.route(id)
+	if r.holder.ID != "" && !p.lost[r.holder.ID] {
+		return r.holder, true
+	}
+	order := p.candidates(id)
+	order = slices.DeleteFunc(order, func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
+	order = order[:min(len(order), slotWatchers)]
+	if len(order) == 0 {
+		return coltsfootward.Instance{}, false
+	}
+	return order[r.try%len(order)], true
+}
+
+func (p *leasePart) route(id slotID) *route {
+	r, ok := p.routes[id]
+	if !ok {
+		r = &route{}
+		p.routes[id] = r
+	}
+	return r
+}
+
+// holderAnswered notes who holds a slot.
+func (p *leasePart) holderAnswered(id slotID, holder coltsfootward.Instance) {
+	*p.route(id) = route{holder: holder}
+}
+
+// holderFailed notes that whoever was asked does not hold the slot.
+func (p *leasePart) holderFailed(id slotID) {
+	r := p.route(id)
+	*r = route{try: r.try + 1}
+}
+
+// known returns the holder of an own slot for a node that asked in vain.
+func (p *leasePart) known(id slotID) coltsfootward.Instance {
+	s, ok := p.own(id)
+	if !ok {
+		return coltsfootward.Instance{}
+	}
+	holder, ok := s.Holder()
+	if !ok || holder.ID == p.node.options.Self.ID {
+		return coltsfootward.Instance{}
+	}
+	return holder
+}
+
+func (p *leasePart) heard(from coltsfootward.InstanceID) { delete(p.lost, from) }
+
+func (p *leasePart) peerLost(id coltsfootward.InstanceID) { p.lost[id] = true }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -23,6 +23,7 @@
 	membership    *membershipPart
 	placement     *placementPart
 	rate          *ratePart
+	lease         *leasePart
 	claims        *claimsPart
 	ledger        *ledgerPart
 	entry         *entryPart
@@ -38,6 +39,7 @@
 	n.configuration = newConfigurationPart(n)
 	n.membership = newMembershipPart(n)
 	n.placement = newPlacementPart(n)
+	n.lease = newLeasePart(n)
 	n.rate = newRatePart(n)
 	n.claims = newClaimsPart(n)
 	n.ledger = newLedgerPart(n)
@@ -80,6 +82,7 @@
 		n.message(e)
 	case PeerLost:
 		n.placement.peerLost(e.Instance)
+		n.lease.peerLost(e.Instance)
 	case BackendAnnounced:
 		n.membership.backendAnnounced(e)
 	case DrainRequested:
@@ -93,6 +96,7 @@
 	n.table.tick()
 	n.configuration.tick()
 	n.membership.tick()
+	n.lease.tick()
 	n.rate.tick()
 	n.claims.tick()
 	n.upstream.tick()
@@ -100,6 +104,7 @@
 }
 
 func (n *Node) message(e MessageArrived) {
+	n.lease.heard(e.From)
 	switch m := e.Message.(type) {
 	case *message.Announcement:
 		n.membership.announcement(*m)
@@ -109,6 +114,12 @@
 		n.configuration.pull(e.From, *m)
 	case *message.ConfigurationChanges:
 		n.configuration.changes(*m)
+	case *message.Draw:
+		n.rate.drawn(*m)
+	case *message.Grant:
+		n.rate.answered(*m)
+	case *message.Return:
+		n.rate.returned(*m)
 	}
 }
 
@@ -119,12 +130,13 @@
 	n.draining = true
 	n.report(record.NodeDraining)
 	n.membership.drain()
+	n.lease.drain()
 }
 
 // checkDrained reports the end of a drain once: nothing may be in hand, since
 // a planned stop cuts off no request.
 func (n *Node) checkDrained() {
-	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 {
+	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 || n.lease.leaving() {
 		return
 	}
 	n.drained = true
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -14,10 +14,39 @@
 
 // single is one node driven without a shell.
 type single struct {
-	t    *testing.T
-	node *node.Node
-	now  coltsfootward.Instant
-	next node.CallID
+	t     *testing.T
+	node  *node.Node
+	table rowTable
+	now   coltsfootward.Instant
+	next  node.CallID
+}
+
+// rowTable answers a node's operations on single rows at once.
+type rowTable map[string]coltsfootward.Row
+
+func (t rowTable) answer(action node.Action) (node.Event, bool) {
+	switch a := action.(type) {
+	case node.ReadTable:
+		return node.TableAnswered{Operation: a.Operation, Rows: []coltsfootward.Row{t[a.Key]}}, true
+	case node.ScanTable:
+		return node.TableAnswered{Operation: a.Operation}, true
+	case node.TransactTable:
+		return node.TableAnswered{Operation: a.Operation, Err: t.transact(a.Transaction)}, true
+	default:
+		return nil, false
+	}
+}
+
+func (t rowTable) transact(transaction coltsfootward.Transaction) error {
+	for _, c := range transaction.Conditions {
+		if t[c.Key].Version != c.Version {
+			return coltsfootward.ErrConflict
+		}
+	}
+	for _, w := range transaction.Writes {
+		t[w.Key] = coltsfootward.Row{Key: w.Key, Value: w.Value, Version: t[w.Key].Version + 1}
+	}
+	return nil
 }
 
 func newSingle(t *testing.T) *single {
@@ -26,13 +55,29 @@
 		Self:    coltsfootward.Instance{ID: "north-1", Domain: "north", Address: "127.0.0.1:1", Incarnation: 1},
 		Domains: []coltsfootward.FailureDomain{"north"},
 	}
-	s := &single{t: t, now: coltsfootward.At(time.Hour)}
+	s := &single{t: t, table: make(rowTable), now: coltsfootward.At(time.Hour)}
 	s.node = node.New(options, rand.New(rand.NewPCG(1, 2)), s.now)
+	s.takeSlots()
 	return s
 }
 
+// handle hands an event in and answers what the node asks of its table.
 func (s *single) handle(event node.Event) []node.Action {
-	return s.node.Handle(s.now, event)
+	actions := s.node.Handle(s.now, event)
+	for i := 0; i < len(actions); i++ {
+		if answer, ok := s.table.answer(actions[i]); ok {
+			actions = append(actions, s.node.Handle(s.now, answer)...)
+		}
+	}
+	return actions
+}
+
+// takeSlots lets time pass until the node holds its failure domain's slots.
+func (s *single) takeSlots() {
+	for range 4 {
+		s.now = s.now.Add(time.Second)
+		s.handle(node.Tick{})
+	}
 }
 
 // configure puts one organisation, its key and one service in force.
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -23,6 +23,15 @@
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
+	// Slots is the number of slots in each failure domain; every node of the
+	// deployment has the same. The default is 4.
+	Slots int
+	// LeaseTerm is how long a node holds a slot without the platform's answer.
+	// The default is 20 s.
+	LeaseTerm time.Duration
+	// LeaseMargin is what a claimant of a slot waits beyond the holder's term.
+	// The default is 1 s.
+	LeaseMargin time.Duration
 }
 
 // The defaults of Options.
@@ -31,6 +40,7 @@
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
+	DefaultSlots          = 4
 )
 
 func (o Options) withDefaults() Options {
@@ -46,5 +56,8 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
 	return o
 }
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -4,12 +4,30 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/rate"
+)
+
+const (
+	// spendSpare is how much of a token's life must be left for the way to the
+	// upstream's node.
+	spendSpare = 2 * time.Millisecond
+	// configurationSpread is how long a change of the configuration may take
+	// to reach every holder. The target's 13 s.
+	configurationSpread = 13 * time.Second
+	// raiseDelay is how long a part is raised after others were lowered: every
+	// holder has lowered by then, and what it granted before is spent or void.
+	raiseDelay = configurationSpread + rate.MaximumLife
+	// retrySpread is the least time over which refused callers are spread.
+	retrySpread = 200 * time.Millisecond
 )
 
 // admission entitles one attempt to start, for a short time.
 type admission struct {
 	// expires is when it ends, by Instant.Expiry; zero means that it does not.
 	expires time.Duration
+	// token is the drawn token that the attempt spends.
+	token rate.Chunk
 }
 
 // remaining returns how long the admission lasts from now; zero means no limit.
@@ -20,58 +38,196 @@
 	return max(a.expires-now.Expiry, time.Nanosecond)
 }
 
-// ratePart holds each organisation to its rate and burst. In this first form
-// each instance has an equal part of the whole.
-type ratePart struct {
-	node    *Node
-	buckets map[coltsfootward.OrganisationName]*partBucket
+// account is an organisation at this node: what it may draw and what it has.
+type account struct {
+	name   coltsfootward.OrganisationName
+	whole  coltsfootward.Rate
+	share  rate.Share
+	purse  rate.Purse
+	demand rate.Demand
+	// created is set if this node saw the organisation being created.
+	created bool
+	// since is when this node first saw it, by Instant.Monotonic.
+	since time.Duration
+	// life is the shortest life of a token of the present division.
+	life time.Duration
+	// parts says for each part of the division what the last answer said.
+	parts []partView
+	// waiting are the calls that need a token, in the order of their arrival.
+	waiting []*entryCall
+	// drawing is set while a draw for waiting calls is under way.
+	drawing *pendingDraw
+	// ahead is when to draw ahead again, by Instant.Monotonic.
+	ahead time.Duration
+	// stocked is set while the account is in ratePart.stocked.
+	stocked bool
 }
 
-type partBucket struct {
-	tokens float64
-	filled time.Duration
+// ratePart holds each organisation to its rate and burst over the fleet: it
+// spends tokens drawn from the slots' holders, and grants them for the slots
+// that this node holds.
+type ratePart struct {
+	node     *Node
+	revision coltsfootward.Revision
+	accounts map[coltsfootward.OrganisationName]*account
+	buckets  map[bucketID]*heldBucket
+	draws    map[uint64]*pendingDraw
+	nextDraw uint64
+	// stocked are the accounts whose purse may hold tokens.
+	stocked []*account
 }
 
 func newRatePart(n *Node) *ratePart {
-	return &ratePart{node: n, buckets: make(map[coltsfootward.OrganisationName]*partBucket)}
+	return &ratePart{
+		node:     n,
+		accounts: make(map[coltsfootward.OrganisationName]*account),
+		buckets:  make(map[bucketID]*heldBucket),
+		draws:    make(map[uint64]*pendingDraw),
+	}
 }
 
+// acquire answers with entry.admitted or entry.overRate, now or later.
 func (p *ratePart) acquire(call *entryCall) {
-	organisation, ok := p.node.configuration.current.Organisation(call.head.Organisation)
+	p.refresh()
+	a, ok := p.accounts[call.head.Organisation]
 	if !ok {
 		p.node.entry.overRate(call, 0)
 		return
 	}
-	parts := float64(max(p.node.membership.size(), 1))
-	burst := float64(organisation.Rate.Burst) / parts
-	rate := organisation.Rate.PerSecond / parts
-	now := p.node.now.Monotonic
-	bucket, ok := p.buckets[organisation.Name]
-	if !ok {
-		bucket = &partBucket{tokens: burst, filled: now}
-		p.buckets[organisation.Name] = bucket
+	a.demand.Note(p.node.now)
+	a.waiting = append(a.waiting, call)
+	p.serve(a)
+	p.pump(a)
+	p.stock(a)
+}
+
+// serve gives the tokens at hand to waiting calls.
+func (p *ratePart) serve(a *account) {
+	for len(a.waiting) > 0 {
+		call := a.waiting[0]
+		if !p.waits(call) {
+			a.waiting = a.waiting[1:]
+			continue
+		}
+		token, ok := a.purse.Take(p.node.now, spendSpare)
+		if !ok {
+			return
+		}
+		a.waiting = a.waiting[1:]
+		p.node.entry.admitted(call, admission{expires: token.Expires, token: token})
 	}
-	bucket.tokens = min(burst, bucket.tokens+rate*(now-bucket.filled).Seconds())
-	bucket.filled = now
-	if bucket.tokens < 1 {
-		p.node.entry.overRate(call, time.Duration((1-bucket.tokens)/max(rate, 1e-9)*float64(time.Second)))
-		return
+}
+
+// waits reports whether the call still needs a token: its caller may have left
+// or its time may have run out since it asked.
+func (p *ratePart) waits(call *entryCall) bool {
+	return p.node.entry.calls[call.id] == call && !call.running && !call.answered
+}
+
+// refuse ends every waiting call: no part has a token.
+func (p *ratePart) refuse(a *account) {
+	waiting := a.waiting
+	a.waiting = nil
+	for _, call := range waiting {
+		if p.waits(call) {
+			p.node.entry.overRate(call, p.retryAfter(a))
+		}
 	}
-	bucket.tokens--
-	p.node.entry.admitted(call, admission{expires: p.node.now.Expiry + admissionLife})
 }
 
-// admissionLife is how long an admission entitles its attempt to start.
-const admissionLife = time.Second
+// retryAfter says when the first part will have a token again, spread so that
+// callers refused together do not return together.
+func (p *ratePart) retryAfter(a *account) time.Duration {
+	first := time.Duration(-1)
+	for _, view := range a.parts {
+		wait := max(view.emptyUntil-p.node.now.Monotonic, 0)
+		if first < 0 || wait < first {
+			first = wait
+		}
+	}
+	first = max(first, 0)
+	return first + time.Duration(p.node.source.Int64N(int64(max(first, retrySpread))))
+}
 
 // release takes back an admission that was not spent. The zero admission is none.
 func (p *ratePart) release(organisation coltsfootward.OrganisationName, unspent admission) {
-	if unspent == (admission{}) {
+	a, ok := p.accounts[organisation]
+	if !ok || unspent.token.Tokens == 0 || unspent.expires <= p.node.now.Expiry {
+		return
+	}
+	p.keep(a, unspent.token)
+}
+
+func (p *ratePart) keep(a *account, c rate.Chunk) {
+	a.purse.Add(c)
+	if !a.stocked {
+		a.stocked = true
+		p.stocked = append(p.stocked, a)
+	}
+}
+
+func (p *ratePart) tick() {
+	p.refresh()
+	p.expireDraws()
+	p.returnSurplus()
+}
+
+// refresh follows changes of the configuration.
+func (p *ratePart) refresh() {
+	configuration := p.node.configuration.current
+	if configuration.Revision() == p.revision {
 		return
 	}
-	if bucket, ok := p.buckets[organisation]; ok {
-		bucket.tokens++
+	first := p.revision == 0
+	p.revision = configuration.Revision()
+	for _, organisation := range configuration.Organisations() {
+		a, ok := p.accounts[organisation.Name]
+		if !ok {
+			a = &account{name: organisation.Name, created: !first, since: p.node.now.Monotonic}
+			p.accounts[organisation.Name] = a
+		}
+		if !ok || a.whole != organisation.Rate {
+			p.change(a, organisation.Rate)
+		}
+	}
+}
+
+func (p *ratePart) change(a *account, whole coltsfootward.Rate) {
+	a.whole = whole
+	division := rate.Divide(a.name, whole, p.node.options.Domains, p.node.options.Slots)
+	a.share.Change(p.node.now, division, raiseDelay)
+	a.parts = make([]partView, len(division))
+	a.life = rate.MaximumLife
+	for _, part := range division {
+		a.life = min(a.life, part.Shape().Life)
+	}
+}
+
+// returnSurplus gives back tokens that would run out unspent.
+func (p *ratePart) returnSurplus() {
+	kept := p.stocked[:0]
+	for _, a := range p.stocked {
+		for _, chunk := range a.purse.Surplus(p.node.now, a.life/8) {
+			p.giveBack(a, chunk)
+		}
+		a.stocked = a.purse.Tokens(p.node.now) > 0
+		if a.stocked {
+			kept = append(kept, a)
+		}
 	}
+	p.stocked = kept
 }
 
-func (p *ratePart) tick() {}
+func (p *ratePart) giveBack(a *account, chunk rate.Chunk) {
+	id := slotID{domain: chunk.Domain, index: chunk.Slot}
+	back := message.Return{Organisation: a.name, Domain: id.domain, Slot: id.index, Epoch: chunk.Epoch, Tokens: chunk.Tokens}
+	holder, ok := p.node.lease.holder(id)
+	if !ok {
+		return
+	}
+	if holder.ID == p.node.options.Self.ID {
+		p.returned(back)
+		return
+	}
+	p.node.act(Send{To: holder, Message: &back})
+}
--- a/core/node/table.go
+++ b/core/node/table.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 
 	"coltsfootward"
@@ -26,6 +27,17 @@
 	return p.next
 }
 
+func (p *tablePart) read(key string, answered func(coltsfootward.Row, error)) {
+	id := p.operation(func(e TableAnswered) {
+		if e.Err != nil || len(e.Rows) != 1 {
+			answered(coltsfootward.Row{}, cmp.Or(e.Err, coltsfootward.ErrUnavailable))
+			return
+		}
+		answered(e.Rows[0], nil)
+	})
+	p.node.act(ReadTable{Operation: id, Key: key})
+}
+
 func (p *tablePart) scan(prefix, after string, limit int, answered func([]coltsfootward.Row, error)) {
 	id := p.operation(func(e TableAnswered) { answered(e.Rows, e.Err) })
 	p.node.act(ScanTable{Operation: id, Prefix: prefix, After: after, Limit: limit})
--- /dev/null
+++ b/core/rate/divide_test.go
@@ -0,0 +1,182 @@
+package rate_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/rate"
+
+	"pgregory.net/rapid"
+)
+
+func domainNames(count int) []coltsfootward.FailureDomain {
+	var names []coltsfootward.FailureDomain
+	for i := range count {
+		names = append(names, coltsfootward.FailureDomain(fmt.Sprintf("domain-%02d", i)))
+	}
+	return names
+}
+
+func TestDivisionIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := coltsfootward.Rate{
+			PerSecond: rapid.Float64Range(0, 1e6).Draw(t, "rate"),
+			Burst:     rapid.Int64Range(1, 1e6).Draw(t, "burst"),
+		}
+		domains := domainNames(rapid.IntRange(1, 18).Draw(t, "domains"))
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		division := rate.Divide("traders", whole, domains, slots)
+		var rates, bursts int64
+		used := make(map[string]bool)
+		for _, p := range division {
+			rates += p.Rate
+			bursts += p.Burst
+			used[fmt.Sprint(p.Domain, p.Slot)] = true
+			if p.Burst < 1 || p.Slot < 0 || p.Slot >= slots {
+				t.Fatalf("got part %+v, want at least one token in a slot below %d", p, slots)
+			}
+		}
+		if bursts != whole.Burst || rates != int64(whole.PerSecond*rate.Token) {
+			t.Fatalf("got burst %d, rate %d; want %d, %d", bursts, rates, whole.Burst, int64(whole.PerSecond*rate.Token))
+		}
+		if len(used) != len(division) {
+			t.Fatalf("got %d parts in %d slots, want a slot each", len(division), len(used))
+		}
+		slices.Reverse(domains)
+		if again := rate.Divide("traders", whole, domains, slots); !slices.Equal(again, division) {
+			t.Fatalf("got %v for the domains in another order, want %v", again, division)
+		}
+	})
+}
+
+// reference is the naive bucket that the whole fleet is compared with: one
+// bucket of the organisation's full burst and rate that sees every request as
+// it starts.
+type reference struct {
+	burst, rate float64
+	level       float64
+	at          time.Duration
+}
+
+func newReference(whole coltsfootward.Rate) *reference {
+	return &reference{burst: float64(whole.Burst), rate: whole.PerSecond, level: float64(whole.Burst)}
+}
+
+// start takes a token for a request that starts at now and reports whether
+// there was one: if not, some window that ends now holds too many.
+func (r *reference) start(now time.Duration) bool {
+	const rounding = 1e-6
+	r.level = min(r.burst, r.level+r.rate*(now-r.at).Seconds())
+	r.at = now
+	r.level--
+	return r.level > -rounding
+}
+
+// An organisation gets more than its burst and rate although no bucket ever
+// gave more than its own: tokens drawn in one second are saved up and spent
+// together with those of the next.
+func TestPartBoundWithLateSpending(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rate.Part{
+			Rate:  int64(rapid.Float64Range(0.1, 200).Draw(t, "rate") * rate.Token),
+			Burst: rapid.Int64Range(1, 40).Draw(t, "burst"),
+		}
+		bucket := rate.NewFullBucket(part, 0)
+		naive := newReference(coltsfootward.Rate{PerSecond: float64(part.Rate) / rate.Token, Burst: part.Burst})
+		var spends []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "draws") {
+			now += time.Duration(rapid.Int64Range(0, int64(100*time.Millisecond)).Draw(t, "gap"))
+			grant := bucket.Draw(coltsfootward.At(now), rapid.Int64Range(0, 5).Draw(t, "need"), rapid.Int64Range(0, 20).Draw(t, "ahead"))
+			for range grant.Tokens {
+				if rapid.IntRange(0, 9).Draw(t, "fate") == 0 {
+					bucket.Return(coltsfootward.At(now), 1)
+					continue
+				}
+				late := time.Duration(rapid.SampledFrom([]int64{0, int64(grant.Life), rapid.Int64Range(0, int64(grant.Life)).Draw(t, "late")}).Draw(t, "when"))
+				spends = append(spends, now+late)
+			}
+		}
+		slices.Sort(spends)
+		for _, at := range spends {
+			if !naive.start(at) {
+				t.Fatalf("got a start at %s beyond the naive bucket of %+v (shape %+v)", at, part, part.Shape())
+			}
+		}
+	})
+}
+
+func TestSteadyDrawingReachesTheRate(t *testing.T) {
+	for _, c := range []struct {
+		rate  float64
+		burst int64
+		least float64
+	}{
+		{rate: 100, burst: 100, least: 0.99},
+		{rate: 25, burst: 5, least: 0.99},
+		{rate: 1, burst: 1, least: 0.94},
+		{rate: 10, burst: 1, least: 0.65},
+	} {
+		part := rate.Part{Rate: int64(c.rate * rate.Token), Burst: c.burst}
+		bucket := rate.NewBucket(part, 0)
+		var drawn int64
+		for now := time.Duration(0); now <= 100*time.Second; now += time.Millisecond {
+			drawn += bucket.Draw(coltsfootward.At(now), 1, 0).Tokens
+		}
+		if got, want := float64(drawn), c.least*c.rate*100; got < want {
+			t.Errorf("got %v tokens of %v per second and burst %d in 100 s, want at least %v", got, c.rate, c.burst, want)
+		}
+	}
+}
+
+// Operators move an organisation from a small burst to a large one, so that
+// its share spreads from one failure domain to four. One holder hears of it
+// ten seconds after the others, and for that long the sum of the parts must
+// not be above both the old rate and the new.
+func TestDivisionChangeNeverAddsUp(t *testing.T) {
+	domains := domainNames(4)
+	rapid.Check(t, func(t *rapid.T) {
+		const spread = 13 * time.Second
+		var shares [4]rate.Share
+		wholes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) coltsfootward.Rate {
+			return coltsfootward.Rate{PerSecond: rapid.Float64Range(1, 100).Draw(t, "rate"), Burst: rapid.Int64Range(1, 40).Draw(t, "burst")}
+		}), 2, 5).Draw(t, "changes")
+		type news struct{ at, index, holder int }
+		var arrivals []news
+		at := 0
+		for i := range wholes {
+			at += rapid.IntRange(0, 20).Draw(t, "gap")
+			for holder := range shares {
+				delay := rapid.IntRange(0, int(spread/time.Second)-1).Draw(t, "delay")
+				arrivals = append(arrivals, news{at: at + delay, index: i, holder: holder})
+			}
+		}
+		seen := [4]int{-1, -1, -1, -1}
+		for second := range at + 60 {
+			now := coltsfootward.At(time.Duration(second) * time.Second)
+			for _, n := range arrivals {
+				for n.at == second && n.index > seen[n.holder] {
+					seen[n.holder]++
+					shares[n.holder].Change(now, rate.Divide("traders", wholes[seen[n.holder]], domains, 1), spread+rate.MaximumLife)
+				}
+			}
+			var rates, bursts int64
+			for i := range shares {
+				p := shares[i].Part(now, domains[i], 0)
+				rates += p.Rate
+				bursts += p.Burst
+			}
+			var mostRate, mostBurst int64
+			for _, w := range wholes {
+				mostRate = max(mostRate, int64(w.PerSecond*rate.Token))
+				mostBurst = max(mostBurst, w.Burst)
+			}
+			if rates > mostRate || bursts > mostBurst {
+				t.Fatalf("at %d s got rate %d, burst %d; want at most %d, %d", second, rates, bursts, mostRate, mostBurst)
+			}
+		}
+	})
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -20,6 +20,8 @@
 	BackendDraining     Code = 302
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
+	SlotHeld            Code = 501
+	SlotLost            Code = 502
 	PlatformUnavailable Code = 801
 	PlatformAvailable   Code = 802
 	PeerConnected       Code = 901
@@ -49,6 +51,8 @@
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
+		{SlotHeld, "slot_held", "info", "The node holds the slot and grants its parts of every organisation's rate."},
+		{SlotLost, "slot_lost", "info", "The node no longer holds the slot: its term ended, it gave the slot up, or another node took it."},
 		{PlatformUnavailable, "platform_unavailable", "warn", "The platform does not answer; the node goes on with what it has. Check the platform."},
 		{PlatformAvailable, "platform_available", "info", "The platform answers again."},
 		{PeerConnected, "peer_connected", "info", "A connection to or from a peer stands."},
