--- a/core/lease/search_test.go
+++ b/core/lease/search_test.go
@@ -13,10 +13,9 @@
 
 // The search's times, in whole steps of its clock.
 const (
-	step     = time.Second
-	term     = 2 * step
-	margin   = step
-	lastStep = 5
+	step   = time.Second
+	term   = 2 * step
+	margin = step
 )
 
 // incidents is how many things go wrong on one path.
@@ -66,7 +65,8 @@
 
 // settle lets a node's operations run until it waits for time to pass.
 func (w *world) settle(i int) {
-	for w.tick(i) || w.effect(i) || w.answered(i) {
+	for busy := true; busy; {
+		busy = w.tick(i) || w.effect(i) || w.answered(i)
 	}
 }
 
--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -140,6 +140,10 @@
 	}
 	if holder.ID == p.node.options.Self.ID {
 		grant := p.grant(message.Draw{Organisation: a.name, Domain: id.domain, Slot: id.index, Need: need, Ahead: ahead})
+		if !grant.Held {
+			p.silent(a, id)
+			return nil
+		}
 		p.granted(a, id, grant, p.node.now.Expiry)
 		return nil
 	}
--- a/core/node/lease.go
+++ b/core/node/lease.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/lease"
+	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,18 +93,14 @@
 
 func (p *leasePart) candidacy(index int, settled bool) lease.Candidacy {
 	rank := p.ranks[index]
-	term := p.term()
-	c := lease.Candidacy{Eligible: settled && !p.node.draining && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
+	term := p.node.options.LeaseTerm
+	c := lease.Candidacy{Eligible: settled && !p.node.draining && rank >= 0 && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
 	if p.mine() >= p.fair {
 		c.Delay += 2 * term
 	}
 	return c
 }
 
-func (p *leasePart) term() time.Duration {
-	return cmp.Or(p.node.options.LeaseTerm, lease.DefaultTerm)
-}
-
 func (p *leasePart) mine() int {
 	count := 0
 	for _, s := range p.slots {
@@ -124,19 +120,16 @@
 		count = len(order)
 		p.ranks[i] = slices.IndexFunc(order, func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
 	}
-	p.fair = (len(p.slots) + count - 1) / count
+	p.fair = (len(p.slots) + count - 1) / max(count, 1)
 }
 
 // candidates returns the nodes of the slot's domain in the order in which they
 // should hold it, the same at every node that knows the same peers.
 func (p *leasePart) candidates(id slotID) []coltsfootward.Instance {
 	var found []coltsfootward.Instance
-	if id.domain == p.node.options.Self.Domain {
-		found = append(found, p.node.options.Self)
-	}
-	for peer := range maps.Keys(p.node.membership.peers) {
-		instance := p.node.membership.peers[peer]
-		if instance.Domain == id.domain && !p.lost[peer] && !p.node.membership.announced[peer].Draining {
+	for _, member := range p.node.membership.roster(id.domain) {
+		instance := member.Announcement.Instance
+		if member.State != message.MemberGone && !p.lost[instance.ID] {
 			found = append(found, instance)
 		}
 	}
@@ -154,7 +147,7 @@
 // that started first would otherwise keep them all, and its loss would stop
 // the whole domain.
 func (p *leasePart) handOver() {
-	if p.mine() <= p.fair && !p.node.draining {
+	if p.node.draining || p.mine() <= p.fair {
 		return
 	}
 	worst := -1
@@ -226,7 +219,8 @@
 		return p.node.options.Self, true
 	}
 	r := p.route(id)
-	if r.holder.ID != "" && !p.lost[r.holder.ID] {
+	// Another node's look at the record may name this one after it has lapsed.
+	if r.holder.ID != "" && r.holder.ID != p.node.options.Self.ID && !p.lost[r.holder.ID] {
 		return r.holder, true
 	}
 	order := p.candidates(id)
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/lease"
 )
 
 // Options are a node's settings as far as the decisions need them. The zero
@@ -13,8 +14,8 @@
 	Self coltsfootward.Instance
 	// Domains lists every failure domain of the deployment.
 	Domains []coltsfootward.FailureDomain
-	// Attempts bounds the attempts of one request over the whole chain. The
-	// default is 4.
+	// Attempts bounds the attempts of one request over the whole chain, the
+	// first ones included. The default is 16: seven layers deep and some to spare.
 	Attempts int
 	// Timeout bounds a request that brings none. The default is 10 s.
 	Timeout time.Duration
@@ -32,15 +33,24 @@
 	// LeaseMargin is what a claimant of a slot waits beyond the holder's term.
 	// The default is 1 s.
 	LeaseMargin time.Duration
+	// Contacts are instances that the node tries to reach at its start, besides
+	// those that the table names. Empty means only the table's.
+	Contacts []coltsfootward.Instance
+	// KeyGrace is how long a node goes on honouring keys that hears neither of
+	// the platform nor of most failure domains. A longer one serves callers
+	// through longer cuts; a key withdrawn meanwhile works behind the cut for
+	// as long. The default is 10 min.
+	KeyGrace time.Duration
 }
 
 // The defaults of Options.
 const (
-	DefaultAttempts       = 4
+	DefaultAttempts       = 16
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
 	DefaultSlots          = 4
+	DefaultKeyGrace       = 10 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -59,5 +69,14 @@
 	if o.Slots <= 0 {
 		o.Slots = DefaultSlots
 	}
+	if o.LeaseTerm <= 0 {
+		o.LeaseTerm = lease.DefaultTerm
+	}
+	if o.LeaseMargin <= 0 {
+		o.LeaseMargin = lease.DefaultMargin
+	}
+	if o.KeyGrace <= 0 {
+		o.KeyGrace = DefaultKeyGrace
+	}
 	return o
 }
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -172,7 +172,22 @@
 	p.returnSurplus()
 }
 
-// refresh follows changes of the configuration.
+// applied follows changes one by one: a change that lowers a part and one that
+// raises it again would together look like none.
+func (p *ratePart) applied(changes []coltsfootward.Change) {
+	if p.revision == 0 {
+		return
+	}
+	for _, change := range changes {
+		if change.Organisation != nil {
+			p.organisation(*change.Organisation, true)
+		}
+	}
+	p.revision = changes[len(changes)-1].Revision
+}
+
+// refresh takes in a configuration that did not come as changes: the first one
+// after the start, or a whole one.
 func (p *ratePart) refresh() {
 	configuration := p.node.configuration.current
 	if configuration.Revision() == p.revision {
@@ -181,14 +196,18 @@
 	first := p.revision == 0
 	p.revision = configuration.Revision()
 	for _, organisation := range configuration.Organisations() {
-		a, ok := p.accounts[organisation.Name]
-		if !ok {
-			a = &account{name: organisation.Name, created: !first, since: p.node.now.Monotonic}
-			p.accounts[organisation.Name] = a
-		}
-		if !ok || a.whole != organisation.Rate {
-			p.change(a, organisation.Rate)
-		}
+		p.organisation(organisation, !first)
+	}
+}
+
+func (p *ratePart) organisation(o coltsfootward.Organisation, created bool) {
+	a, ok := p.accounts[o.Name]
+	if !ok {
+		a = &account{name: o.Name, created: created, since: p.node.now.Monotonic}
+		p.accounts[o.Name] = a
+	}
+	if !ok || a.whole != o.Rate {
+		p.change(a, o.Rate)
 	}
 }
 
