--- a/core/lease/slot.go
+++ b/core/lease/slot.go
@@ -101,8 +101,8 @@
 	mine bool
 	// expires is when the term ends, by Instant.Expiry.
 	expires time.Duration
-	// since is when this epoch began here, by Instant.Monotonic.
-	since     time.Duration
+	// began is when this node learned that its epoch had begun.
+	began     coltsfootward.Instant
 	releasing bool
 	candidacy Candidacy
 	writes    []sentWrite
@@ -135,8 +135,9 @@
 // Epoch returns the epoch of the last record seen.
 func (s *Slot) Epoch() uint64 { return s.record.Epoch }
 
-// Since returns when the node's present epoch began, by Instant.Monotonic.
-func (s *Slot) Since() time.Duration { return s.since }
+// Began returns when the node learned that its present epoch had begun. No
+// other node has held the slot since.
+func (s *Slot) Began() coltsfootward.Instant { return s.began }
 
 // Mine reports whether the record, as last seen, names this node, lapsed or not.
 func (s *Slot) Mine() bool { return s.mine }
@@ -200,7 +201,7 @@
 	own := row.Version != 0 && !record.Released && record.Holder.ID == s.options.Self.ID &&
 		record.Holder.Incarnation == s.options.Self.Incarnation
 	if own && !s.mine {
-		s.since = now.Monotonic
+		s.began = now
 	}
 	s.mine = own
 	if !own {
@@ -288,7 +289,7 @@
 	}
 	if !s.mine {
 		s.mine = true
-		s.since = now.Monotonic
+		s.began = now
 		s.record.Epoch++
 		s.record.Holder = s.options.Self
 		s.record.Released = false
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -28,6 +28,10 @@
 	KindConfirmation         Kind = "confirmation"
 	KindConfirmationQuery    Kind = "confirmation_query"
 	KindDomainConfirmation   Kind = "domain_confirmation"
+	KindClaimRequest         Kind = "claim_request"
+	KindClaimVerdict         Kind = "claim_verdict"
+	KindClaimEnd             Kind = "claim_end"
+	KindClaimEndTaken        Kind = "claim_end_taken"
 )
 
 // Message is one message between nodes.
@@ -57,6 +61,10 @@
 	KindConfirmation:         func() Message { return &Confirmation{} },
 	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
 	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
+	KindClaimRequest:         func() Message { return &ClaimRequest{} },
+	KindClaimVerdict:         func() Message { return &ClaimVerdict{} },
+	KindClaimEnd:             func() Message { return &ClaimEnd{} },
+	KindClaimEndTaken:        func() Message { return &ClaimEndTaken{} },
 }
 
 // New returns an empty message of that kind to decode into, or nil for a kind
@@ -84,6 +92,9 @@
 	ShedRank uint32 `msgpack:"shed_rank"`
 	// Budget is the number of attempts that this call and all below it may use.
 	Budget int `msgpack:"budget"`
+	// NoRetries is set for the repeats of a caller that retries by itself: were
+	// the chain to retry as well, the two would multiply.
+	NoRetries bool `msgpack:"no_retries"`
 	// Timeout is what is left of the caller's time.
 	Timeout time.Duration `msgpack:"timeout"`
 	// StartWithin is how long the call's admission lasts: it must have been
--- a/core/node/bucket.go
+++ b/core/node/bucket.go
@@ -70,8 +70,8 @@
 // empty too: what the part gains was another's, and may have been drawn there.
 func (p *ratePart) newBucket(a *account, index int, part rate.Part) *rate.Bucket {
 	slot := p.node.lease.slots[index]
-	since := max(slot.Since(), a.share.Settled())
-	unused := slot.Epoch() == 1 || (a.created && a.since >= slot.Since()+configurationSpread)
+	since := max(slot.Began().Monotonic, a.share.Settled())
+	unused := slot.Epoch() == 1 || (a.created && a.since >= slot.Began().Monotonic+configurationSpread)
 	if unused && a.share.Settled() == 0 {
 		return rate.NewFullBucket(part, since)
 	}
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/attempt"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 
@@ -17,6 +17,16 @@
 // refused together do not return together.
 const retryAfterSpread = 2 * time.Second
 
+// The bounds of what a caller shed at entry is told, before spreading. In
+// between it is as long as the node has been shedding: an overload that has
+// lasted for a while is likely to last about as long again. The upper bound is
+// short because a refusal at entry costs microseconds, and callers that are
+// asked to stay away longer than they wait are lost.
+const (
+	shortestRetryAfter = time.Second
+	longestRetryAfter  = 1500 * time.Millisecond
+)
+
 // entryCall is a request at the node that its caller reached.
 type entryCall struct {
 	id      CallID
@@ -24,6 +34,8 @@
 	arrived time.Duration
 	// deadline is when the caller's time ends, by Instant.Expiry.
 	deadline time.Duration
+	// timeout is how long the request may wait for an answer to begin.
+	timeout time.Duration
 	// parent is the token of the request being served that made this call.
 	parent CallToken
 	// attempts is how many attempts have been used so far.
@@ -38,17 +50,20 @@
 	tried map[coltsfootward.InstanceID]bool
 	// target is where the attempt under way went.
 	target coltsfootward.InstanceID
+	// sent is when it went there, by Instant.Monotonic.
+	sent time.Duration
 	// running is set while an attempt is under way.
 	running bool
-	// lost is set once an attempt ended in doubt.
-	lost bool
+	// doubtful is set once an attempt may have run.
+	doubtful bool
 	// answered is set once an answer has begun; from then on nothing is retried.
 	answered bool
-	// claimed is set while the call holds a claim on its idempotency key.
-	claimed bool
+	// claim is set while the call holds or asks for a claim on its key.
+	claim *entryClaim
+	// body is a digest of the request's body.
+	body uint64
 	// admission is what entitles the next attempt to start.
 	admission admission
-	last      coltsfootward.Refusal
 }
 
 // entryPart takes requests from callers and from the local backend server and
@@ -98,6 +113,8 @@
 		return nil, refused
 	}
 	call.mayRetry = e.Attempt <= 1
+	call.head.NoRetries = !call.mayRetry
+	call.head.ShedRank = agedRank(call.head.ShedRank, e.Attempt)
 	return call, nil
 }
 
@@ -119,7 +136,8 @@
 	}
 	call.budget = slice
 	call.parent = e.Token
-	call.mayRetry = true
+	call.mayRetry = !parent.head.NoRetries
+	call.head.NoRetries = parent.head.NoRetries
 	call.deadline = min(call.deadline, parent.deadline)
 	call.head.Request = parent.head.Request
 	call.head.ShedRank = parent.head.ShedRank
@@ -140,8 +158,10 @@
 		id:       e.Call,
 		arrived:  p.node.now.Expiry,
 		deadline: p.node.now.Expiry + timeout,
+		timeout:  timeout,
 		budget:   p.node.options.Attempts,
 		tried:    make(map[coltsfootward.InstanceID]bool),
+		body:     e.Body,
 	}
 	if service.Attempts > 0 {
 		call.budget = service.Attempts
@@ -175,11 +195,12 @@
 // done for it. Under overload each hop that a doomed request takes is capacity
 // lost to the requests that will be answered.
 func (p *entryPart) shedAtEntry(call *entryCall) bool {
-	if !p.node.placement.shed(call.head.Service, call.head.ShedRank) {
+	if !p.node.placement.shed(call) {
 		return false
 	}
+	retryAfter := max(p.node.placement.shedFor(call.head.Service), shortestRetryAfter)
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the service sheds requests of this importance").
-		WithRetryAfter(p.node.spreadRetryAfter()))
+		WithRetryAfter(p.node.spread(min(retryAfter, longestRetryAfter))))
 	return true
 }
 
@@ -206,6 +227,11 @@
 		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started"))
 		return
 	}
+	if call.claim != nil && now >= call.claim.expires {
+		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalClaim, "the claim on the Idempotency-Key ended before the request started").
+			WithRetryAfter(p.node.spreadRetryAfter()))
+		return
+	}
 	target, ok := p.node.placement.choose(call)
 	if !ok {
 		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalNoUpstream, "no backend server of the service takes work").
@@ -214,12 +240,15 @@
 	}
 	call.target = target.ID
 	call.running = true
+	p.node.placement.sent(call)
 	head := call.head
-	reserve := call.parent == "" && call.mayRetry && !call.head.Unrepeatable && !call.lost
-	call.carried = attempt.Carry(call.budget-call.attempts, p.node.ledger.forecast.Need(call.head.Service), reserve)
+	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
+	if call.claim != nil {
+		head.StartWithin = shorter(head.StartWithin, call.claim.expires-now)
+	}
 	p.node.act(Forward{Call: call.id, To: target, Head: head})
 }
 
@@ -241,12 +270,12 @@
 		return
 	}
 	call.attempts += attemptsUsed(call, e)
-	call.lost = call.lost || e.Kind == AttemptLost
+	p.node.ledger.forecast.Missed(call.head.Service)
 	p.settleAdmission(call, e)
 	refused := refusalOf(e)
+	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)))
-	call.last = refused
 	call.tried[call.target] = true
 	p.node.ledger.topUp(call)
 	if p.mayRetry(call, refused) {
@@ -303,6 +332,10 @@
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
+	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
+}
+
+func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
 	}
@@ -330,24 +363,35 @@
 		p.node.rate.release(call.head.Organisation, call.admission)
 		call.admission = admission{}
 	}
-	if call.last.Execution == coltsfootward.ExecutionUnknown {
-		r = r.WithExecution(coltsfootward.ExecutionUnknown)
-	}
 	p.finish(call, r)
 }
 
-// finish answers the call with a refusal and forgets it.
+// finish answers the call with a refusal and forgets it. Once an attempt may
+// have run, a later one that certainly did not makes nothing undone.
 func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal) {
 	delete(p.calls, call.id)
-	if call.claimed {
-		p.node.claims.ended(call, r.Execution)
+	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
+		r = r.WithExecution(coltsfootward.ExecutionUnknown)
+	}
+	if call.claim != nil {
+		p.node.claims.ended(call, r.Execution, nil)
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+		p.node.upstream.childRefused(call.parent, r)
 	}
 	p.refuse(call.id, call.head.Request, r)
 }
 
+// replay answers the call with the first request's answer and forgets it.
+func (p *entryPart) replay(call *entryCall, answer *claim.Answer) {
+	delete(p.calls, call.id)
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget)
+	}
+	p.node.act(Replay{Call: call.id, Answer: *answer})
+}
+
 func (p *entryPart) refuseUnopened(id CallID, r coltsfootward.Refusal) {
 	p.refuse(id, "", r)
 }
@@ -358,6 +402,31 @@
 	p.node.act(Refuse{Call: id, Refusal: r})
 }
 
+// broken fetches the rest of an answer that broke off by another attempt, if
+// one is left. It waits for its beginning as long as the first: a download may
+// have outlasted the request's own time by far. The upstream is not marked as
+// tried, since it may have been only the connection that broke.
+func (p *entryPart) broken(e AnswerBroken) {
+	call, ok := p.calls[e.Call]
+	if !ok || !call.answered {
+		return
+	}
+	call.answered = false
+	call.running = false
+	call.doubtful = true
+	call.attempts += call.carried
+	if call.parent == "" {
+		call.deadline = max(call.deadline, p.node.now.Expiry+call.timeout)
+	}
+	p.node.ledger.topUp(call)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
+	if p.mayRetry(call, r) {
+		p.attempt(call)
+		return
+	}
+	p.finish(call, r)
+}
+
 func (p *entryPart) done(e CallDone) {
 	call, ok := p.calls[e.Call]
 	if !ok {
@@ -375,8 +444,8 @@
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
 	}
-	if call.claimed {
-		p.node.claims.ended(call, coltsfootward.ExecutionRan)
+	if call.claim != nil {
+		p.node.claims.ended(call, coltsfootward.ExecutionRan, e.Answer)
 	}
 }
 
@@ -389,19 +458,22 @@
 	}
 	delete(p.calls, id)
 	execution := coltsfootward.ExecutionNotRun
-	if call.running || call.answered || call.last.Execution == coltsfootward.ExecutionUnknown {
+	if call.running || call.answered || call.doubtful {
 		execution = coltsfootward.ExecutionUnknown
 	}
 	if call.running || call.answered {
 		call.attempts += call.carried
 	}
+	if call.running {
+		p.node.placement.left(call, false)
+	}
 	if call.running || call.answered {
 		p.node.act(CancelAttempt{Call: id})
 	} else {
 		p.node.rate.release(call.head.Organisation, call.admission)
 	}
-	if call.claimed {
-		p.node.claims.ended(call, execution)
+	if call.claim != nil {
+		p.node.claims.ended(call, execution, nil)
 	}
 	if call.parent != "" {
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
@@ -422,6 +494,7 @@
 func (p *entryPart) expire(call *entryCall) {
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out")
 	if call.running {
+		p.node.placement.left(call, true)
 		p.node.act(CancelAttempt{Call: call.id})
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 		call.attempts += call.carried
@@ -429,6 +502,14 @@
 	p.giveUp(call, r)
 }
 
+// shorter returns the shorter of two times of which zero means no limit.
+func shorter(limit, other time.Duration) time.Duration {
+	if limit == 0 {
+		return other
+	}
+	return min(limit, other)
+}
+
 func refusal(kind coltsfootward.RefusalKind, detail string) *coltsfootward.Refusal {
 	r := coltsfootward.NewRefusal(kind, detail)
 	return &r
@@ -442,6 +523,13 @@
 	return retryAfterSpread/4 + time.Duration(n.source.Int64N(int64(retryAfterSpread)))
 }
 
+// spread returns a time around d, up to a quarter less or more, so that
+// callers refused together do not return together. A wider spread would ask
+// some back after they have given up.
+func (n *Node) spread(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(n.source.Int64N(int64(max(d/2, 1))))
+}
+
 // shedHashBits is how many bits of a shed rank come from the request's hash.
 const shedHashBits = 28
 
@@ -453,3 +541,18 @@
 	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
 	return uint32(priority.Rank())<<shedHashBits | uint32(hash>>(64-shedHashBits))
 }
+
+// agingLimit bounds how many repeats move a request up.
+const agingLimit = 3
+
+// agedRank moves a caller's repeat up within its priority: each repeat halves
+// its distance to the front. Under a long overload chance alone would refuse
+// some requests every time, and their callers give up after a few tries while
+// others succeed at once. A caller that overstates its repeats gets ahead of
+// its own organisation's requests only, since turns between organisations do
+// not depend on the rank.
+func agedRank(rank uint32, attempt int) uint32 {
+	class := rank &^ (1<<shedHashBits - 1)
+	hash := rank & (1<<shedHashBits - 1)
+	return class | hash>>min(max(attempt-1, 0), agingLimit)
+}
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 )
 
@@ -33,6 +34,9 @@
 	Method         string
 	Path           string
 	IdempotencyKey string
+	// Body is a digest of the body; it is read for requests with an
+	// idempotency key.
+	Body uint64
 	// Attempt is the caller's own count of its repeats; the first is 1.
 	Attempt int
 	// Timeout is the caller's; zero means that it set none.
@@ -70,6 +74,11 @@
 	Attempts int
 }
 
+// AnswerBroken says that an answer broke off after part of its body had reached
+// the caller, and that the rest could be fetched by another attempt. Forward or
+// Refuse follows.
+type AnswerBroken struct{ Call CallID }
+
 // CallDone says that the entry call's answer has been delivered or given up.
 type CallDone struct {
 	Call CallID
@@ -80,6 +89,9 @@
 	Needed int
 	// Whole is set when the complete answer reached the caller.
 	Whole bool
+	// Answer is the whole answer of a request with an idempotency key, if its
+	// body is at most MaximumKeptAnswer long; it is kept for repeats.
+	Answer *claim.Answer
 }
 
 // PeerCallArrived says that an entry node sent a call for the local upstream.
@@ -156,6 +168,7 @@
 func (RequestArrived) isEvent()   {}
 func (CallerLeft) isEvent()       {}
 func (AttemptEnded) isEvent()     {}
+func (AnswerBroken) isEvent()     {}
 func (CallDone) isEvent()         {}
 func (PeerCallArrived) isEvent()  {}
 func (DispatchHeaded) isEvent()   {}
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -82,6 +82,7 @@
 }
 
 func (p *membershipPart) changed(old, news message.News) {
+	p.node.placement.changed(old, news)
 	instance := news.Announcement.Instance
 	if old.Announcement.Instance.Incarnation != instance.Incarnation || news.State == message.MemberLeft {
 		p.node.confirmation.forget(instance.ID)
@@ -113,7 +114,7 @@
 		return
 	}
 	p.machine.Announce(e.Service, e.Slots, e.Draining)
-	p.local = p.machine.Local()
+	p.publishLocal()
 	code := record.BackendAnnounced
 	if e.Draining {
 		code = record.BackendDraining
@@ -124,7 +125,14 @@
 
 func (p *membershipPart) drain() {
 	p.machine.Leave()
+	p.publishLocal()
+}
+
+// publishLocal takes in what changed about the local backend server.
+func (p *membershipPart) publishLocal() {
+	old := message.News{Announcement: p.local, State: message.MemberAlive}
 	p.local = p.machine.Local()
+	p.node.placement.changed(old, message.News{Announcement: p.local, State: message.MemberAlive})
 }
 
 func (p *membershipPart) left() { p.machine.Left() }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -72,6 +72,8 @@
 		n.upstream.callerLeft(e.Call)
 	case AttemptEnded:
 		n.entry.attemptEnded(e)
+	case AnswerBroken:
+		n.entry.broken(e)
 	case CallDone:
 		n.entry.done(e)
 	case PeerCallArrived:
@@ -118,6 +120,8 @@
 		n.configuration.digest(e, m.Gossip.Digest)
 	case *message.ProbeAnswer:
 		n.configuration.digest(e, m.Gossip.Digest)
+	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimEnd, *message.ClaimEndTaken:
+		n.claims.message(e)
 	case *message.ConfigurationDigest:
 		n.configuration.digest(e, *m)
 	case *message.ConfigurationPull:
--- a/core/node/rate_test.go
+++ b/core/node/rate_test.go
@@ -13,17 +13,17 @@
 	"pgregory.net/rapid"
 )
 
-// fleet is a rig in which every node has a backend server of one service.
-type fleet struct {
+// ratedFleet is a rig in which every node has a backend server of one service.
+type ratedFleet struct {
 	rig     *nodetest.Rig
 	domains []coltsfootward.FailureDomain
 	nodes   []*nodetest.Member
 }
 
-// newFleet returns nodesPerDomain nodes in each of so many failure domains, and
+// newRatedFleet returns nodesPerDomain nodes in each of so many failure domains, and
 // the organisation traders at that rate.
-func newFleet(seed uint64, domainCount, nodesPerDomain int, rate coltsfootward.Rate) *fleet {
-	f := &fleet{rig: nodetest.New(seed)}
+func newRatedFleet(seed uint64, domainCount, nodesPerDomain int, rate coltsfootward.Rate) *ratedFleet {
+	f := &ratedFleet{rig: nodetest.New(seed)}
 	f.setRate(rate)
 	f.rig.Submit(
 		coltsfootward.Change{Key: &coltsfootward.Key{ID: "k", Digest: testKey, Organisation: "traders"}},
@@ -43,16 +43,16 @@
 	return f
 }
 
-func (f *fleet) setRate(rate coltsfootward.Rate) {
+func (f *ratedFleet) setRate(rate coltsfootward.Rate) {
 	f.rig.Submit(coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: "traders", Rate: rate}})
 }
 
-func (f *fleet) send(m *nodetest.Member) *nodetest.Outcome {
+func (f *ratedFleet) send(m *nodetest.Member) *nodetest.Outcome {
 	return m.Send(nodetest.Request{Key: testKey, Service: "quotes"})
 }
 
 // starts returns when each request began at a backend server, in order.
-func (f *fleet) starts() []time.Duration {
+func (f *ratedFleet) starts() []time.Duration {
 	var starts []time.Duration
 	for _, m := range f.nodes {
 		for _, run := range m.Backend.Runs {
@@ -84,41 +84,41 @@
 // fault is something that goes wrong, or is changed, during a run.
 type fault struct {
 	name string
-	run  func(f *fleet, m *nodetest.Member, d time.Duration)
+	run  func(f *ratedFleet, m *nodetest.Member, d time.Duration)
 }
 
 var faults = []fault{
-	{"pause", func(f *fleet, m *nodetest.Member, d time.Duration) {
+	{"pause", func(f *ratedFleet, m *nodetest.Member, d time.Duration) {
 		m.Pause()
 		f.rig.After(d, m.Resume)
 	}},
-	{"suspend", func(f *fleet, m *nodetest.Member, d time.Duration) {
+	{"suspend", func(f *ratedFleet, m *nodetest.Member, d time.Duration) {
 		m.Suspend()
 		f.rig.After(d, m.Resume)
 	}},
-	{"crash", func(f *fleet, m *nodetest.Member, d time.Duration) {
+	{"crash", func(f *ratedFleet, m *nodetest.Member, d time.Duration) {
 		m.Kill()
 		f.rig.After(d, func() { f.restart(m) })
 	}},
-	{"outage", func(f *fleet, _ *nodetest.Member, d time.Duration) {
+	{"outage", func(f *ratedFleet, _ *nodetest.Member, d time.Duration) {
 		f.rig.Table.Outage = true
 		f.rig.After(d, func() { f.rig.Table.Outage = false })
 	}},
-	{"lost answers", func(f *fleet, _ *nodetest.Member, d time.Duration) {
+	{"lost answers", func(f *ratedFleet, _ *nodetest.Member, d time.Duration) {
 		f.rig.Table.LoseAnswers = true
 		f.rig.After(d, func() { f.rig.Table.LoseAnswers = false })
 	}},
-	{"cut domain", func(f *fleet, m *nodetest.Member, d time.Duration) {
+	{"cut domain", func(f *ratedFleet, m *nodetest.Member, d time.Duration) {
 		f.rig.CutDomain(m.Instance.Domain, true)
 		f.rig.After(d, func() { f.rig.HealDomain(m.Instance.Domain) })
 	}},
-	{"slow links", func(f *fleet, _ *nodetest.Member, d time.Duration) {
+	{"slow links", func(f *ratedFleet, _ *nodetest.Member, d time.Duration) {
 		f.rig.Delay = func(_, _ coltsfootward.Instance) time.Duration {
 			return time.Duration(f.rig.Source().Int64N(int64(200 * time.Millisecond)))
 		}
 		f.rig.After(d, func() { f.rig.Delay = nil })
 	}},
-	{"drain", func(f *fleet, m *nodetest.Member, d time.Duration) {
+	{"drain", func(f *ratedFleet, m *nodetest.Member, d time.Duration) {
 		m.Drain()
 		f.rig.After(d, func() {
 			m.Kill()
@@ -127,7 +127,7 @@
 	}},
 }
 
-func (f *fleet) restart(m *nodetest.Member) {
+func (f *ratedFleet) restart(m *nodetest.Member) {
 	if m.Alive() {
 		return
 	}
@@ -145,7 +145,7 @@
 			PerSecond: rapid.Float64Range(1, 60).Draw(t, "rate"),
 			Burst:     rapid.Int64Range(1, 60).Draw(t, "burst"),
 		}
-		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "domains"), 2, rate)
+		f := newRatedFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 3).Draw(t, "domains"), 2, rate)
 		f.rig.Run(2 * time.Second)
 		steps := rapid.IntRange(1, 8).Draw(t, "steps")
 		for range steps {
@@ -164,7 +164,7 @@
 }
 
 // flood sends requests to all nodes in turn for d.
-func (f *fleet) flood(d time.Duration, perSecond float64) {
+func (f *ratedFleet) flood(d time.Duration, perSecond float64) {
 	gap := time.Duration(float64(time.Second) / perSecond)
 	for end := f.rig.Now() + d; f.rig.Now() < end; {
 		f.send(f.nodes[f.rig.Source().IntN(len(f.nodes))])
--- a/core/node/table.go
+++ b/core/node/table.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"errors"
 
 	"coltsfootward"
@@ -29,11 +28,11 @@
 
 func (p *tablePart) read(key string, answered func(coltsfootward.Row, error)) {
 	id := p.operation(func(e TableAnswered) {
-		if e.Err != nil || len(e.Rows) != 1 {
-			answered(coltsfootward.Row{}, cmp.Or(e.Err, coltsfootward.ErrUnavailable))
-			return
+		row := coltsfootward.Row{Key: key}
+		if len(e.Rows) > 0 {
+			row = e.Rows[0]
 		}
-		answered(e.Rows[0], nil)
+		answered(row, e.Err)
 	})
 	p.node.act(ReadTable{Operation: id, Key: key})
 }
