--- a/core/lease/record.go
+++ b/core/lease/record.go
@@ -35,6 +35,9 @@
 	Token string `json:"token"`
 	// Released is set once the holder has given the slot up by itself.
 	Released bool `json:"released"`
+	// Unused is set once the slot was given up before anything was ever granted
+	// in its name, by its last holder or by one before.
+	Unused bool `json:"unused"`
 }
 
 // Encode returns the record as a row's value.
--- a/core/lease/slot.go
+++ b/core/lease/slot.go
@@ -104,10 +104,13 @@
 	// began is when this node learned that its epoch had begun.
 	began     coltsfootward.Instant
 	releasing bool
-	candidacy Candidacy
-	writes    []sentWrite
-	counter   uint64
-	busy      bool
+	// first is set if nothing was granted before this epoch, unused if the
+	// release is to say that nothing was granted in it either.
+	first, unused bool
+	candidacy     Candidacy
+	writes        []sentWrite
+	counter       uint64
+	busy          bool
 	// next is when the next read is due, by Instant.Monotonic.
 	next time.Duration
 }
@@ -125,6 +128,9 @@
 	return &Slot{options: options.withDefaults()}
 }
 
+// Releasing reports whether the node is giving the slot up.
+func (s *Slot) Releasing() bool { return s.releasing }
+
 // Held reports whether the node holds the slot at now. Whatever the holder
 // gives away must be given in the same step as this check: a node that was
 // paused since an earlier one may find itself lapsed.
@@ -147,15 +153,24 @@
 	return s.record.Holder, s.known && s.version != 0 && !s.record.Released
 }
 
-// Release makes the node give the slot up. It stops holding it at once.
-func (s *Slot) Release() {
+// First reports whether nothing can have been granted in the slot's name
+// before the node's present epoch.
+func (s *Slot) First() bool { return s.first }
+
+// Release makes the node give the slot up. It stops holding it at once. unused
+// says that it has granted nothing in the slot's name.
+func (s *Slot) Release(unused bool) {
 	if !s.mine || s.releasing {
 		return
 	}
 	s.releasing = true
+	s.unused = unused && s.first
 	s.next = 0
 }
 
+// Look makes the next Tick read the record.
+func (s *Slot) Look() { s.next = 0 }
+
 // Tick returns what is due: a renewal or a look at the record. A nil action
 // means nothing.
 func (s *Slot) Tick(now coltsfootward.Instant, candidacy Candidacy) Action {
@@ -202,6 +217,7 @@
 		record.Holder.Incarnation == s.options.Self.Incarnation
 	if own && !s.mine {
 		s.began = now
+		s.first = record.Unused || record.Epoch == 1
 	}
 	s.mine = own
 	if !own {
@@ -227,6 +243,9 @@
 	record.Term = s.options.Term
 	record.Counter++
 	record.Released = s.releasing
+	if s.releasing {
+		record.Unused = s.unused
+	}
 	return s.write(now, record)
 }
 
@@ -241,7 +260,7 @@
 		s.next = min(s.next, free)
 		return nil
 	}
-	return s.write(now, Record{Holder: s.options.Self, Epoch: s.record.Epoch + 1, Term: s.options.Term})
+	return s.write(now, Record{Holder: s.options.Self, Epoch: s.record.Epoch + 1, Term: s.options.Term, Unused: s.record.Released && s.record.Unused})
 }
 
 // freeFrom returns when the node may claim the slot, by Instant.Monotonic.
@@ -290,6 +309,7 @@
 	if !s.mine {
 		s.mine = true
 		s.began = now
+		s.first = s.version == 0 || (s.record.Released && s.record.Unused)
 		s.record.Epoch++
 		s.record.Holder = s.options.Self
 		s.record.Released = false
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -57,6 +57,7 @@
 	KindDraw:                 func() Message { return &Draw{} },
 	KindGrant:                func() Message { return &Grant{} },
 	KindReturn:               func() Message { return &Return{} },
+	KindOffer:                func() Message { return &SlotOffer{} },
 	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
 	KindConfirmation:         func() Message { return &Confirmation{} },
 	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
--- a/core/message/rate.go
+++ b/core/message/rate.go
@@ -11,8 +11,18 @@
 	KindDraw   Kind = "draw"
 	KindGrant  Kind = "grant"
 	KindReturn Kind = "return"
+	KindOffer  Kind = "slot_offer"
 )
 
+// SlotOffer tells a node that a slot of its failure domain was released to it.
+type SlotOffer struct {
+	Domain coltsfootward.FailureDomain `msgpack:"domain"`
+	Slot   int                         `msgpack:"slot"`
+}
+
+// MessageKind implements Message.
+func (*SlotOffer) MessageKind() Kind { return KindOffer }
+
 // Draw asks the holder of a slot for tokens of an organisation.
 type Draw struct {
 	// ID is the drawer's number for it; the grant repeats it.
--- a/core/node/bucket.go
+++ b/core/node/bucket.go
@@ -64,20 +64,30 @@
 }
 
 // newBucket returns the bucket at its first use in an epoch. It starts empty
-// unless nobody can have drawn from the part before: in the slot's first epoch,
+// unless nobody can have drawn from the part before: if no holder granted anything,
 // or if the organisation was created so long after the epoch's begin that no
 // earlier holder knew it. After a change that moved shares between parts it is
 // empty too: what the part gains was another's, and may have been drawn there.
 func (p *ratePart) newBucket(a *account, index int, part rate.Part) *rate.Bucket {
 	slot := p.node.lease.slots[index]
 	since := max(slot.Began().Monotonic, a.share.Settled())
-	unused := slot.Epoch() == 1 || (a.created && a.since >= slot.Began().Monotonic+configurationSpread)
+	unused := slot.First() || (a.created && a.since >= slot.Began().Monotonic+configurationSpread)
 	if unused && a.share.Settled() == 0 {
 		return rate.NewFullBucket(part, since)
 	}
 	return rate.NewBucket(part, since)
 }
 
+// unused reports whether nothing was granted for the slot in this epoch.
+func (p *ratePart) unused(index int) bool {
+	for id := range p.buckets {
+		if id.slot == index {
+			return false
+		}
+	}
+	return true
+}
+
 // returned puts unspent tokens back if they came from the present epoch.
 func (p *ratePart) returned(m message.Return) {
 	slot, ok := p.node.lease.own(slotID{domain: m.Domain, index: m.Slot})
--- a/core/node/claims.go
+++ b/core/node/claims.go
@@ -36,6 +36,8 @@
 	slot    claimSlot
 	// holder is the instance that was asked last.
 	holder coltsfootward.Instance
+	// moved counts the answers of nodes that do not hold the slot.
+	moved int
 	// granted is set once the request may be dispatched, until expires by
 	// Instant.Expiry.
 	granted bool
@@ -160,7 +162,14 @@
 		return
 	}
 	if m.Verdict.Decision == claim.Elsewhere {
-		return // the next resend asks whoever holds the slot by then
+		p.node.lease.holderFailed(slotID{domain: c.slot.domain, index: c.slot.number})
+		// Another candidate may hold the slot; if none does, the next resend
+		// asks whoever holds it by then.
+		c.moved++
+		if c.moved%slotWatchers != 0 {
+			p.ask(c)
+		}
+		return
 	}
 	delete(p.asking, m.ID)
 	if m.Verdict.Decision != claim.Granted {
--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -179,6 +179,9 @@
 	case current && m.Ask.ID != "" && m.Ask.ID != d.asked.ID && d.redirects < slotWatchers:
 		p.node.lease.holderAnswered(d.slot, m.Ask)
 		a.drawing = p.draw(a, d.slot, d.need, d.ahead, d.redirects+1)
+	case current && d.redirects < slotWatchers:
+		p.node.lease.holderFailed(d.slot)
+		a.drawing = p.draw(a, d.slot, d.need, d.ahead, d.redirects+1)
 	default:
 		p.node.lease.holderFailed(d.slot)
 		p.silent(a, d.slot)
--- a/core/node/lease.go
+++ b/core/node/lease.go
@@ -24,6 +24,13 @@
 // slot. At 64 slots and 1,333 nodes each look costs 85,000 hashes.
 const rankInterval = 2 * time.Second
 
+// While a node learns of the others it takes slots that it should not keep. It
+// looks more often then, to hand them over before they are in use.
+const (
+	startPeriod       = 10 * time.Second
+	startRankInterval = 250 * time.Millisecond
+)
+
 // releaseWait bounds how long a leaving node waits for the platform to take
 // its slots back. Longer is not worth it: the slots come free by themselves.
 const releaseWait = 2 * time.Second
@@ -49,6 +56,8 @@
 	slots []*lease.Slot
 	// ranks is where this node stands in the order of each slot's candidates.
 	ranks []int
+	// offered is until when each slot is offered to this node, by Instant.Monotonic.
+	offered []time.Duration
 	// held is what was reported last.
 	held   []bool
 	fair   int
@@ -62,12 +71,13 @@
 
 func newLeasePart(n *Node) *leasePart {
 	p := &leasePart{
-		node:   n,
-		ranks:  make([]int, n.options.Slots),
-		held:   make([]bool, n.options.Slots),
-		booted: n.now.Monotonic,
-		routes: make(map[slotID]*route),
-		lost:   make(map[coltsfootward.InstanceID]bool),
+		node:    n,
+		ranks:   make([]int, n.options.Slots),
+		held:    make([]bool, n.options.Slots),
+		offered: make([]time.Duration, n.options.Slots),
+		booted:  n.now.Monotonic,
+		routes:  make(map[slotID]*route),
+		lost:    make(map[coltsfootward.InstanceID]bool),
 	}
 	for range n.options.Slots {
 		p.slots = append(p.slots, lease.New(lease.Options{Self: n.options.Self, Term: n.options.LeaseTerm, Margin: n.options.LeaseMargin}))
@@ -77,24 +87,27 @@
 
 func (p *leasePart) tick() {
 	now := p.node.now
-	// A node that has just started knows no other and would take every slot,
-	// only to hand most of them over with their buckets empty.
-	settled := now.Monotonic >= p.booted+p.node.options.PollInterval+p.node.options.PollInterval/10
-	if settled && now.Monotonic >= p.ranked {
+	if now.Monotonic >= p.ranked {
 		p.ranked = now.Monotonic + rankInterval
+		if now.Monotonic < p.booted+startPeriod {
+			p.ranked = now.Monotonic + startRankInterval
+		}
 		p.rank()
 		p.handOver()
 	}
 	for i, s := range p.slots {
-		p.perform(i, s.Tick(now, p.candidacy(i, settled)))
+		p.perform(i, s.Tick(now, p.candidacy(i)))
 		p.reportHeld(i)
 	}
 }
 
-func (p *leasePart) candidacy(index int, settled bool) lease.Candidacy {
+func (p *leasePart) candidacy(index int) lease.Candidacy {
 	rank := p.ranks[index]
 	term := p.node.options.LeaseTerm
-	c := lease.Candidacy{Eligible: settled && !p.node.draining && rank >= 0 && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
+	c := lease.Candidacy{Eligible: !p.node.draining && rank >= 0 && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
+	if p.node.now.Monotonic < p.offered[index] {
+		return lease.Candidacy{Eligible: !p.node.draining}
+	}
 	if p.mine() >= p.fair {
 		c.Delay += 2 * term
 	}
@@ -104,7 +117,7 @@
 func (p *leasePart) mine() int {
 	count := 0
 	for _, s := range p.slots {
-		if s.Mine() {
+		if s.Mine() && !s.Releasing() {
 			count++
 		}
 	}
@@ -143,33 +156,50 @@
 	return found
 }
 
-// handOver gives up one slot if the node holds more than its share: a node
-// that started first would otherwise keep them all, and its loss would stop
-// the whole domain.
+// handOver gives up slots if the node holds more than its share: a node that
+// started first would otherwise keep them all, and its loss would stop the
+// whole domain. Slots that are in use go one at a time, since the next holder
+// starts with empty buckets.
 func (p *leasePart) handOver() {
-	if p.node.draining || p.mine() <= p.fair {
-		return
+	for !p.node.draining && p.mine() > p.fair {
+		index := p.worst()
+		unused := p.unused(index)
+		p.slots[index].Release(unused)
+		if !unused {
+			return
+		}
 	}
+}
+
+// unused reports whether nothing was granted in the slot's name in this epoch.
+func (p *leasePart) unused(index int) bool {
+	slot := claimSlot{domain: p.node.options.Self.Domain, number: index}
+	return p.node.rate.unused(index) && p.node.claims.holders[slot] == nil
+}
+
+// worst returns the held slot that this node is the least preferred for.
+func (p *leasePart) worst() int {
 	worst := -1
 	for i, s := range p.slots {
-		if s.Mine() && (worst < 0 || p.ranks[i] > p.ranks[worst]) {
+		if s.Mine() && !s.Releasing() && (worst < 0 || p.ranks[i] > p.ranks[worst]) {
 			worst = i
 		}
 	}
-	p.slots[worst].Release()
+	return worst
 }
 
 // drain gives every slot up.
 func (p *leasePart) drain() {
 	p.releaseFrom = p.node.now.Monotonic
-	for _, s := range p.slots {
-		s.Release()
+	for i, s := range p.slots {
+		s.Release(p.unused(i))
 	}
 }
 
 // leaving reports whether the platform is still to take slots back.
 func (p *leasePart) leaving() bool {
-	return p.mine() > 0 && !p.node.table.away && p.node.now.Monotonic < p.releaseFrom+releaseWait
+	mine := slices.ContainsFunc(p.slots, (*lease.Slot).Mine)
+	return mine && !p.node.table.away && p.node.now.Monotonic < p.releaseFrom+releaseWait
 }
 
 func (p *leasePart) perform(index int, action lease.Action) {
@@ -186,12 +216,36 @@
 			Writes:     []coltsfootward.Write{{Key: key, Value: a.Record.Encode()}},
 		}
 		p.node.table.transact(t, func(err error) {
+			releasing := slot.Releasing()
 			p.perform(index, slot.WriteAnswered(p.node.now, err))
+			if releasing && !slot.Mine() {
+				p.offer(slotID{domain: p.node.options.Self.Domain, index: index})
+			}
 		})
 	}
 	p.reportHeld(index)
 }
 
+// offer tells the next candidate of a slot that it was released. Without that
+// the slot would stay unused until the candidate's next look at it.
+func (p *leasePart) offer(id slotID) {
+	for _, c := range p.candidates(id) {
+		if c.ID != p.node.options.Self.ID {
+			p.node.act(Send{To: c, Message: &message.SlotOffer{Domain: id.domain, Slot: id.index}})
+			return
+		}
+	}
+}
+
+func (p *leasePart) takeOffer(m message.SlotOffer) {
+	slot, ok := p.own(slotID{domain: m.Domain, index: m.Slot})
+	if !ok {
+		return
+	}
+	p.offered[m.Slot] = p.node.now.Monotonic + p.node.options.LeaseTerm
+	slot.Look()
+}
+
 func (p *leasePart) reportHeld(index int) {
 	held := p.slots[index].Held(p.node.now)
 	if held == p.held[index] {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -134,6 +134,8 @@
 		n.rate.answered(*m)
 	case *message.Return:
 		n.rate.returned(*m)
+	case *message.SlotOffer:
+		n.lease.takeOffer(*m)
 	case *message.ConfigurationPage:
 		n.configuration.page(e.From, *m)
 	case *message.Confirmation:
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -61,5 +61,5 @@
 	if !ok || !slot.Held(l.node.now) {
 		return claimTerm{}, false
 	}
-	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.Epoch() == 1}, true
+	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -104,6 +104,9 @@
 // Alive reports whether the node runs; a paused node does.
 func (m *Member) Alive() bool { return m.alive }
 
+// Paused reports whether the node is paused or suspended.
+func (m *Member) Paused() bool { return m.paused }
+
 func (m *Member) boot() {
 	m.boots++
 	m.Instance.Incarnation = coltsfootward.Incarnation(m.boots)
--- a/core/nodetest/table.go
+++ b/core/nodetest/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/lease"
 	"coltsfootward/core/node"
 )
 
@@ -26,6 +27,8 @@
 	Slow time.Duration
 	// Reads and Writes count operations that took effect.
 	Reads, Writes int
+	// SlotReads and SlotWrites are those among them on the slots' records.
+	SlotReads, SlotWrites int
 
 	rig     *Rig
 	rows    map[string]coltsfootward.Row
@@ -101,6 +104,9 @@
 		return coltsfootward.Row{}, coltsfootward.ErrUnavailable
 	}
 	t.Reads++
+	if strings.HasPrefix(key, lease.KeyPrefix) {
+		t.SlotReads++
+	}
 	row := t.rows[key]
 	row.Key = key
 	return row, t.answer(nil)
@@ -132,6 +138,9 @@
 		}
 	}
 	t.Writes++
+	if strings.HasPrefix(transaction.Writes[0].Key, lease.KeyPrefix) {
+		t.SlotWrites++
+	}
 	for _, w := range transaction.Writes {
 		t.write(w)
 	}
