--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -57,12 +57,6 @@
 	return p
 }
 
-// upstreams returns the backend servers of a service that take work, in the
-// order of their names. The slice is the caller's.
-func (p *membershipPart) upstreams(service coltsfootward.ServiceName) []message.Announcement {
-	return p.machine.Upstreams(service)
-}
-
 // roster returns the members of a failure domain that have not said that they
 // leave, with when each was last heard, in an order that all nodes share. It
 // includes those that are gone, with that state, and this node.
