--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -158,6 +158,7 @@
 }
 
 func (p *configurationPart) inForce(applied []coltsfootward.Change) {
+	p.node.rate.applied(applied)
 	for _, change := range applied {
 		if change.Key != nil && change.Key.Withdrawn {
 			p.node.report(record.KeyWithdrawn, field("key", change.Key.ID))
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,7 @@
 	membership    *membershipPart
 	placement     *placementPart
 	rate          *ratePart
+	lease         *leasePart
 	claims        *claimsPart
 	ledger        *ledgerPart
 	entry         *entryPart
@@ -40,6 +41,7 @@
 	n.confirmation = newConfirmationPart(n)
 	n.membership = newMembershipPart(n)
 	n.placement = newPlacementPart(n)
+	n.lease = newLeasePart(n)
 	n.rate = newRatePart(n)
 	n.claims = newClaimsPart(n)
 	n.ledger = newLedgerPart(n)
@@ -84,6 +86,7 @@
 		n.message(e)
 	case PeerLost:
 		n.placement.peerLost(e.Instance)
+		n.lease.peerLost(e.Instance)
 	case BackendAnnounced:
 		n.membership.backendAnnounced(e)
 	case DrainRequested:
@@ -97,6 +100,7 @@
 	n.table.tick()
 	n.configuration.tick()
 	n.membership.tick()
+	n.lease.tick()
 	n.confirmation.tick()
 	n.rate.tick()
 	n.claims.tick()
@@ -105,6 +109,7 @@
 }
 
 func (n *Node) message(e MessageArrived) {
+	n.lease.heard(e.From)
 	n.membership.received(e)
 	switch m := e.Message.(type) {
 	case *message.Gossip:
@@ -123,6 +128,14 @@
 		n.configuration.pull(e.From, *m)
 	case *message.ConfigurationChanges:
 		n.configuration.changes(e.From, *m)
+	case *message.Draw:
+		n.rate.drawn(*m)
+	case *message.Grant:
+		n.rate.answered(*m)
+	case *message.Return:
+		n.rate.returned(*m)
+	case *message.SlotOffer:
+		n.lease.takeOffer(*m)
 	case *message.ConfigurationPage:
 		n.configuration.page(e.From, *m)
 	case *message.Confirmation:
@@ -141,12 +154,13 @@
 	n.draining = true
 	n.report(record.NodeDraining)
 	n.membership.drain()
+	n.lease.drain()
 }
 
 // checkDrained reports the end of a drain once: nothing may be in hand, since
 // a planned stop cuts off no request.
 func (n *Node) checkDrained() {
-	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 {
+	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 || n.lease.leaving() {
 		return
 	}
 	n.drained = true
