--- a/core/membership/options.go
+++ b/core/membership/options.go
@@ -66,7 +66,7 @@
 	maximumNews = 8
 	// retransmitFactor times the decimal digits of the number of members is
 	// how often each node passes a piece of news on.
-	retransmitFactor = 4
+	retransmitFactor = 6
 	// isolatedFactor stretches the suspicion of a node that hears nobody: then
 	// its own link is the likelier culprit than all of its peers.
 	isolatedFactor = 5
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -65,7 +65,7 @@
 
 func newConfigurationPart(n *Node) *configurationPart {
 	p := &configurationPart{node: n, pulled: n.now.Monotonic - pullInterval}
-	p.contact.began(n.now)
+	p.contact.began(n.now, n.options.KeyGrace)
 	return p
 }
 
--- a/core/node/configuration_test.go
+++ b/core/node/configuration_test.go
@@ -319,6 +319,12 @@
 	if got := f.honouring(); got != 4 || honours(f.members[2]) || honours(f.members[3]) {
 		t.Errorf("after the grace: honoured at %d nodes, want 4, all outside the cut", got)
 	}
+	f.members[2].Kill()
+	f.members[2].Restart()
+	f.Run(30 * time.Second)
+	if honours(f.members[2]) || f.members[2].Node().Configuration().Revision() != f.submitted {
+		t.Errorf("restarted behind the cut: honours %v at revision %d, want false at %d", honours(f.members[2]), f.members[2].Node().Configuration().Revision(), f.submitted)
+	}
 	f.HealDomain("domain-1")
 	if !f.RunUntil(15*time.Second, func() bool { return f.honouring() == 6 }) {
 		t.Errorf("after the cut: honoured at %d nodes, want 6", f.honouring())
--- a/core/node/key.go
+++ b/core/node/key.go
@@ -97,11 +97,16 @@
 	majority time.Duration
 	checked  time.Duration
 	stopped  bool
+	// reported is set while operators have been told that keys are stopped.
+	reported bool
 }
 
-func (a *contactAge) began(now coltsfootward.Instant) {
-	a.tableRead = now.Expiry
-	a.majority = now.Expiry
+// began leaves a node that starts without any evidence: else each restart behind
+// a cut would begin the grace anew.
+func (a *contactAge) began(now coltsfootward.Instant, grace time.Duration) {
+	a.tableRead = now.Expiry - grace - 1
+	a.majority = a.tableRead
+	a.stopped = true
 }
 
 func (a *contactAge) table(at time.Duration) {
@@ -118,7 +123,9 @@
 func (p *configurationPart) checkContact() {
 	a := &p.contact
 	now := p.node.now.Expiry
-	if now-a.checked < time.Second {
+	// A node that is stopped looks again at once, so that it honours keys as soon
+	// as it hears of anybody.
+	if now-a.checked < time.Second && !a.stopped {
 		return
 	}
 	a.checked = now
@@ -126,15 +133,15 @@
 		a.majority = now
 	}
 	stopped := now-max(a.tableRead, a.majority) > p.node.options.KeyGrace
-	if stopped == a.stopped {
-		return
-	}
-	a.stopped = stopped
-	if stopped {
+	if stopped && !a.stopped {
 		p.node.report(record.KeysStopped)
-		return
+		a.reported = true
+	}
+	if !stopped && a.reported {
+		p.node.report(record.KeysHonoured)
+		a.reported = false
 	}
-	p.node.report(record.KeysHonoured)
+	a.stopped = stopped
 }
 
 func (p *configurationPart) hearsMostDomains() bool {
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -42,7 +42,8 @@
 	// KeyGrace is how long a node goes on honouring keys that hears neither of
 	// the platform nor of most failure domains. A longer one serves callers
 	// through longer cuts; a key withdrawn meanwhile works behind the cut for
-	// as long. The default is 10 min.
+	// as long. A failure domain that Domains lists counts as unheard if nothing
+	// runs there. The default is 10 min.
 	KeyGrace time.Duration
 }
 
