--- a/core/message/message.go
+++ b/core/message/message.go
@@ -30,6 +30,7 @@
 	KindDomainConfirmation   Kind = "domain_confirmation"
 	KindClaimRequest         Kind = "claim_request"
 	KindClaimVerdict         Kind = "claim_verdict"
+	KindClaimHandover        Kind = "claim_handover"
 	KindClaimEnd             Kind = "claim_end"
 	KindClaimEndTaken        Kind = "claim_end_taken"
 )
@@ -60,6 +61,7 @@
 	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
 	KindClaimRequest:         func() Message { return &ClaimRequest{} },
 	KindClaimVerdict:         func() Message { return &ClaimVerdict{} },
+	KindClaimHandover:        func() Message { return &ClaimHandover{} },
 	KindClaimEnd:             func() Message { return &ClaimEnd{} },
 	KindClaimEndTaken:        func() Message { return &ClaimEndTaken{} },
 }
@@ -89,6 +91,9 @@
 	ShedRank uint32 `msgpack:"shed_rank"`
 	// Budget is the number of attempts that this call and all below it may use.
 	Budget int `msgpack:"budget"`
+	// NoRetries is set for the repeats of a caller that retries by itself: were
+	// the chain to retry as well, the two would multiply.
+	NoRetries bool `msgpack:"no_retries"`
 	// Timeout is what is left of the caller's time.
 	Timeout time.Duration `msgpack:"timeout"`
 	// StartWithin is how long the call's admission lasts: it must have been
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/attempt"
 	"coltsfootward/core/claim"
 	"coltsfootward/core/message"
 	"coltsfootward/core/record"
@@ -35,6 +34,8 @@
 	arrived time.Duration
 	// deadline is when the caller's time ends, by Instant.Expiry.
 	deadline time.Duration
+	// timeout is how long the request may wait for an answer to begin.
+	timeout time.Duration
 	// parent is the token of the request being served that made this call.
 	parent CallToken
 	// attempts is how many attempts have been used so far.
@@ -53,8 +54,8 @@
 	sent time.Duration
 	// running is set while an attempt is under way.
 	running bool
-	// lost is set once an attempt was lost, doubtful once one may have run.
-	lost, doubtful bool
+	// doubtful is set once an attempt may have run.
+	doubtful bool
 	// answered is set once an answer has begun; from then on nothing is retried.
 	answered bool
 	// claim is set while the call holds or asks for a claim on its key.
@@ -112,6 +113,7 @@
 		return nil, refused
 	}
 	call.mayRetry = e.Attempt <= 1
+	call.head.NoRetries = !call.mayRetry
 	call.head.ShedRank = agedRank(call.head.ShedRank, e.Attempt)
 	return call, nil
 }
@@ -134,7 +136,8 @@
 	}
 	call.budget = slice
 	call.parent = e.Token
-	call.mayRetry = true
+	call.mayRetry = !parent.head.NoRetries
+	call.head.NoRetries = parent.head.NoRetries
 	call.deadline = min(call.deadline, parent.deadline)
 	call.head.Request = parent.head.Request
 	call.head.ShedRank = parent.head.ShedRank
@@ -155,6 +158,7 @@
 		id:       e.Call,
 		arrived:  p.node.now.Expiry,
 		deadline: p.node.now.Expiry + timeout,
+		timeout:  timeout,
 		budget:   p.node.options.Attempts,
 		tried:    make(map[coltsfootward.InstanceID]bool),
 		body:     e.Body,
@@ -238,8 +242,7 @@
 	call.running = true
 	p.node.placement.sent(call)
 	head := call.head
-	reserve := call.parent == "" && call.mayRetry && !call.head.Unrepeatable && !call.lost
-	call.carried = attempt.Carry(call.budget-call.attempts, p.node.ledger.forecast.Need(call.head.Service), reserve)
+	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
@@ -267,7 +270,7 @@
 		return
 	}
 	call.attempts += attemptsUsed(call, e)
-	call.lost = call.lost || e.Kind == AttemptLost
+	p.node.ledger.forecast.Missed(call.head.Service)
 	p.settleAdmission(call, e)
 	refused := refusalOf(e)
 	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
@@ -399,6 +402,31 @@
 	p.node.act(Refuse{Call: id, Refusal: r})
 }
 
+// broken fetches the rest of an answer that broke off by another attempt, if
+// one is left. It waits for its beginning as long as the first: a download may
+// have outlasted the request's own time by far. The upstream is not marked as
+// tried, since it may have been only the connection that broke.
+func (p *entryPart) broken(e AnswerBroken) {
+	call, ok := p.calls[e.Call]
+	if !ok || !call.answered {
+		return
+	}
+	call.answered = false
+	call.running = false
+	call.doubtful = true
+	call.attempts += call.carried
+	if call.parent == "" {
+		call.deadline = max(call.deadline, p.node.now.Expiry+call.timeout)
+	}
+	p.node.ledger.topUp(call)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
+	if p.mayRetry(call, r) {
+		p.attempt(call)
+		return
+	}
+	p.finish(call, r)
+}
+
 func (p *entryPart) done(e CallDone) {
 	call, ok := p.calls[e.Call]
 	if !ok {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -70,6 +70,8 @@
 		n.upstream.callerLeft(e.Call)
 	case AttemptEnded:
 		n.entry.attemptEnded(e)
+	case AnswerBroken:
+		n.entry.broken(e)
 	case CallDone:
 		n.entry.done(e)
 	case PeerCallArrived:
@@ -113,7 +115,7 @@
 		n.configuration.digest(e, m.Gossip.Digest)
 	case *message.ProbeAnswer:
 		n.configuration.digest(e, m.Gossip.Digest)
-	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimEnd, *message.ClaimEndTaken:
+	case *message.ClaimRequest, *message.ClaimVerdict, *message.ClaimHandover, *message.ClaimEnd, *message.ClaimEndTaken:
 		n.claims.message(e)
 	case *message.ConfigurationDigest:
 		n.configuration.digest(e, *m)
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -11,6 +11,7 @@
 	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
+	"coltsfootward/core/record"
 )
 
 // upstreamCall is a call for the local backend server.
@@ -38,6 +39,11 @@
 	node      *Node
 	calls     map[CallID]*upstreamCall
 	admission *admissioncontrol.Controller
+	// overloaded and reportedLimit are what was reported last, nextReport is
+	// when the limit may be reported again.
+	overloaded    bool
+	reportedLimit int
+	nextReport    time.Duration
 }
 
 func newUpstreamPart(n *Node) *upstreamPart {
@@ -225,6 +231,9 @@
 	if call, ok := p.node.ledger.parent(token); ok {
 		call.childRefused = true
 		call.childRetryAfter = r.RetryAfter
+		if r.Kind == coltsfootward.RefusalOverloaded {
+			p.admission.RefusedBelow(admissioncontrol.RequestID(call.id))
+		}
 	}
 }
 
@@ -245,6 +254,37 @@
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
 	p.refuseShed()
+	p.reportOverload()
+	p.reportLimit()
+}
+
+func (p *upstreamPart) reportOverload() {
+	overloaded := p.admission.Overloaded(p.node.now.Expiry)
+	if overloaded == p.overloaded {
+		return
+	}
+	p.overloaded = overloaded
+	code := record.OverloadEnded
+	if overloaded {
+		code = record.OverloadBegan
+	}
+	p.node.report(code, field("service", string(p.node.membership.local.Service)), field("queued", number(p.admission.Queued())))
+}
+
+// reportLimit reports the limit's moves, at most once a second. The first limit
+// is what the backend server announced and has been reported as such.
+func (p *upstreamPart) reportLimit() {
+	limit, now := p.admission.Limit(), p.node.now.Monotonic
+	if limit == p.reportedLimit || now < p.nextReport {
+		return
+	}
+	first := p.reportedLimit == 0
+	p.reportedLimit = limit
+	if first {
+		return
+	}
+	p.nextReport = now + time.Second
+	p.node.report(record.LimitChanged, field("limit", number(limit)), field("slots", number(p.node.membership.local.Slots)))
 }
 
 // refuse answers the peer. Attempts counts what the call and all below it used:
@@ -255,28 +295,28 @@
 	if r.Execution != coltsfootward.ExecutionNotRun {
 		used = call.escrow.Used()
 	}
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head.Organisation), Attempts: used})
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: used})
 }
 
-// load is what goes back with every answer to an organisation's request.
-func (p *upstreamPart) load(organisation coltsfootward.OrganisationName) message.Load {
+// load is what goes back with every answer to such a request.
+func (p *upstreamPart) load(head message.Call) message.Load {
 	return message.Load{
 		Running:   p.admission.Running(),
 		Queued:    p.admission.Queued(),
 		Limit:     p.admission.Limit(),
-		ShedLevel: p.admission.Level(organisation),
+		ShedLevel: p.admission.Level(head.Organisation, requestClass(head.Method, head.Path)),
 	}
 }
 
 // Load returns the state of the node's own upstream, without a shed level.
 func (n *Node) Load() message.Load {
-	return n.upstream.load("")
+	return n.upstream.load(message.Call{})
 }
 
-// LoadFor returns what goes back with the answer to an organisation's request:
-// the upstream's state and the organisation's shed level.
-func (n *Node) LoadFor(organisation coltsfootward.OrganisationName) message.Load {
-	return n.upstream.load(organisation)
+// LoadFor returns what goes back with the answer to a request: the upstream's
+// state and the shed level for such requests.
+func (n *Node) LoadFor(head message.Call) message.Load {
+	return n.upstream.load(head)
 }
 
 func (n *Node) newCallToken() CallToken {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -18,6 +18,9 @@
 	AttemptFailed       Code = 202
 	BackendAnnounced    Code = 301
 	BackendDraining     Code = 302
+	LimitChanged        Code = 303
+	OverloadBegan       Code = 304
+	OverloadEnded       Code = 305
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -25,6 +28,8 @@
 	SnapshotInForce     Code = 405
 	ClaimRefused        Code = 601
 	ClaimUnanswered     Code = 602
+	ClaimsHandedOver    Code = 603
+	ClaimsTakenOver     Code = 604
 	MemberSuspected     Code = 701
 	MemberGone          Code = 702
 	MemberLeft          Code = 703
@@ -57,6 +62,9 @@
 		{AttemptFailed, "attempt_failed", "debug", "An attempt ended without an answer; the request may be attempted again."},
 		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
+		{LimitChanged, "limit_changed", "info", "The number of requests that the backend server is given at once moved, at most one report a second. Below its slots it slows down with more; check what it announces and its machine."},
+		{OverloadBegan, "overload_began", "warn", "The node began to refuse requests that its backend server has no room for. The least important go first; add backend servers if it lasts."},
+		{OverloadEnded, "overload_ended", "info", "The node has refused nothing for want of room for a second."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
@@ -64,6 +72,8 @@
 		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
 		{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; the decision says why."},
 		{ClaimUnanswered, "claim_unanswered", "warn", "Nobody decided on a claim in time; the request was refused as not run. Check the links to the other failure domains."},
+		{ClaimsHandedOver, "claims_handed_over", "info", "The node gave a slot up and sent its claims to those who may take it."},
+		{ClaimsTakenOver, "claims_taken_over", "info", "The node holds a slot and has the claims of its last holder; no key is held off."},
 		{MemberSuspected, "member_suspected", "info", "A member of the node's failure domain answers no probes; it gets no new work if others can take it."},
 		{MemberGone, "member_gone", "warn", "A member of the node's failure domain did not answer in time and gets no new work. Check that instance."},
 		{MemberLeft, "member_left", "info", "A member of the node's failure domain said that it stops."},
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -36,6 +36,10 @@
 	DefaultMaximumBody = 64 << 20
 )
 
+// copyBuffers keeps buffers for reuse: one of its own for each call was a third
+// of all memory that a node allocated.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
 // Options are a server's settings. The zero value works.
 type Options struct {
 	// MaximumBody bounds the body of a call that a peer sends, in bytes. It
@@ -262,14 +266,16 @@
 // passOn streams the answer to the peer and reports how that ended.
 func (d *dispatch) passOn(ctx context.Context, response *http.Response, cancel context.CancelFunc) node.DispatchKind {
 	var load message.Load
-	d.server.loop.Inspect(func(n *node.Node) { load = n.LoadFor(d.head.Organisation) })
+	d.server.loop.Inspect(func(n *node.Node) { load = n.LoadFor(d.head) })
 	head := message.Answer{Status: response.StatusCode, Header: caller.AnswerFields(response.Header), Load: load}
 	if d.writer.Head(head) != nil {
 		return node.DispatchCancelled
 	}
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
-	buffer := make([]byte, copyBuffer)
+	pooled := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
