--- a/cmd/endtoend/process_test.go
+++ b/cmd/endtoend/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,7 +23,15 @@
 // machine's speed.
 const patience = 90 * time.Second
 
+// atOnce is how many tests run at once. Each runs half a dozen processes, and
+// more of them only wait for the machine.
+const atOnce = "3"
+
 func TestMain(m *testing.M) {
+	if err := flag.Set("test.parallel", atOnce); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	os.Exit(runTests(m))
 }
 
