--- a/cmd/coltsload/main.go
+++ b/cmd/coltsload/main.go
@@ -21,6 +21,9 @@
 		{"scenarios", "measure overload scenarios under a virtual clock",
 			"Runs every overload scenario on both example deployments, against a naive system, and prints a table. Needs no network.\n\nExample: coltsload scenarios --only burst",
 			&scenarios{}},
+		{"latency", "measure what a node pair adds to a call",
+			"Calls a backend server directly and through two nodes, in one run and at the same rates, and prints both and the difference. Starts all parts in this process unless --direct and --through name others.\n\nExample: coltsload latency --rate 160 --duration 10s",
+			&latency{}},
 	}
 }
 
