--- a/cmd/endtoend/kill_test.go
+++ b/cmd/endtoend/kill_test.go
@@ -17,6 +17,7 @@
 	key       string
 	status    int
 	execution string
+	refusal   string
 	whole     bool
 }
 
@@ -66,6 +67,7 @@
 	text, err := io.ReadAll(response.Body)
 	o.status = response.StatusCode
 	o.execution = response.Header.Get("Coltsfootward-Execution")
+	o.refusal = response.Header.Get("Coltsfootward-Refusal")
 	o.whole = err == nil
 	if o.whole && o.status == http.StatusOK && !strings.Contains(string(text), body) {
 		d.t.Errorf("got %q, want the answer to %q", text, body)
@@ -105,7 +107,7 @@
 	}
 	told := make(map[string]int)
 	for _, placed := range o.all {
-		told[fmt.Sprintf("%d %s", placed.status, placed.execution)]++
+		told[strings.TrimSpace(fmt.Sprintf("%d %s %s", placed.status, placed.refusal, placed.execution))]++
 		if err := placed.check(ran[placed.key]); err != nil {
 			d.t.Errorf("order %s: %v", placed.key, err)
 		}
@@ -132,13 +134,16 @@
 // server then serves again.
 func TestKilledNodeUnderLoad(t *testing.T) {
 	t.Parallel()
-	d := startDeployment(t, "--slots", "64", "--connections", "64", "--time", "5ms")
-	o := startOrders(d, d.north, 8)
+	// Few slots, so that the callers' own domain is full and work spills over.
+	small := []string{"--slots", "4", "--connections", "64", "--time", "5ms"}
+	d := startDeployment(t, small...)
+	o := startOrders(d, d.north, 12)
+	eventually(t, "the other domain's backend server has work", func() bool { return d.runs(d.southBackend).Total > 20 })
 	o.further(t, 100)
 	d.south.kill()
 	o.further(t, 200)
 	d.south = startNode(t, "south-1", "south", d.platform)
-	returned, _ := startBackend(t, d.south, "--slots", "64", "--connections", "64")
+	returned, _ := startBackend(t, d.south, small...)
 	d.awaitUpstreams(d.north, 2)
 	eventually(t, "the returned instance serves again", func() bool { return d.runs(returned).Total > 0 })
 	o.further(t, 100)
