--- a/core/record/record.go
+++ b/core/record/record.go
@@ -26,6 +26,8 @@
 	KeysStopped         Code = 403
 	KeysHonoured        Code = 404
 	SnapshotInForce     Code = 405
+	SlotHeld            Code = 501
+	SlotLost            Code = 502
 	ClaimRefused        Code = 601
 	ClaimUnanswered     Code = 602
 	ClaimsHandedOver    Code = 603
@@ -70,6 +72,8 @@
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
 		{KeysHonoured, "keys_honoured", "info", "The node hears of the platform or of most failure domains again and honours keys."},
 		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
+		{SlotHeld, "slot_held", "info", "The node holds the slot and grants its parts of every organisation's rate."},
+		{SlotLost, "slot_lost", "info", "The node no longer holds the slot: its term ended, it gave the slot up, or another node took it."},
 		{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; the decision says why."},
 		{ClaimUnanswered, "claim_unanswered", "warn", "Nobody decided on a claim in time; the request was refused as not run. Check the links to the other failure domains."},
 		{ClaimsHandedOver, "claims_handed_over", "info", "The node gave a slot up and sent its claims to those who may take it."},
