Refuse at once what would start after its admission has ended; measure a formed fleet

Change: admission knows until when a request may start, refuses it on arrival if what goes before it lasts longer, and drops it when the time has come. The scenarios let the nodes stand for 40 s before callers come.

Conclusion: the wait of a request is bounded by the life of its admission too.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -47,6 +47,8 @@
 	ReasonWaited Reason = "waited"
 	// ReasonDeadline means that it cannot end before its caller stops waiting.
 	ReasonDeadline Reason = "deadline"
+	// ReasonStartBy means that it cannot start before its entitlement ends.
+	ReasonStartBy Reason = "start_by"
 )
 
 // Refused is a request that will not be served. It has not begun.
@@ -122,10 +124,17 @@
 	if c.queue.Len() == 0 {
 		c.emptied = now
 	}
-	if now+c.wait(r)+estimate > r.Deadline && !c.trial(now, r) {
+	wait := c.wait(r)
+	if now+wait+estimate > r.Deadline && !c.trial(now, r) {
 		c.refuse(now, r, ReasonDeadline)
 		return
 	}
+	// A request that would start too late is refused now, while its caller can
+	// still go elsewhere, and not after it has waited in vain.
+	if r.StartBy > 0 && now+wait >= r.StartBy {
+		c.refuse(now, r, ReasonStartBy)
+		return
+	}
 	c.queue.Push(r)
 	// The queue is full of what matters less than the newcomer as often as not.
 	// Refusing whoever comes last would invert priorities under the very load
@@ -207,6 +216,8 @@
 		switch {
 		case now+c.limiter.Estimate(r.Class) > r.Deadline:
 			return ReasonDeadline
+		case r.StartBy > 0 && now >= r.StartBy:
+			return ReasonStartBy
 		case now-r.Arrived > waitOf(r, standing):
 			return ReasonWaited
 		default:
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -197,3 +197,35 @@
 		t.Errorf("got level %#x for plain pages, want 0", level)
 	}
 }
+
+// Four requests of 100 ms each wait for the only slot, and a fifth may only
+// start within 200 ms. It would wait in vain and be refused when it is
+// too late to go elsewhere; it has to be told at once. A more important one
+// with the same limit goes first and is served.
+func TestRequestThatWouldStartTooLateIsRefusedAtOnce(t *testing.T) {
+	c := admission.NewController(10)
+	now := time.Hour
+	offer := func(id admission.RequestID, priority int, startWithin time.Duration) {
+		c.Offer(now, admission.Request{ID: id, Priority: priority, Class: "GET /", Organisation: "traders",
+			Arrived: now, Deadline: now + time.Minute, StartBy: now + startWithin})
+		c.Next(now)
+	}
+	offer(1, 2, time.Second)
+	now += 100 * time.Millisecond
+	c.Done(now, 1, false)
+	c.SetSlots(1)
+	for id := range 5 {
+		offer(admission.RequestID(id+2), 2, time.Minute)
+	}
+	if refused := c.Refused(); len(refused) != 0 {
+		t.Fatalf("got %+v refused, want none", refused)
+	}
+	offer(20, 2, 200*time.Millisecond)
+	if refused := c.Refused(); len(refused) != 1 || refused[0].Reason != admission.ReasonStartBy {
+		t.Errorf("got %+v, want one refusal because it would start too late", refused)
+	}
+	offer(21, 0, 200*time.Millisecond)
+	if refused := c.Refused(); len(refused) != 0 {
+		t.Errorf("got %+v, want the critical request to wait", refused)
+	}
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -27,6 +27,9 @@
 	Class string
 	// Arrived is when the request came, Deadline when its caller stops waiting.
 	Arrived, Deadline time.Duration
+	// StartBy is when what entitles the request to start ends; zero means that
+	// it does not.
+	StartBy time.Duration
 	// Repeatable requests may be spent on trying out a server that seems too slow.
 	Repeatable bool
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -87,6 +87,7 @@
 		Class:        requestClass(call.head.Method, call.head.Path),
 		Arrived:      call.arrived,
 		Deadline:     call.deadline,
+		StartBy:      call.startBy,
 		Repeatable:   !call.head.Unrepeatable,
 	}
 }
@@ -173,6 +174,8 @@
 			text = "the backend server is busy and the request has waited as long as any may"
 		case admissioncontrol.ReasonDeadline:
 			text = "the backend server cannot finish the request in the caller's time"
+		case admissioncontrol.ReasonStartBy:
+			text = "the backend server is busy for longer than the request's admission lasts"
 		}
 		r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, text).
 			WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
--- a/core/scenario/caller.go
+++ b/core/scenario/caller.go
@@ -52,7 +52,7 @@
 	c := &callers{scenario: s, deployment: d, world: w, source: rand.New(rand.NewPCG(seed, 1))}
 	for o := range d.Organisations {
 		c.buckets = append(c.buckets, bucket{tokens: float64(s.rate(d, o).Burst)})
-		c.schedule(o)
+		w.after(formation, func() { c.schedule(o) })
 	}
 	return c
 }
--- a/core/scenario/measure.go
+++ b/core/scenario/measure.go
@@ -179,7 +179,7 @@
 // recovery returns the end of the last window with too little goodput. Windows
 // are by arrival: work on a backlog must not pass for goodput.
 func (c *callers) recovery() (time.Duration, bool) {
-	calm := c.share(warmUp+time.Second, began-callerTimeout)
+	calm := c.share(warm, began-callerTimeout)
 	last := time.Duration(0)
 	for t := relieved; t+recoveryWindow <= whole; t += recoveryStep {
 		if c.share(t, t+recoveryWindow) < recoveredShare*calm {
--- a/core/scenario/scenario.go
+++ b/core/scenario/scenario.go
@@ -6,15 +6,19 @@
 	"coltsfootward"
 )
 
-// The phases of every scenario, in order. The warm-up is not measured.
+// The phases of every scenario, in order. The first two are not measured: the
+// nodes of a new deployment first share out among themselves who keeps what,
+// and then callers come. What a deployment does while it forms is no overload.
 const (
-	warmUp   = 8 * time.Second
-	before   = 3 * time.Second
-	trouble  = 4 * time.Second
-	after    = 8 * time.Second
-	whole    = warmUp + before + trouble + after
-	began    = warmUp + before
-	relieved = began + trouble
+	formation = 40 * time.Second
+	warmUp    = 8 * time.Second
+	before    = 3 * time.Second
+	trouble   = 4 * time.Second
+	after     = 8 * time.Second
+	warm      = formation + warmUp
+	began     = warm + before
+	relieved  = began + trouble
+	whole     = relieved + after
 )
 
 // Scenario is one kind of overload.
