Raise a lowered limit as soon as a few services are quick again

A window of 32 ends of service that had begun while the server was slow held the limit at 40 of 90 for a second, and each further raise took another window.

Change: eight quick ends of service raise a lowered limit.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -6,6 +6,10 @@
 	// windowSamples is how many ends of service make one judgement. Fewer would
 	// let the scatter of service times pass for a trend.
 	windowSamples = 32
+	// calmSamples is how many ends of service are enough to raise a lowered
+	// limit. A whole window may have begun while the server was slow, and would
+	// hold the limit down for a second after that has ended.
+	calmSamples = 8
 	// slowRatio is the latency, in multiples of the floor, above which the limit
 	// is lowered. The floor is the lowest mean of a window, so honest scatter
 	// reaches about 1.5.
@@ -56,6 +60,9 @@
 	samples     int
 	ratios      float64
 	concurrency float64
+	// The sums of the latest few samples.
+	latest       int
+	latestRatios float64
 	// anchor is the state before the present trial; zero when there is none.
 	anchorRatio, anchorConcurrency, anchorLimit float64
 }
@@ -130,11 +137,29 @@
 	l.samples++
 	l.ratios += latency / c.floor
 	l.concurrency += float64(s.Running)
-	if l.samples >= windowSamples {
+	l.latest++
+	l.latestRatios += latency / c.floor
+	switch {
+	case l.samples >= windowSamples:
 		l.judge(s.Ended)
+	case l.latest >= calmSamples:
+		l.judgeLatest(s.Ended)
 	}
 }
 
+// judgeLatest raises a lowered limit as soon as a few ends of service show that
+// the server is quick.
+func (l *Limiter) judgeLatest(now time.Duration) {
+	ratio := l.latestRatios / float64(l.latest)
+	l.latest, l.latestRatios = 0, 0
+	if ratio >= calmRatio || l.limit >= float64(l.slots) {
+		return
+	}
+	l.samples, l.ratios, l.concurrency = 0, 0, 0
+	l.anchorRatio = 0
+	l.raise(now)
+}
+
 func (c *class) observe(latency float64) {
 	if c.estimate == 0 {
 		c.estimate = latency
@@ -159,6 +184,7 @@
 	ratio := l.ratios / float64(l.samples)
 	concurrency := l.concurrency / float64(l.samples)
 	l.samples, l.ratios, l.concurrency = 0, 0, 0
+	l.latest, l.latestRatios = 0, 0
 	switch {
 	case ratio > slowRatio && concurrency > 1:
 		l.lower(now, ratio, concurrency)
