--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -57,9 +57,6 @@
 	return p
 }
 
-// size returns the number of nodes that run, this one included.
-func (p *membershipPart) size() int { return p.machine.Size() }
-
 // roster returns the members of a failure domain that have not said that they
 // leave, with when each was last heard, in an order that all nodes share. It
 // includes those that are gone, with that state, and this node.
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -5,6 +5,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/claim"
+	"coltsfootward/core/lease"
 )
 
 // Options are a node's settings as far as the decisions need them. The zero
@@ -38,6 +39,15 @@
 	// PollInterval is the time between two reads of the configuration's
 	// revision. The default is 1 s.
 	PollInterval time.Duration
+	// Slots is the number of slots in each failure domain; every node of the
+	// deployment has the same. The default is 4.
+	Slots int
+	// LeaseTerm is how long a node holds a slot without the platform's answer.
+	// The default is 20 s.
+	LeaseTerm time.Duration
+	// LeaseMargin is what a claimant of a slot waits beyond the holder's term.
+	// The default is 1 s.
+	LeaseMargin time.Duration
 	// Contacts are instances that the node tries to reach at its start, besides
 	// those that the table names. Empty means only the table's.
 	Contacts []coltsfootward.Instance
@@ -54,6 +64,7 @@
 	DefaultTimeout        = 10 * time.Second
 	DefaultMaximumTimeout = 60 * time.Second
 	DefaultPollInterval   = time.Second
+	DefaultSlots          = 4
 	DefaultKeyGrace       = 10 * time.Minute
 )
 
@@ -70,6 +81,15 @@
 	if o.PollInterval <= 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.LeaseTerm <= 0 {
+		o.LeaseTerm = lease.DefaultTerm
+	}
+	if o.LeaseMargin <= 0 {
+		o.LeaseMargin = lease.DefaultMargin
+	}
 	o.setClaimDefaults()
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -60,45 +60,56 @@
 	return slotID{domain: domain, index: int(hash / uint64(len(domains)) % uint64(p.slots.count()))}
 }
 
-// ROSTER
-// slotID names a slot of the deployment.
-type slotID struct {
-	domain coltsfootward.FailureDomain
-	index  int
-}
+// leasedSlots brings claims to the holders of the slots' leases.
+type leasedSlots struct{ node *Node }
 
-// rosterSlots gives every slot of a failure domain to the first member of its
-// roster. Two nodes with different rosters may both take themselves for the
-// holder, so it is good only until leases decide.
-type rosterSlots struct {
-	node  *Node
-	began coltsfootward.Instant
-}
+func newClaimSlots(n *Node) claimSlots { return leasedSlots{node: n} }
 
-func newClaimSlots(n *Node) claimSlots { return &rosterSlots{node: n, began: n.now} }
+func (l leasedSlots) count() int { return l.node.options.Slots }
+
+func (l leasedSlots) own() []slotID {
+	all := make([]slotID, 0, l.count())
+	for i := range l.count() {
+		all = append(all, slotID{domain: l.node.options.Self.Domain, index: i})
+	}
+	return all
+}
 
-func (r *rosterSlots) count() int { return 1 }
+func (l leasedSlots) holder(id slotID) (coltsfootward.Instance, bool) { return l.node.lease.holder(id) }
 
-func (r *rosterSlots) own() []slotID { return []slotID{{domain: r.node.options.Self.Domain}} }
+func (l leasedSlots) known(id slotID) coltsfootward.Instance { return l.node.lease.known(id) }
 
-func (r *rosterSlots) holder(id slotID) (coltsfootward.Instance, bool) {
-	first := r.node.membership.machine.First(id.domain, 1)
-	if len(first) == 0 {
-		return coltsfootward.Instance{}, false
+func (l leasedSlots) elsewhere(id slotID, holder coltsfootward.Instance) {
+	if holder.ID == "" {
+		l.node.lease.holderFailed(id)
+		return
 	}
-	return first[0], true
+	l.node.lease.holderAnswered(id, holder)
 }
 
-func (r *rosterSlots) known(id slotID) coltsfootward.Instance {
-	holder, _ := r.holder(id)
-	return holder
+func (l leasedSlots) term(id slotID) (claimTerm, bool) {
+	slot, ok := l.node.lease.own(id)
+	if !ok || !slot.Held(l.node.now) {
+		return claimTerm{}, false
+	}
+	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
 
-func (r *rosterSlots) elsewhere(slotID, coltsfootward.Instance) {}
-
-func (r *rosterSlots) term(id slotID) (claimTerm, bool) {
-	holder, ok := r.holder(id)
-	return claimTerm{epoch: 1, began: r.began, first: true}, ok && holder.ID == r.node.options.Self.ID
+func (l leasedSlots) released() []releasedSlot {
+	var all []releasedSlot
+	for _, id := range l.own() {
+		slot := l.node.lease.slots[id.index]
+		if slot.Releasing() {
+			all = append(all, releasedSlot{id: id, epoch: slot.Epoch(), successors: l.successors(id)})
+		}
+	}
+	return all
 }
 
-func (r *rosterSlots) released() []releasedSlot { return nil }
+// successors are the candidates for a slot other than this node.
+func (l leasedSlots) successors(id slotID) []coltsfootward.Instance {
+	order := slices.DeleteFunc(l.node.lease.candidates(id), func(c coltsfootward.Instance) bool {
+		return c.ID == l.node.options.Self.ID
+	})
+	return order[:min(len(order), slotWatchers)]
+}
--- a/core/nodetest/claim_test.go
+++ b/core/nodetest/claim_test.go
@@ -90,7 +90,9 @@
 	o := newOrders(3)
 	order := o.mint()
 	first := o.place(o.members[0], order)
-	o.rig.Run(5 * time.Millisecond)
+	if !o.rig.RunUntil(time.Second, func() bool { return first.Attempts > 0 }) {
+		t.Fatalf("got %+v, want the first order forwarded", first)
+	}
 	while := o.place(o.members[1], order)
 	o.rig.Run(time.Second)
 	if !first.Answered || while.Refusal == nil || while.Refusal.Kind != coltsfootward.RefusalDuplicate || while.Refusal.RetryAfter <= 0 {
