--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -57,8 +57,11 @@
 	return p
 }
 
-// size returns the number of nodes that run, this one included.
-func (p *membershipPart) size() int { return p.machine.Size() }
+// upstreams returns the backend servers of a service that take work, in the
+// order of their names. The slice is the caller's.
+func (p *membershipPart) upstreams(service coltsfootward.ServiceName) []message.Announcement {
+	return p.machine.Upstreams(service)
+}
 
 // roster returns the members of a failure domain that have not said that they
 // leave, with when each was last heard, in an order that all nodes share. It
