--- a/core/node/claims.go
+++ b/core/node/claims.go
@@ -18,8 +18,6 @@
 	// claimResend is the time after which an unanswered claim message is sent
 	// again; links between failure domains take a few milliseconds.
 	claimResend = 200 * time.Millisecond
-	// claimRedirect is the time before whoever was named instead is asked.
-	claimRedirect = 10 * time.Millisecond
 	// claimWait bounds how long a request waits for its claim. A holder that
 	// has not answered by then is cut off or gone: waiting longer would only
 	// keep the caller from trying later.
@@ -38,14 +36,14 @@
 	slot    slotID
 	// holder is the instance that was asked last.
 	holder coltsfootward.Instance
+	// moved counts the answers of nodes that do not hold the slot.
+	moved int
 	// granted is set once the request may be dispatched, until expires by
 	// Instant.Expiry.
 	granted bool
 	expires time.Duration
-	// redirected is set while the last answer named another instance.
-	redirected bool
-	asked      time.Duration
-	resend     time.Duration
+	asked   time.Duration
+	resend  time.Duration
 }
 
 // claimEnding is the end of a claim on its way to the holder.
@@ -169,8 +167,12 @@
 	}
 	if m.Verdict.Decision == claim.Elsewhere {
 		p.slots.elsewhere(c.slot, m.Holder)
-		c.redirected = true
-		c.resend = min(c.resend, p.node.now.Expiry+claimRedirect)
+		// Another candidate may hold the slot; if none does, the next resend
+		// asks whoever holds it by then.
+		c.moved++
+		if c.moved%slotWatchers != 0 {
+			p.ask(c)
+		}
 		return
 	}
 	delete(p.asking, m.ID)
@@ -279,11 +281,8 @@
 
 // tick sends again what went unanswered and gives up on holders that do not answer.
 func (p *claimsPart) tick() {
-	for _, id := range p.slots.own() {
-		p.holder(id) // its term counts from when it is noticed
-	}
 	p.handOver()
-	p.forgetHandovers()
+	p.tickHandovers()
 	now := p.node.now.Expiry
 	for _, id := range slices.Sorted(maps.Keys(p.asking)) {
 		c := p.asking[id]
@@ -308,12 +307,11 @@
 }
 
 // unanswered notes that the instance asked last did not answer, so that the next
-// one believed to hold the slot is asked. A redirect is an answer.
+// one believed to hold the slot is asked.
 func (p *claimsPart) unanswered(c *entryClaim) {
-	if c.holder.ID != "" && c.holder.ID != p.node.options.Self.ID && !c.redirected {
+	if c.holder.ID != "" && c.holder.ID != p.node.options.Self.ID {
 		p.slots.elsewhere(c.slot, coltsfootward.Instance{})
 	}
-	c.redirected = false
 }
 
 // giveUp refuses a call whose claim nobody decided on. The claim may have been
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -94,10 +94,18 @@
 	p.node.report(record.ClaimsTakenOver, field("slot", number(id.index)), field("claims", number(len(in.whole.Claims))))
 }
 
-// forgetHandovers drops those of slots that others took.
-func (p *claimsPart) forgetHandovers() {
+// tickHandovers takes handovers whose slot has become this node's and drops
+// those of slots that others took.
+func (p *claimsPart) tickHandovers() {
 	for _, id := range p.slots.own() {
-		if in, ok := p.handovers[id]; ok && p.node.now.Monotonic >= in.expires {
+		in, ok := p.handovers[id]
+		if !ok {
+			continue
+		}
+		if term, held := p.slots.term(id); held && term.epoch == in.epoch+1 {
+			p.holder(id)
+		}
+		if p.node.now.Monotonic >= in.expires {
 			delete(p.handovers, id)
 		}
 	}
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -92,7 +92,7 @@
 	if !ok || !slot.Held(l.node.now) {
 		return claimTerm{}, false
 	}
-	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.Epoch() == 1}, true
+	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
 
 func (l leasedSlots) released() []releasedSlot {
