--- a/core/lease/slot.go
+++ b/core/lease/slot.go
@@ -128,9 +128,6 @@
 	return &Slot{options: options.withDefaults()}
 }
 
-// Releasing reports whether the node is giving the slot up.
-func (s *Slot) Releasing() bool { return s.releasing }
-
 // Held reports whether the node holds the slot at now. Whatever the holder
 // gives away must be given in the same step as this check: a node that was
 // paused since an earlier one may find itself lapsed.
@@ -148,6 +145,10 @@
 // Mine reports whether the record, as last seen, names this node, lapsed or not.
 func (s *Slot) Mine() bool { return s.mine }
 
+// Releasing reports whether the node is giving the slot up. It never holds the
+// slot in this epoch again.
+func (s *Slot) Releasing() bool { return s.mine && s.releasing }
+
 // Holder returns the holder as the record last seen names it.
 func (s *Slot) Holder() (coltsfootward.Instance, bool) {
 	return s.record.Holder, s.known && s.version != 0 && !s.record.Released
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -68,9 +68,9 @@
 func (l leasedSlots) count() int { return l.node.options.Slots }
 
 func (l leasedSlots) own() []slotID {
-	all := make([]slotID, 0, l.count())
-	for i := range l.count() {
-		all = append(all, slotID{domain: l.node.options.Self.Domain, index: i})
+	all := make([]slotID, l.count())
+	for i := range all {
+		all[i] = slotID{domain: l.node.options.Self.Domain, index: i}
 	}
 	return all
 }
@@ -98,7 +98,7 @@
 func (l leasedSlots) released() []releasedSlot {
 	var all []releasedSlot
 	for _, id := range l.own() {
-		slot := l.node.lease.slots[id.index]
+		slot, _ := l.node.lease.own(id)
 		if slot.Releasing() {
 			all = append(all, releasedSlot{id: id, epoch: slot.Epoch(), successors: l.successors(id)})
 		}
@@ -106,10 +106,9 @@
 	return all
 }
 
-// successors are the candidates for a slot other than this node.
+// successors returns the candidates of an own slot but for this node.
 func (l leasedSlots) successors(id slotID) []coltsfootward.Instance {
-	order := slices.DeleteFunc(l.node.lease.candidates(id), func(c coltsfootward.Instance) bool {
-		return c.ID == l.node.options.Self.ID
-	})
+	order := l.node.lease.candidates(id)
+	order = slices.DeleteFunc(order, func(c coltsfootward.Instance) bool { return c.ID == l.node.options.Self.ID })
 	return order[:min(len(order), slotWatchers)]
 }
--- a/core/nodetest/claim_test.go
+++ b/core/nodetest/claim_test.go
@@ -12,6 +12,7 @@
 	"coltsfootward/core/nodetest"
 
 	"github.com/google/uuid"
+	"pgregory.net/rapid"
 )
 
 // orders is a rig with three failure domains and two backend servers of the
@@ -19,6 +20,7 @@
 type orders struct {
 	rig     *nodetest.Rig
 	members []*nodetest.Member
+	keys    []string
 	sent    map[string][]*nodetest.Outcome
 }
 
@@ -32,13 +34,14 @@
 	)
 	for i, domain := range append(domains, domains...) {
 		id := coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i/len(domains)+1))
-		m := o.rig.Add(node.Options{Self: nodetest.Instance(id, domain), Domains: domains})
+		options := node.Options{Self: nodetest.Instance(id, domain), Domains: domains, LeaseTerm: 2 * time.Second, LeaseMargin: 200 * time.Millisecond}
+		m := o.rig.Add(options)
 		o.members = append(o.members, m)
 		if id == "north-1" || id == "south-2" {
 			m.Announce("orders", 4)
 		}
 	}
-	o.rig.Run(5 * time.Second)
+	o.rig.Run(10 * time.Second) // until each slot has its holder
 	return o
 }
 
@@ -84,6 +87,76 @@
 	}
 }
 
+// A cooperative's order is sent again and again, through nodes of every failure
+// domain, while nodes die, pause and restart, links break, messages and answers
+// are lost and callers leave. Run twice it charges a farmer twice.
+func TestRepeatsThroughAnyNodeRunOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOrders(rapid.Uint64().Draw(t, "seed"))
+		loss := rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		o.rig.DropMessage = func(_, _ coltsfootward.Instance) bool { return o.rig.Source().Float64() < loss }
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			o.step(t)
+			o.rig.Run(time.Duration(rapid.SampledFrom([]int{0, 1, 3, 10, 100, 1000, 5_000}).Draw(t, "pass")) * time.Millisecond)
+		}
+		o.rig.Run(20 * time.Second)
+		o.check(t)
+	})
+}
+
+func (o *orders) step(t *rapid.T) {
+	m := o.members[rapid.IntRange(0, len(o.members)-1).Draw(t, "member")]
+	other := o.members[rapid.IntRange(0, len(o.members)-1).Draw(t, "other")]
+	switch rapid.SampledFrom([]string{"new", "again", "again", "again", "leave", "cut", "heal", "kill", "pause", "suspend", "fail"}).Draw(t, "step") {
+	case "new":
+		o.keys = append(o.keys, rapid.SampledFrom([]string{o.mint(), "west:" + o.mint(), fmt.Sprint("opaque-", len(o.keys))}).Draw(t, "key"))
+	case "again":
+		if len(o.keys) > 0 {
+			o.place(m, rapid.SampledFrom(o.keys).Draw(t, "which"))
+		}
+	case "leave":
+		if len(o.keys) > 0 {
+			outcome := o.place(m, rapid.SampledFrom(o.keys).Draw(t, "which"))
+			o.rig.After(time.Duration(rapid.IntRange(0, 15).Draw(t, "after"))*time.Millisecond, outcome.Leave)
+		}
+	case "cut":
+		o.rig.Cut(m.Instance.ID, other.Instance.ID)
+	case "heal":
+		o.rig.Heal(m.Instance.ID, other.Instance.ID)
+	case "kill":
+		o.killAndRestart(m, time.Duration(rapid.IntRange(0, 30_000).Draw(t, "down for"))*time.Millisecond)
+	case "pause":
+		if m.Alive() {
+			m.Pause()
+			o.rig.After(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "pause for"))*time.Millisecond, m.Resume)
+		}
+	case "suspend":
+		if m.Alive() {
+			m.Suspend()
+			o.rig.After(time.Duration(rapid.IntRange(1, 60_000).Draw(t, "suspend for"))*time.Millisecond, m.Resume)
+		}
+	case "fail":
+		failing := rapid.Bool().Draw(t, "failing")
+		m.Backend.Fail = func(message.Call) bool { return failing }
+	}
+}
+
+func (o *orders) killAndRestart(m *nodetest.Member, down time.Duration) {
+	if !m.Alive() {
+		return
+	}
+	m.Kill()
+	o.rig.After(down, func() {
+		if m.Alive() {
+			return
+		}
+		m.Restart()
+		if m.Backend.Slots > 0 {
+			m.Announce("orders", m.Backend.Slots)
+		}
+	})
+}
+
 // In calm, a repeat gets the first answer, from any node; a key that was
 // refused as not run is free again; a key for another order is refused.
 func TestRepeatIsAnsweredAsTheFirst(t *testing.T) {
@@ -159,3 +232,36 @@
 		t.Errorf("got %d attempts and refusal %+v, want 2 and execution %s", o.Attempts, o.Refusal, coltsfootward.ExecutionUnknown)
 	}
 }
+
+// The node that holds a domain's slots is restarted as planned. Callers with
+// keys that carry no time must not be held off for a window, and a repeat of an
+// order that ran before must not run again.
+func TestPlannedStopOfHolderHoldsOffNoKey(t *testing.T) {
+	o := newOrders(6)
+	order := func(i int) string { return fmt.Sprint("opaque-", i) }
+	for i := range 40 {
+		o.place(o.members[1], order(i))
+		o.rig.Run(20 * time.Millisecond)
+	}
+	o.members[0].Drain() // north-1
+	o.rig.Run(10 * time.Second)
+	if !o.members[0].Drained {
+		t.Fatal("the node did not drain")
+	}
+	o.members[0].Kill()
+	o.rig.Run(10 * time.Second)
+	for i := range 80 {
+		outcome := o.place(o.members[2], order(i))
+		o.rig.Run(100 * time.Millisecond)
+		if outcome.Refusal != nil && outcome.Refusal.Kind == coltsfootward.RefusalClaim {
+			t.Errorf("key %d: got refusal %v, want it served or told as run", i, outcome.Refusal)
+		}
+	}
+	o.check(t)
+	runs := o.runs()
+	for i := range 80 {
+		if runs[order(i)] != 1 {
+			t.Errorf("key %d: got %d runs, want 1", i, runs[order(i)])
+		}
+	}
+}
