--- a/core/message/message.go
+++ b/core/message/message.go
@@ -56,7 +56,6 @@
 	KindConfigurationChanges: func() Message { return &ConfigurationChanges{} },
 	KindDraw:                 func() Message { return &Draw{} },
 	KindGrant:                func() Message { return &Grant{} },
-	KindReturn:               func() Message { return &Return{} },
 	KindOffer:                func() Message { return &SlotOffer{} },
 	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
 	KindConfirmation:         func() Message { return &Confirmation{} },
--- a/core/message/rate.go
+++ b/core/message/rate.go
@@ -8,10 +8,9 @@
 
 // The kinds of message by which tokens are drawn.
 const (
-	KindDraw   Kind = "draw"
-	KindGrant  Kind = "grant"
-	KindReturn Kind = "return"
-	KindOffer  Kind = "slot_offer"
+	KindDraw  Kind = "draw"
+	KindGrant Kind = "grant"
+	KindOffer Kind = "slot_offer"
 )
 
 // SlotOffer tells a node that a slot of its failure domain was released to it.
@@ -61,16 +60,3 @@
 
 // MessageKind implements Message.
 func (*Grant) MessageKind() Kind { return KindGrant }
-
-// Return gives back granted tokens that were not spent and will not be.
-type Return struct {
-	Organisation coltsfootward.OrganisationName `msgpack:"organisation"`
-	Domain       coltsfootward.FailureDomain    `msgpack:"domain"`
-	Slot         int                            `msgpack:"slot"`
-	// Epoch is the epoch of the grant; another holder does not take them.
-	Epoch  uint64 `msgpack:"epoch"`
-	Tokens int64  `msgpack:"tokens"`
-}
-
-// MessageKind implements Message.
-func (*Return) MessageKind() Kind { return KindReturn }
--- a/core/node/bucket.go
+++ b/core/node/bucket.go
@@ -37,7 +37,7 @@
 	}
 	g := p.bucket(m.Organisation, m.Slot).Draw(p.node.now, m.Need, m.Ahead)
 	return message.Grant{
-		ID: m.ID, Held: true, Epoch: slot.Epoch(),
+		ID: m.ID, Held: true,
 		Tokens: g.Tokens, Life: g.Life, EmptyFor: g.EmptyFor, Level: g.Level,
 	}
 }
@@ -87,15 +87,3 @@
 	}
 	return true
 }
-
-// returned puts unspent tokens back if they came from the present epoch.
-func (p *ratePart) returned(m message.Return) {
-	slot, ok := p.node.lease.own(slotID{domain: m.Domain, index: m.Slot})
-	if !ok || !slot.Held(p.node.now) || slot.Epoch() != m.Epoch {
-		return
-	}
-	held, ok := p.buckets[bucketID{slot: m.Slot, organisation: m.Organisation}]
-	if ok && held.epoch == m.Epoch {
-		held.bucket.Return(p.node.now, m.Tokens)
-	}
-}
--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -20,8 +20,8 @@
 	// domain costs the others one stalled draw in a few seconds.
 	silentWait      = time.Second
 	silentDoublings = 3
-	// emptyWait is the longest that an empty part is left alone. Tokens may be
-	// returned to it sooner than its rate would bring them.
+	// emptyWait is the longest that an empty part is left alone: its rate may be
+	// raised, or its slot have a new holder.
 	emptyWait = time.Second
 	// stockShare is the part of a token's life, one in so many, for which
 	// demand is drawn ahead. More would often run out unspent.
@@ -193,8 +193,15 @@
 // from the answer, a slow answer would stretch their life past what the
 // holder's bucket allows for.
 func (p *ratePart) granted(a *account, id slotID, m message.Grant, sent time.Duration) {
+	chunk := rate.Chunk{Tokens: m.Tokens, Expires: sent + m.Life}
+	if m.Tokens > 0 && chunk.Expires <= p.node.now.Expiry+spendSpare {
+		// The way to the holder takes longer than tokens live. To draw on would
+		// empty its bucket for nobody's use.
+		p.silent(a, id)
+		return
+	}
 	if m.Tokens > 0 {
-		p.keep(a, rate.Chunk{Domain: id.domain, Slot: id.index, Epoch: m.Epoch, Tokens: m.Tokens, Expires: sent + m.Life})
+		a.purse.Add(chunk)
 	}
 	view := p.view(a, id)
 	if view == nil {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -132,8 +132,6 @@
 		n.rate.drawn(*m)
 	case *message.Grant:
 		n.rate.answered(*m)
-	case *message.Return:
-		n.rate.returned(*m)
 	case *message.SlotOffer:
 		n.lease.takeOffer(*m)
 	case *message.ConfigurationPage:
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/message"
 	"coltsfootward/core/rate"
 )
 
@@ -59,8 +58,6 @@
 	drawing *pendingDraw
 	// ahead is when to draw ahead again, by Instant.Monotonic.
 	ahead time.Duration
-	// stocked is set while the account is in ratePart.stocked.
-	stocked bool
 }
 
 // ratePart holds each organisation to its rate and burst over the fleet: it
@@ -73,8 +70,6 @@
 	buckets  map[bucketID]*heldBucket
 	draws    map[uint64]*pendingDraw
 	nextDraw uint64
-	// stocked are the accounts whose purse may hold tokens.
-	stocked []*account
 }
 
 func newRatePart(n *Node) *ratePart {
@@ -149,27 +144,23 @@
 	return first + time.Duration(p.node.source.Int64N(int64(max(first, retrySpread))))
 }
 
-// release takes back an admission that was not spent. The zero admission is none.
+// release takes back an admission that was not spent, for another request
+// within the token's life. The zero admission is none.
+//
+// Nothing goes back to the holder's bucket. The bucket may have been full in
+// the meantime, with the token's place refilled already; after a further draw
+// the returned token would come on top of what the depth allows.
 func (p *ratePart) release(organisation coltsfootward.OrganisationName, unspent admission) {
 	a, ok := p.accounts[organisation]
 	if !ok || unspent.token.Tokens == 0 || unspent.expires <= p.node.now.Expiry {
 		return
 	}
-	p.keep(a, unspent.token)
-}
-
-func (p *ratePart) keep(a *account, c rate.Chunk) {
-	a.purse.Add(c)
-	if !a.stocked {
-		a.stocked = true
-		p.stocked = append(p.stocked, a)
-	}
+	a.purse.Add(unspent.token)
 }
 
 func (p *ratePart) tick() {
 	p.refresh()
 	p.expireDraws()
-	p.returnSurplus()
 }
 
 // applied follows changes one by one: a change that lowers a part and one that
@@ -221,32 +212,3 @@
 		a.life = min(a.life, part.Shape().Life)
 	}
 }
-
-// returnSurplus gives back tokens that would run out unspent.
-func (p *ratePart) returnSurplus() {
-	kept := p.stocked[:0]
-	for _, a := range p.stocked {
-		for _, chunk := range a.purse.Surplus(p.node.now, a.life/8) {
-			p.giveBack(a, chunk)
-		}
-		a.stocked = a.purse.Tokens(p.node.now) > 0
-		if a.stocked {
-			kept = append(kept, a)
-		}
-	}
-	p.stocked = kept
-}
-
-func (p *ratePart) giveBack(a *account, chunk rate.Chunk) {
-	id := slotID{domain: chunk.Domain, index: chunk.Slot}
-	back := message.Return{Organisation: a.name, Domain: id.domain, Slot: id.index, Epoch: chunk.Epoch, Tokens: chunk.Tokens}
-	holder, ok := p.node.lease.holder(id)
-	if !ok {
-		return
-	}
-	if holder.ID == p.node.options.Self.ID {
-		p.returned(back)
-		return
-	}
-	p.node.act(Send{To: holder, Message: &back})
-}
--- a/core/node/rate_test.go
+++ b/core/node/rate_test.go
@@ -171,3 +171,110 @@
 		f.rig.Run(gap)
 	}
 }
+
+// Two failure domains are 45 ms apart, and tokens live for 75 ms. A token that
+// the far holder granted arrives when its life is over, counted from before it
+// was drawn. Counted from its arrival it would be spent 165 ms after it left
+// the bucket, which allows for 75.
+func TestTokensLiveFromBeforeTheDraw(t *testing.T) {
+	answered := 0
+	for sender := range 2 {
+		f := newRatedFleet(1, 2, 1, coltsfootward.Rate{PerSecond: 10, Burst: 4})
+		f.rig.Run(2 * time.Second)
+		f.rig.Delay = func(_, _ coltsfootward.Instance) time.Duration { return 45 * time.Millisecond }
+		o := f.send(f.nodes[sender])
+		f.rig.Run(time.Second)
+		if !o.Done {
+			t.Errorf("got no final answer after a second, want one")
+		}
+		if o.Answered {
+			answered++
+		}
+	}
+	if answered != 1 {
+		t.Errorf("got an answer at %d of the two nodes, want one, at the one that holds the part", answered)
+	}
+}
+
+// The holder of the slots is killed, and another node takes them over after
+// their term. Until then the rest of the fleet's parts go on.
+func TestTakeoverBringsThePartBack(t *testing.T) {
+	rate := coltsfootward.Rate{PerSecond: 40, Burst: 40}
+	f := newRatedFleet(3, 2, 2, rate)
+	f.rig.Run(15 * time.Second)
+	f.nodes[0].Kill()
+	f.nodes[1].Kill()
+	f.flood(10*time.Second, 2*rate.PerSecond)
+	if got, most := len(f.starts()), 20+20*10+20; got > most || got < 20*8 {
+		t.Errorf("with one of two domains dead for 10 s: got %d starts, want 160 to %d", got, most)
+	}
+	f.restart(f.nodes[1])
+	f.rig.Run(30 * time.Second)
+	before := len(f.starts())
+	f.flood(10*time.Second, 2*rate.PerSecond)
+	if got := len(f.starts()) - before; got < 40*9 {
+		t.Errorf("after the takeover: got %d starts in 10 s, want at least 360", got)
+	}
+	if err := checkBound(f.starts(), rate); err != nil {
+		t.Error(err)
+	}
+}
+
+// Calm demand inside the rate is refused as above it: the tokens lie in other
+// failure domains, or ran out unspent at nodes that had drawn them ahead.
+func TestCalmDemandInsideTheRate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		rate   coltsfootward.Rate
+		share  float64
+		oneDom bool
+		most   float64
+	}{
+		{"all domains, half the rate", coltsfootward.Rate{PerSecond: 100, Burst: 100}, 0.5, false, 0},
+		{"all domains, 0.9 of the rate", coltsfootward.Rate{PerSecond: 100, Burst: 100}, 0.9, false, 0.02},
+		{"one domain, half the rate", coltsfootward.Rate{PerSecond: 100, Burst: 100}, 0.5, true, 0},
+		{"one domain, 0.9 of the rate", coltsfootward.Rate{PerSecond: 100, Burst: 100}, 0.9, true, 0.02},
+		{"burst of the domains, half the rate", coltsfootward.Rate{PerSecond: 20, Burst: 4}, 0.5, false, 0.2},
+		{"burst of the domains, 0.9 of the rate", coltsfootward.Rate{PerSecond: 20, Burst: 4}, 0.9, false, 0.4},
+	} {
+		f := newRatedFleet(5, 4, 2, c.rate)
+		f.rig.Run(15 * time.Second)
+		offered, refused, naive := f.calm(60*time.Second, c.share*c.rate.PerSecond, c.oneDom, c.rate)
+		t.Logf("%s: %d offered, %d refused, %d by one naive bucket", c.name, offered, refused, naive)
+		if share := float64(refused-naive) / float64(offered); share > c.most {
+			t.Errorf("%s: got %.3f of the requests refused beyond those of the naive bucket, want at most %.3f", c.name, share, c.most)
+		}
+		if err := checkBound(f.starts(), c.rate); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+// calm sends requests at random times and returns how many were offered, how
+// many were refused, and how many one bucket of the whole rate would refuse.
+func (f *ratedFleet) calm(d time.Duration, perSecond float64, oneDomain bool, rate coltsfootward.Rate) (offered, refused, naive int) {
+	var outcomes []*nodetest.Outcome
+	level, last := float64(rate.Burst), f.rig.Now()
+	for end := f.rig.Now() + d; f.rig.Now() < end; {
+		f.rig.Run(time.Duration(f.rig.Source().ExpFloat64() / perSecond * float64(time.Second)))
+		level = min(float64(rate.Burst), level+rate.PerSecond*(f.rig.Now()-last).Seconds())
+		last = f.rig.Now()
+		if level < 1 {
+			naive++
+		} else {
+			level--
+		}
+		index := f.rig.Source().IntN(len(f.nodes))
+		if oneDomain {
+			index = f.rig.Source().IntN(2)
+		}
+		outcomes = append(outcomes, f.send(f.nodes[index]))
+	}
+	f.rig.Run(time.Second)
+	for _, o := range outcomes {
+		if !o.Answered {
+			refused++
+		}
+	}
+	return len(outcomes), refused, naive
+}
--- a/core/rate/bucket.go
+++ b/core/rate/bucket.go
@@ -99,16 +99,6 @@
 	return max(wait, time.Millisecond)
 }
 
-// Return puts back tokens that were drawn and certainly not spent. Whoever
-// returns them must not spend them afterwards, and must return them once.
-//
-// The bucket then holds no more than it would if they had never been drawn,
-// since its depth caps both; so the bound holds as it did.
-func (b *Bucket) Return(now coltsfootward.Instant, tokens int64) {
-	b.refill(now)
-	b.level = min(b.level+max(tokens, 0)*Token, b.shape.Depth)
-}
-
 func (b *Bucket) refill(now coltsfootward.Instant) {
 	elapsed := now.Monotonic - b.filled
 	if elapsed <= 0 {
--- a/core/rate/purse.go
+++ b/core/rate/purse.go
@@ -8,12 +8,8 @@
 	"coltsfootward"
 )
 
-// Chunk is drawn tokens of one origin.
+// Chunk is tokens that were drawn together.
 type Chunk struct {
-	// Domain, Slot and Epoch say which holder granted them.
-	Domain coltsfootward.FailureDomain
-	Slot   int
-	Epoch  uint64
 	Tokens int64
 	// Expires is when they are void, by Instant.Expiry.
 	Expires time.Duration
@@ -56,18 +52,6 @@
 	return Chunk{}, false
 }
 
-// Surplus takes out the chunks that expire within d, to be returned.
-func (p *Purse) Surplus(now coltsfootward.Instant, d time.Duration) []Chunk {
-	p.expire(now)
-	count := 0
-	for count < len(p.chunks) && p.chunks[count].Expires <= now.Expiry+d {
-		count++
-	}
-	surplus := slices.Clone(p.chunks[:count])
-	p.chunks = slices.Delete(p.chunks, 0, count)
-	return surplus
-}
-
 // Tokens returns how many tokens can be spent at now.
 func (p *Purse) Tokens(now coltsfootward.Instant) int64 {
 	p.expire(now)
