--- a/core/node/rate_test.go
+++ b/core/node/rate_test.go
@@ -278,3 +278,18 @@
 	}
 	return len(outcomes), refused, naive
 }
+
+// BenchmarkRefusalFromCache measures a request of an organisation whose parts
+// are all known to be empty.
+func BenchmarkRefusalFromCache(b *testing.B) {
+	f := newRatedFleet(1, 2, 1, coltsfootward.Rate{PerSecond: 0.001, Burst: 8})
+	f.rig.Run(2 * time.Second)
+	f.flood(time.Second, 100)
+	machine := f.nodes[0].Node()
+	now := coltsfootward.Instant{Monotonic: time.Hour + f.rig.Now(), Expiry: time.Hour + f.rig.Now()}
+	call := node.CallID(1 << 40)
+	for b.Loop() {
+		call++
+		machine.Handle(now, node.RequestArrived{Call: call, Key: testKey, Service: "quotes", Method: "GET", Path: "/", Attempt: 1})
+	}
+}
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -9,12 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// claimSlot names the slot that a key's claims belong to.
-type claimSlot struct {
-	domain coltsfootward.FailureDomain
-	number int
-}
-
 // claimTerm is this node's own term of a slot's lease.
 type claimTerm struct {
 	epoch uint64
@@ -23,43 +17,82 @@
 	first bool
 }
 
+// releasedSlot is a slot that this node has given up for good.
+type releasedSlot struct {
+	id    slotID
+	epoch uint64
+	// successors are those who may take it over.
+	successors []coltsfootward.Instance
+}
+
 // claimSlots says who holds which slot.
 type claimSlots interface {
 	// count is the number of slots in each failure domain.
 	count() int
+	// own lists the slots of this node's failure domain.
+	own() []slotID
 	// holder returns the instance that is believed to hold the slot.
-	holder(s claimSlot) (coltsfootward.Instance, bool)
+	holder(id slotID) (coltsfootward.Instance, bool)
+	// known returns the holder of an own slot as this node last saw it, for one
+	// that asked in vain; empty if unknown.
+	known(id slotID) coltsfootward.Instance
+	// elsewhere notes that whoever was asked does not hold the slot, and who
+	// does if that is known.
+	elsewhere(id slotID, holder coltsfootward.Instance)
 	// term returns this node's term of the slot if its lease stands now.
-	term(s claimSlot) (claimTerm, bool)
+	term(id slotID) (claimTerm, bool)
+	// released lists the slots that this node is giving up.
+	released() []releasedSlot
 }
 
 // slotOf returns the slot of a key, the same at every node: in the failure
 // domain that the key names, else in one that its hash chooses.
-func (p *claimsPart) slotOf(key claim.Key) claimSlot {
+func (p *claimsPart) slotOf(key claim.Key) slotID {
 	hash := xxhash.Sum64String(string(key.Organisation) + "\x00" + key.Text)
 	domains := p.node.options.Domains
+	if len(domains) == 0 {
+		domains = []coltsfootward.FailureDomain{p.node.options.Self.Domain}
+	}
 	domain := coltsfootward.FailureDomain(key.Domain())
 	if !slices.Contains(domains, domain) {
 		domain = domains[hash%uint64(len(domains))]
 	}
-	return claimSlot{domain: domain, number: int(hash / uint64(len(domains)) % uint64(p.slots.count()))}
+	return slotID{domain: domain, index: int(hash / uint64(len(domains)) % uint64(p.slots.count()))}
 }
 
 // leasedSlots brings claims to the holders of the slots' leases.
-type leasedSlots struct{ node *Node }
+type leasedSlots struct{ lease *leasePart }
 
-func newClaimSlots(n *Node) claimSlots { return leasedSlots{node: n} }
+func newClaimSlots(n *Node) claimSlots { return leasedSlots{lease: n.lease} }
 
-func (l leasedSlots) count() int { return l.node.options.Slots }
+func (l leasedSlots) count() int { return len(l.lease.slots) }
 
-func (l leasedSlots) holder(s claimSlot) (coltsfootward.Instance, bool) {
-	return l.node.lease.holder(slotID{domain: s.domain, index: s.number})
+func (l leasedSlots) own() []slotID {
+	var own []slotID
+	for i := range l.lease.slots {
+		own = append(own, slotID{domain: l.lease.node.options.Self.Domain, index: i})
+	}
+	return own
 }
 
-func (l leasedSlots) term(s claimSlot) (claimTerm, bool) {
-	slot, ok := l.node.lease.own(slotID{domain: s.domain, index: s.number})
-	if !ok || !slot.Held(l.node.now) {
+func (l leasedSlots) holder(id slotID) (coltsfootward.Instance, bool) { return l.lease.holder(id) }
+
+func (l leasedSlots) known(id slotID) coltsfootward.Instance { return l.lease.known(id) }
+
+func (l leasedSlots) elsewhere(id slotID, holder coltsfootward.Instance) {
+	if holder.ID == "" {
+		l.lease.holderFailed(id)
+		return
+	}
+	l.lease.holderAnswered(id, holder)
+}
+
+func (l leasedSlots) term(id slotID) (claimTerm, bool) {
+	slot, ok := l.lease.own(id)
+	if !ok || !slot.Held(l.lease.node.now) {
 		return claimTerm{}, false
 	}
 	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
+
+func (l leasedSlots) released() []releasedSlot { return l.lease.takeReleased() }
