--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -91,7 +91,7 @@
 	if p.contact.tableAge(p.node.now) < 5*p.node.options.PollInterval {
 		return false
 	}
-	return p.node.source.IntN(m.Size()) == 0
+	return p.node.source.IntN(max(m.Size(), 1)) == 0
 }
 
 func (p *configurationPart) refresh() {
--- a/core/node/rate_test.go
+++ b/core/node/rate_test.go
@@ -279,6 +279,20 @@
 	return len(outcomes), refused, naive
 }
 
+// The only node of a domain is told to leave while the platform is away. It
+// counts no running member any more, not even itself, and panicked when it chose
+// one of them at random to read the table.
+func TestLastNodeLeavesDuringAnOutage(t *testing.T) {
+	f := newRatedFleet(1, 1, 1, coltsfootward.Rate{PerSecond: 1, Burst: 1})
+	f.rig.Run(2 * time.Second)
+	f.rig.Table.Outage = true
+	f.nodes[0].Drain()
+	f.rig.Run(20 * time.Second)
+	if !f.nodes[0].Drained {
+		t.Error("got a node that still waits, want it drained")
+	}
+}
+
 // BenchmarkRefusalFromCache measures a request of an organisation whose parts
 // are all known to be empty.
 func BenchmarkRefusalFromCache(b *testing.B) {
