Ask the present holder of a slot, not the one of an old look at its record

Cause: slots move while a domain's nodes start. A node that looked after a slot then, and no more, kept the record it had seen; its view outranked the holder that an answer had just named, so it asked the old holder four times and left its own domain's part alone for up to 8 s. Cut off, the domain refused requests as above the rate with its parts full. Ruled out: lapsed leases and slots without a holder (records show all held). Change: a watched record counts only at its watchers, and after an answer.

--- a/core/node/lease.go
+++ b/core/node/lease.go
@@ -109,7 +109,7 @@
 func (p *leasePart) candidacy(index int) lease.Candidacy {
 	rank := p.ranks[index]
 	term := p.node.options.LeaseTerm
-	c := lease.Candidacy{Eligible: !p.node.draining && rank >= 0 && rank < slotWatchers, Delay: time.Duration(rank) * term / 3}
+	c := lease.Candidacy{Eligible: !p.node.draining && p.watches(index), Delay: time.Duration(rank) * term / 3}
 	if p.node.now.Monotonic < p.offered[index] {
 		return lease.Candidacy{Eligible: !p.node.draining}
 	}
@@ -301,14 +301,14 @@
 	if s, ok := p.own(id); ok && s.Held(p.node.now) {
 		return p.node.options.Self, true
 	}
-	if watched := p.known(id); watched.ID != "" && !p.lost[watched.ID] && p.route(id).try == 0 {
-		return watched, true
-	}
 	r := p.route(id)
 	// Another node's look at the record may name this one after it has lapsed.
 	if r.holder.ID != "" && r.holder.ID != p.node.options.Self.ID && !p.lost[r.holder.ID] {
 		return r.holder, true
 	}
+	if watched := p.known(id); watched.ID != "" && !p.lost[watched.ID] && r.try == 0 {
+		return watched, true
+	}
 	order := p.candidates(id)
 	order = slices.DeleteFunc(order, func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
 	order = order[:min(len(order), slotWatchers)]
@@ -345,13 +345,25 @@
 		return coltsfootward.Instance{}
 	}
 	holder, ok := s.Holder()
-	if !ok {
+	switch {
+	case !ok:
 		return coltsfootward.Instance{}
-	}
-	if holder.ID == p.node.options.Self.ID {
+	case holder.ID == p.node.options.Self.ID:
 		return p.successors[id.index]
+	// Slots move while a domain's nodes start. Who no longer looks after a slot
+	// has an old record of it: named from that, the old holder would be asked
+	// again and again, and the domain's own part of each rate lie unused.
+	case !p.watches(id.index):
+		return coltsfootward.Instance{}
+	default:
+		return holder
 	}
-	return holder
+}
+
+// watches reports whether this node reads the slot's record.
+func (p *leasePart) watches(index int) bool {
+	rank := p.ranks[index]
+	return rank >= 0 && rank < slotWatchers
 }
 
 func (p *leasePart) heard(from coltsfootward.InstanceID) { delete(p.lost, from) }
--- /dev/null
+++ b/core/nodetest/holder_test.go
@@ -0,0 +1,54 @@
+package nodetest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+)
+
+// A domain is cut off and refuses half of its organisations as above their
+// rate, though its own parts of the rates are full. As its nodes started, slots
+// moved from the first of them to the others. A node that looked after a slot
+// then, and no more, still believed the record it had seen: it asked the old
+// holder, was told the new one, and asked the old one again.
+func TestCutOffDomainDrawsFromItsOwnHolders(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		r := nodetest.New(seed)
+		domains := []coltsfootward.FailureDomain{"north", "south", "west"}
+		r.Submit(coltsfootward.Change{Service: &coltsfootward.Service{Name: "quotes"}})
+		var names []coltsfootward.OrganisationName
+		for i := range 8 {
+			name := coltsfootward.OrganisationName(fmt.Sprint("organisation-", i))
+			names = append(names, name)
+			r.Submit(
+				coltsfootward.Change{Organisation: &coltsfootward.Organisation{Name: name, Rate: coltsfootward.Rate{PerSecond: 300, Burst: 300}}},
+				coltsfootward.Change{Key: &coltsfootward.Key{ID: string(name), Digest: coltsfootward.KeyDigest(name), Organisation: name}},
+			)
+		}
+		for i := range 15 {
+			domain := domains[i%len(domains)]
+			m := r.Add(node.Options{Self: nodetest.Instance(coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i)), domain), Domains: domains})
+			m.Announce("quotes", 100)
+			r.Run(100 * time.Millisecond)
+		}
+		r.Run(30 * time.Second)
+		r.CutDomain("north", true)
+		r.Run(time.Second)
+		for _, m := range r.Members() {
+			if m.Instance.Domain != "north" {
+				continue
+			}
+			for _, name := range names {
+				o := m.Send(nodetest.Request{Key: coltsfootward.KeyDigest(name), Service: "quotes"})
+				r.Run(100 * time.Millisecond)
+				if !o.Answered {
+					t.Errorf("seed %d: %s through %s: got %v, want an answer", seed, name, m.Instance.ID, o.Refusal)
+				}
+			}
+		}
+	}
+}
