--- a/core/node/configuration_test.go
+++ b/core/node/configuration_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -140,30 +139,14 @@
 	return confirmed, waiting
 }
 
-// count lets time pass and returns the operations on the table that are for
-// configuration and membership.
-func (f *fleet) count(d time.Duration) (reads, writes int) {
-	f.Table.Observe = func(write bool, key string) {
-		own := slices.ContainsFunc([]string{node.ChangePrefix, node.RevisionKey, node.ObjectPrefix, node.ContactPrefix},
-			func(prefix string) bool { return strings.HasPrefix(key, prefix) })
-		switch {
-		case own && write:
-			writes++
-		case own:
-			reads++
-		}
-	}
-	f.Run(d)
-	f.Table.Observe = nil
-	return reads, writes
-}
-
 // Operators change a rate. Only a few nodes of each domain read the platform,
 // which serves some thousand reads a second and not one per node.
 func TestFewNodesReadTheTable(t *testing.T) {
 	f := newFleet(1, 3, 12)
 	f.settle(t)
-	reads, writes := f.count(20 * time.Second)
+	reads, writes := f.Table.Reads, f.Table.Writes
+	f.Run(20 * time.Second)
+	reads, writes = f.Table.Reads-reads, f.Table.Writes-writes
 	if most := 3 * (3*20 + 4*3); reads > most || writes > 0 {
 		t.Errorf("36 nodes at rest for 20 s: got %d reads and %d writes, want at most %d and none", reads, writes, most)
 	}
--- a/core/node/slope_test.go
+++ b/core/node/slope_test.go
@@ -38,9 +38,10 @@
 		}
 	}
 	b.ReportMetric(f.Now().Seconds(), "s-to-form")
-	reads, writes := f.count(10 * time.Second)
-	b.ReportMetric(float64(reads)/10, "reads/s")
-	b.ReportMetric(float64(writes)/10, "writes/s")
+	reads, writes := f.Table.Reads, f.Table.Writes
+	f.Run(10 * time.Second)
+	b.ReportMetric(float64(f.Table.Reads-reads)/10, "reads/s")
+	b.ReportMetric(float64(f.Table.Writes-writes)/10, "writes/s")
 	var force, confirmed time.Duration
 	const changes = 5
 	for range changes {
--- a/core/nodetest/table.go
+++ b/core/nodetest/table.go
@@ -26,9 +26,6 @@
 	Slow time.Duration
 	// Reads and Writes count operations that took effect.
 	Reads, Writes int
-	// Observe, if set, is told of every operation that took effect, with the
-	// key, the prefix or the first key written.
-	Observe func(write bool, key string)
 
 	rig     *Rig
 	rows    map[string]coltsfootward.Row
@@ -41,17 +38,6 @@
 	return &Table{rig: r, rows: make(map[string]coltsfootward.Row), cut: make(map[coltsfootward.FailureDomain]bool), alone: make(map[coltsfootward.InstanceID]bool)}
 }
 
-func (t *Table) count(write bool, key string) {
-	if write {
-		t.Writes++
-	} else {
-		t.Reads++
-	}
-	if t.Observe != nil {
-		t.Observe(write, key)
-	}
-}
-
 func (t *Table) setCut(domain coltsfootward.FailureDomain, cut bool) {
 	t.cut[domain] = cut
 }
@@ -114,7 +100,7 @@
 	if t.Outage {
 		return coltsfootward.Row{}, coltsfootward.ErrUnavailable
 	}
-	t.count(false, key)
+	t.Reads++
 	row := t.rows[key]
 	row.Key = key
 	return row, t.answer(nil)
@@ -125,7 +111,7 @@
 	if t.Outage {
 		return nil, coltsfootward.ErrUnavailable
 	}
-	t.count(false, prefix)
+	t.Reads++
 	var found []coltsfootward.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(found) < limit {
@@ -145,11 +131,7 @@
 			return t.answer(coltsfootward.ErrConflict)
 		}
 	}
-	first := ""
-	if len(transaction.Writes) > 0 {
-		first = transaction.Writes[0].Key
-	}
-	t.count(true, first)
+	t.Writes++
 	for _, w := range transaction.Writes {
 		t.write(w)
 	}
