--- a/core/node/lease.go
+++ b/core/node/lease.go
@@ -58,6 +58,8 @@
 	ranks []int
 	// offered is until when each slot is offered to this node, by Instant.Monotonic.
 	offered []time.Duration
+	// successors are those that each slot was last offered to by this node.
+	successors []coltsfootward.Instance
 	// held is what was reported last.
 	held   []bool
 	fair   int
@@ -67,17 +69,20 @@
 	// lost holds the peers whose connection broke and that were not heard since.
 	lost        map[coltsfootward.InstanceID]bool
 	releaseFrom time.Duration
+	// released are slots given up whose claims are still to be handed over.
+	released []releasedSlot
 }
 
 func newLeasePart(n *Node) *leasePart {
 	p := &leasePart{
-		node:    n,
-		ranks:   make([]int, n.options.Slots),
-		held:    make([]bool, n.options.Slots),
-		offered: make([]time.Duration, n.options.Slots),
-		booted:  n.now.Monotonic,
-		routes:  make(map[slotID]*route),
-		lost:    make(map[coltsfootward.InstanceID]bool),
+		node:       n,
+		ranks:      make([]int, n.options.Slots),
+		successors: make([]coltsfootward.Instance, n.options.Slots),
+		held:       make([]bool, n.options.Slots),
+		offered:    make([]time.Duration, n.options.Slots),
+		booted:     n.now.Monotonic,
+		routes:     make(map[slotID]*route),
+		lost:       make(map[coltsfootward.InstanceID]bool),
 	}
 	for range n.options.Slots {
 		p.slots = append(p.slots, lease.New(lease.Options{Self: n.options.Self, Term: n.options.LeaseTerm, Margin: n.options.LeaseMargin}))
@@ -164,13 +169,34 @@
 	for !p.node.draining && p.mine() > p.fair {
 		index := p.worst()
 		unused := p.unused(index)
-		p.slots[index].Release(unused)
+		p.release(index)
 		if !unused {
 			return
 		}
 	}
 }
 
+// release gives a slot up. From here on this node grants nothing more in its
+// present epoch, also if the platform does not take the slot back.
+func (p *leasePart) release(index int) {
+	slot := p.slots[index]
+	if slot.Releasing() {
+		return
+	}
+	id := slotID{domain: p.node.options.Self.Domain, index: index}
+	slot.Release(p.unused(index))
+	successors := slices.DeleteFunc(p.candidates(id), func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
+	successors = successors[:min(len(successors), slotWatchers)]
+	p.released = append(p.released, releasedSlot{id: id, epoch: slot.Epoch(), successors: successors})
+}
+
+// takeReleased returns the slots that were given up since the last call.
+func (p *leasePart) takeReleased() []releasedSlot {
+	released := p.released
+	p.released = nil
+	return released
+}
+
 // unused reports whether nothing was granted in the slot's name in this epoch.
 func (p *leasePart) unused(index int) bool {
 	slot := slotID{domain: p.node.options.Self.Domain, index: index}
@@ -192,7 +218,9 @@
 func (p *leasePart) drain() {
 	p.releaseFrom = p.node.now.Monotonic
 	for i, s := range p.slots {
-		s.Release(p.unused(i))
+		if s.Mine() {
+			p.release(i)
+		}
 	}
 }
 
@@ -232,6 +260,7 @@
 	for _, c := range p.candidates(id) {
 		if c.ID != p.node.options.Self.ID {
 			p.node.act(Send{To: c, Message: &message.SlotOffer{Domain: id.domain, Slot: id.index}})
+			p.successors[id.index] = c
 			return
 		}
 	}
@@ -272,6 +301,9 @@
 	if s, ok := p.own(id); ok && s.Held(p.node.now) {
 		return p.node.options.Self, true
 	}
+	if watched := p.known(id); watched.ID != "" && !p.lost[watched.ID] && p.route(id).try == 0 {
+		return watched, true
+	}
 	r := p.route(id)
 	// Another node's look at the record may name this one after it has lapsed.
 	if r.holder.ID != "" && r.holder.ID != p.node.options.Self.ID && !p.lost[r.holder.ID] {
@@ -313,9 +345,12 @@
 		return coltsfootward.Instance{}
 	}
 	holder, ok := s.Holder()
-	if !ok || holder.ID == p.node.options.Self.ID {
+	if !ok {
 		return coltsfootward.Instance{}
 	}
+	if holder.ID == p.node.options.Self.ID {
+		return p.successors[id.index]
+	}
 	return holder
 }
 
