--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -95,20 +95,4 @@
 	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
 
-func (l leasedSlots) released() []releasedSlot {
-	var all []releasedSlot
-	for _, id := range l.own() {
-		slot, _ := l.node.lease.own(id)
-		if slot.Releasing() {
-			all = append(all, releasedSlot{id: id, epoch: slot.Epoch(), successors: l.successors(id)})
-		}
-	}
-	return all
-}
-
-// successors returns the candidates of an own slot but for this node.
-func (l leasedSlots) successors(id slotID) []coltsfootward.Instance {
-	order := l.node.lease.candidates(id)
-	order = slices.DeleteFunc(order, func(c coltsfootward.Instance) bool { return c.ID == l.node.options.Self.ID })
-	return order[:min(len(order), slotWatchers)]
-}
+func (l leasedSlots) released() []releasedSlot { return l.node.lease.takeReleased() }
