--- /dev/null
+++ b/core/node/entry_attempt.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/record"
+)
+
+// attempt asks for what the next attempt needs. Child calls were paid for by
+// the caller's request at the top of the chain.
+func (p *entryPart) attempt(call *entryCall) {
+	if call.parent != "" {
+		p.admitted(call, admission{})
+		return
+	}
+	p.node.rate.acquire(call)
+}
+
+// admitted starts an attempt that the organisation's rate allows.
+func (p *entryPart) admitted(call *entryCall, granted admission) {
+	call.admission = granted
+	now := p.node.now.Expiry
+	if now >= call.deadline {
+		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started"))
+		return
+	}
+	if call.claim != nil && now >= call.claim.expires {
+		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalClaim, "the claim on the Idempotency-Key ended before the request started").
+			WithRetryAfter(p.node.spreadRetryAfter()))
+		return
+	}
+	target, ok := p.node.placement.choose(call)
+	if !ok {
+		p.giveUp(call, p.noTarget(call))
+		return
+	}
+	call.target = target.ID
+	call.running = true
+	p.node.placement.sent(call)
+	head := call.head
+	call.carried = p.node.ledger.carry(call)
+	head.Budget = call.carried
+	head.Timeout = call.deadline - now
+	head.StartWithin = granted.remaining(p.node.now)
+	if call.claim != nil {
+		head.StartWithin = shorter(head.StartWithin, call.claim.expires-now)
+	}
+	p.node.act(Forward{Call: call.id, To: target, Head: head})
+}
+
+// noTarget returns why there is nowhere to send the call. If servers that were
+// tried have refused it, that is the reason: "no backend server takes work"
+// would send operators looking for servers that run.
+func (p *entryPart) noTarget(call *entryCall) coltsfootward.Refusal {
+	if call.last.Kind != "" {
+		return call.last
+	}
+	return coltsfootward.NewRefusal(coltsfootward.RefusalNoUpstream, "no backend server of the service takes work").
+		WithRetryAfter(p.node.spreadRetryAfter())
+}
+
+// overRate ends a call that the organisation's rate does not allow.
+func (p *entryPart) overRate(call *entryCall, retryAfter time.Duration) {
+	p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverRate, "the organisation is above its rate and burst").
+		WithRetryAfter(retryAfter))
+}
+
+func (p *entryPart) attemptEnded(e AttemptEnded) {
+	call, ok := p.calls[e.Call]
+	if !ok || !call.running {
+		return
+	}
+	call.running = false
+	p.node.placement.observe(call, e)
+	if e.Kind == AttemptAnswered {
+		call.answered = true
+		return
+	}
+	call.attempts += attemptsUsed(call, e)
+	p.node.ledger.forecast.Missed(call.head.Service)
+	p.settleAdmission(call, e)
+	refused := refusalOf(e)
+	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
+	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
+		field("instance", string(call.target)), field("kind", string(refused.Kind)))
+	call.last = refused
+	call.tried[call.target] = true
+	p.node.ledger.topUp(call)
+	if p.mayRetry(call, refused) {
+		p.attempt(call)
+		return
+	}
+	p.finish(call, refused)
+}
+
+// settleAdmission gives back what an attempt did not spend. An attempt that
+// may have started has spent its admission, whatever became of it.
+func (p *entryPart) settleAdmission(call *entryCall, e AttemptEnded) {
+	spent := e.Kind == AttemptLost || (e.Kind == AttemptRefused && e.Refusal.Execution != coltsfootward.ExecutionNotRun)
+	if !spent {
+		p.node.rate.release(call.head.Organisation, call.admission)
+	}
+	call.admission = admission{}
+}
+
+// attemptsUsed returns what an ended attempt cost. In doubt all that it carried
+// counts as used: the chain below may still be spending it. A refusal whose end
+// was lost is such a doubt, unless nothing ran.
+func attemptsUsed(call *entryCall, e AttemptEnded) int {
+	switch {
+	case e.Kind == AttemptUnsent:
+		return 0
+	case e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun:
+		return 0
+	case e.Kind == AttemptRefused && e.Attempts >= 0:
+		return min(e.Attempts, call.carried)
+	default:
+		return call.carried
+	}
+}
+
+func refusalOf(e AttemptEnded) coltsfootward.Refusal {
+	switch e.Kind {
+	case AttemptUnsent:
+		return coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the upstream's node could not be reached")
+	case AttemptLost:
+		return coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the connection broke while the request was under way").
+			WithExecution(coltsfootward.ExecutionUnknown)
+	default:
+		return e.Refusal
+	}
+}
+
+// mayRetry decides whether another attempt follows. A request whose execution
+// is unknown is attempted again only if it is repeatable.
+func (p *entryPart) mayRetry(call *entryCall, refused coltsfootward.Refusal) bool {
+	if refused.Final || !call.mayRetry || !p.node.ledger.enough(call) {
+		return false
+	}
+	if p.node.now.Expiry >= call.deadline {
+		return false
+	}
+	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
+}
+
+func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
+	if refused.Execution == coltsfootward.ExecutionNotRun {
+		return retryableKind(refused.Kind)
+	}
+	return refused.Execution == coltsfootward.ExecutionUnknown && !call.head.Unrepeatable &&
+		refused.Kind != coltsfootward.RefusalTimeout
+}
+
+func retryableKind(kind coltsfootward.RefusalKind) bool {
+	switch kind {
+	case coltsfootward.RefusalOverloaded, coltsfootward.RefusalDraining, coltsfootward.RefusalStale,
+		coltsfootward.RefusalConnectionLost, coltsfootward.RefusalNoUpstream:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/core/node/entry_end.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/claim"
+	"coltsfootward/core/record"
+)
+
+// giveUp ends a call for which no attempt is under way. What earlier attempts
+// may have done decides what the caller is told about execution.
+//
+// An admission that no attempt has spent goes back: kept, it would charge the
+// organisation for requests that never ran and refuse later ones inside its rate.
+func (p *entryPart) giveUp(call *entryCall, r coltsfootward.Refusal) {
+	if !call.running {
+		p.node.rate.release(call.head.Organisation, call.admission)
+		call.admission = admission{}
+	}
+	p.finish(call, r)
+}
+
+// finish answers the call with a refusal and forgets it. Once an attempt may
+// have run, a later one that certainly did not makes nothing undone.
+func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal) {
+	delete(p.calls, call.id)
+	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
+		r = r.WithExecution(coltsfootward.ExecutionUnknown)
+	}
+	if call.claim != nil {
+		p.node.claims.ended(call, r.Execution, nil)
+	}
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+		p.node.upstream.childRefused(call.parent, r)
+	}
+	p.refuse(call.id, call.head.Request, r)
+}
+
+// replay answers the call with the first request's answer and forgets it.
+func (p *entryPart) replay(call *entryCall, answer *claim.Answer) {
+	delete(p.calls, call.id)
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget)
+	}
+	p.node.act(Replay{Call: call.id, Answer: *answer})
+}
+
+func (p *entryPart) refuseUnopened(id CallID, r coltsfootward.Refusal) {
+	p.refuse(id, "", r)
+}
+
+func (p *entryPart) refuse(id CallID, request coltsfootward.RequestID, r coltsfootward.Refusal) {
+	p.node.report(record.RequestRefused, field("request", string(request)),
+		field("kind", string(r.Kind)), field("execution", string(r.Execution)))
+	p.node.act(Refuse{Call: id, Refusal: r})
+}
+
+// broken fetches the rest of an answer that broke off by another attempt, if
+// one is left. It waits for its beginning as long as the first: a download may
+// have outlasted the request's own time by far. The upstream is not marked as
+// tried, since it may have been only the connection that broke.
+func (p *entryPart) broken(e AnswerBroken) {
+	call, ok := p.calls[e.Call]
+	if !ok || !call.answered {
+		return
+	}
+	call.answered = false
+	call.running = false
+	call.doubtful = true
+	call.attempts += call.carried
+	if call.parent == "" {
+		call.deadline = max(call.deadline, p.node.now.Expiry+call.timeout)
+	}
+	p.node.ledger.topUp(call)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
+	if p.mayRetry(call, r) {
+		p.attempt(call)
+		return
+	}
+	p.finish(call, r)
+}
+
+func (p *entryPart) done(e CallDone) {
+	call, ok := p.calls[e.Call]
+	if !ok {
+		return
+	}
+	delete(p.calls, e.Call)
+	used := call.carried
+	if e.Attempts >= 0 {
+		used = min(e.Attempts, used)
+	}
+	call.attempts += used
+	if e.Whole && e.Attempts >= 0 {
+		p.node.ledger.answered(call, e.Needed)
+	}
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+	}
+	if call.claim != nil {
+		p.node.claims.ended(call, coltsfootward.ExecutionRan, e.Answer)
+	}
+}
+
+// callerLeft cancels everything below a call that nobody waits for. Work for
+// callers that have gone is what keeps an overloaded service from recovering.
+func (p *entryPart) callerLeft(id CallID) {
+	call, ok := p.calls[id]
+	if !ok {
+		return
+	}
+	delete(p.calls, id)
+	execution := coltsfootward.ExecutionNotRun
+	if call.running || call.answered || call.doubtful {
+		execution = coltsfootward.ExecutionUnknown
+	}
+	if call.running || call.answered {
+		call.attempts += call.carried
+	}
+	if call.running {
+		p.node.placement.left(call, false)
+	}
+	if call.running || call.answered {
+		p.node.act(CancelAttempt{Call: id})
+	} else {
+		p.node.rate.release(call.head.Organisation, call.admission)
+	}
+	if call.claim != nil {
+		p.node.claims.ended(call, execution, nil)
+	}
+	if call.parent != "" {
+		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
+	}
+}
+
+// tick ends calls whose time has passed while they waited.
+func (p *entryPart) tick() {
+	for _, id := range sortedCalls(p.calls) {
+		call := p.calls[id]
+		if call.answered || p.node.now.Expiry < call.deadline {
+			continue
+		}
+		p.expire(call)
+	}
+}
+
+func (p *entryPart) expire(call *entryCall) {
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out")
+	if call.running {
+		p.node.placement.left(call, true)
+		p.node.act(CancelAttempt{Call: call.id})
+		r = r.WithExecution(coltsfootward.ExecutionUnknown)
+		call.attempts += call.carried
+	}
+	p.giveUp(call, r)
+}
+
+// shorter returns the shorter of two times of which zero means no limit.
+func shorter(limit, other time.Duration) time.Duration {
+	if limit == 0 {
+		return other
+	}
+	return min(limit, other)
+}
--- /dev/null
+++ b/io/peer/handshake.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"coltsfootward"
+)
+
+// welcome answers the dialler's hello.
+func (t *Transport) welcome(n net.Conn) (*connection, *bufio.Reader, error) {
+	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, nil, err
+	}
+	reader := bufio.NewReaderSize(n, chunkSize*2)
+	theirs, err := readHello(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := t.writeHello(n); err != nil {
+		return nil, nil, err
+	}
+	if err := checkVersion(theirs); err != nil {
+		return nil, nil, err
+	}
+	return t.established(n, theirs), reader, nil
+}
+
+func (t *Transport) established(n net.Conn, theirs hello) *connection {
+	if err := n.SetDeadline(time.Time{}); err != nil {
+		n.Close()
+	}
+	c := newConnection(&timedConn{Conn: n}, theirs.Instance, t.clock)
+	c.touch()
+	return c
+}
+
+func checkVersion(h hello) error {
+	if h.Version != ProtocolVersion {
+		return &FrameError{Reason: fmt.Sprintf("protocol version %d, this node speaks %d", h.Version, ProtocolVersion)}
+	}
+	if h.Instance.ID == "" {
+		return &FrameError{Reason: "hello without an instance"}
+	}
+	return nil
+}
+
+func readHello(r io.Reader) (hello, error) {
+	var h hello
+	f, err := readFrame(r)
+	if err != nil {
+		return h, err
+	}
+	if f.Kind != frameHello {
+		return h, &FrameError{Reason: "first frame is no hello"}
+	}
+	return h, decode(f.Payload, &h)
+}
+
+func (t *Transport) writeHello(n net.Conn) error {
+	payload, err := encode(&hello{Version: ProtocolVersion, Instance: t.self, Probe: int64(t.clock().Expiry)})
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(n)
+	if err := writeFrame(w, frame{Kind: frameHello, Sent: int64(t.clock().Monotonic), Payload: payload}); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func (t *Transport) handshake(to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
+	n, err := net.DialTimeout("tcp", to.Address, handshakeTimeout)
+	if err != nil {
+		return nil, nil, fmt.Errorf("peer: dial %s: %w: check that the instance runs and its address is reachable", to.ID, err)
+	}
+	c, reader, err := t.greet(n, to)
+	if err != nil {
+		n.Close()
+		t.rejected(n.RemoteAddr().String(), err)
+		return nil, nil, err
+	}
+	return c, reader, nil
+}
+
+func (t *Transport) greet(n net.Conn, to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
+	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, nil, err
+	}
+	if err := t.writeHello(n); err != nil {
+		return nil, nil, err
+	}
+	reader := bufio.NewReaderSize(n, chunkSize*2)
+	theirs, err := readHello(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := checkVersion(theirs); err != nil {
+		return nil, nil, err
+	}
+	if theirs.Instance.ID != to.ID {
+		return nil, nil, &FrameError{Reason: fmt.Sprintf("dialled %s, reached %s", to.ID, theirs.Instance.ID)}
+	}
+	c := t.established(n, theirs)
+	// The echo goes first, so that the peer can bound the age of all that follows.
+	return c, reader, c.sendValue(framePong, 0, &probe{Probe: theirs.Probe})
+}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -78,14 +77,6 @@
 	whenIdle chan struct{}
 }
 
-// dialled is the outbound connection to one peer, or the attempt to make it.
-type dialled struct {
-	ready      chan struct{}
-	connection *connection
-	err        error
-	address    string
-}
-
 // NewTransport returns a transport that serves peers on listener, if it is not
 // nil, until Close.
 func NewTransport(self coltsfootward.Instance, clock func() coltsfootward.Instant, handler Handler, listener net.Listener) *Transport {
@@ -201,68 +192,6 @@
 	}
 }
 
-// welcome answers the dialler's hello.
-func (t *Transport) welcome(n net.Conn) (*connection, *bufio.Reader, error) {
-	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return nil, nil, err
-	}
-	reader := bufio.NewReaderSize(n, chunkSize*2)
-	theirs, err := readHello(reader)
-	if err != nil {
-		return nil, nil, err
-	}
-	if err := t.writeHello(n); err != nil {
-		return nil, nil, err
-	}
-	if err := checkVersion(theirs); err != nil {
-		return nil, nil, err
-	}
-	return t.established(n, theirs), reader, nil
-}
-
-func (t *Transport) established(n net.Conn, theirs hello) *connection {
-	if err := n.SetDeadline(time.Time{}); err != nil {
-		n.Close()
-	}
-	c := newConnection(&timedConn{Conn: n}, theirs.Instance, t.clock)
-	c.touch()
-	return c
-}
-
-func checkVersion(h hello) error {
-	if h.Version != ProtocolVersion {
-		return &FrameError{Reason: fmt.Sprintf("protocol version %d, this node speaks %d", h.Version, ProtocolVersion)}
-	}
-	if h.Instance.ID == "" {
-		return &FrameError{Reason: "hello without an instance"}
-	}
-	return nil
-}
-
-func readHello(r io.Reader) (hello, error) {
-	var h hello
-	f, err := readFrame(r)
-	if err != nil {
-		return h, err
-	}
-	if f.Kind != frameHello {
-		return h, &FrameError{Reason: "first frame is no hello"}
-	}
-	return h, decode(f.Payload, &h)
-}
-
-func (t *Transport) writeHello(n net.Conn) error {
-	payload, err := encode(&hello{Version: ProtocolVersion, Instance: t.self, Probe: int64(t.clock().Expiry)})
-	if err != nil {
-		return err
-	}
-	w := bufio.NewWriter(n)
-	if err := writeFrame(w, frame{Kind: frameHello, Sent: int64(t.clock().Monotonic), Payload: payload}); err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
 // read runs until the connection breaks.
 func (t *Transport) read(c *connection, reader *bufio.Reader) {
 	for {
@@ -421,54 +350,6 @@
 	}
 }
 
-// dial returns the connection to a peer, making one if needed.
-func (t *Transport) dial(ctx context.Context, to coltsfootward.Instance) (*connection, error) {
-	d, mine := t.reserve(to)
-	if mine {
-		t.startConnect(d, to)
-	}
-	select {
-	case <-d.ready:
-		return d.connection, d.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-t.done:
-		return nil, errConnectionClosed
-	}
-}
-
-// reserve returns the peer's entry and whether the caller is to connect it.
-func (t *Transport) reserve(to coltsfootward.Instance) (*dialled, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if d, ok := t.dialled[to.ID]; ok && d.usable(to.Address) {
-		return d, false
-	}
-	d := &dialled{ready: make(chan struct{}), address: to.Address}
-	t.dialled[to.ID] = d
-	return d, true
-}
-
-// usable reports whether the entry's connection stands or is being made.
-func (d *dialled) usable(address string) bool {
-	if d.address != address {
-		return false
-	}
-	select {
-	case <-d.ready:
-		return d.err == nil && !d.connection.closed() && !d.connection.isLeaving()
-	default:
-		return true
-	}
-}
-
-func (t *Transport) startConnect(d *dialled, to coltsfootward.Instance) {
-	if !t.start(func() { t.connect(d, to) }) {
-		d.err = errConnectionClosed
-		close(d.ready)
-	}
-}
-
 // start runs f in a goroutine that Close waits for. It returns false once the
 // transport is closed: the loop may send until it is closed itself, and a
 // goroutine begun while Close waits would escape it.
@@ -481,122 +362,3 @@
 	t.wait.Go(f)
 	return true
 }
-
-func (t *Transport) connect(d *dialled, to coltsfootward.Instance) {
-	c, reader, err := t.handshake(to)
-	if err == nil {
-		t.mu.Lock()
-		t.outbound[c] = struct{}{}
-		t.mu.Unlock()
-	}
-	d.connection, d.err = c, err
-	close(d.ready)
-	if err != nil {
-		return
-	}
-	select {
-	case <-t.done:
-		c.close()
-		return
-	default:
-	}
-	t.handler.PeerConnected(c.remote)
-	t.wait.Go(c.write)
-	t.read(c, reader)
-	c.close()
-	t.mu.Lock()
-	delete(t.outbound, c)
-	t.mu.Unlock()
-	t.handler.PeerLost(c.remote)
-}
-
-func (t *Transport) handshake(to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
-	n, err := net.DialTimeout("tcp", to.Address, handshakeTimeout)
-	if err != nil {
-		return nil, nil, fmt.Errorf("peer: dial %s: %w: check that the instance runs and its address is reachable", to.ID, err)
-	}
-	c, reader, err := t.greet(n, to)
-	if err != nil {
-		n.Close()
-		t.rejected(n.RemoteAddr().String(), err)
-		return nil, nil, err
-	}
-	return c, reader, nil
-}
-
-func (t *Transport) greet(n net.Conn, to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
-	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return nil, nil, err
-	}
-	if err := t.writeHello(n); err != nil {
-		return nil, nil, err
-	}
-	reader := bufio.NewReaderSize(n, chunkSize*2)
-	theirs, err := readHello(reader)
-	if err != nil {
-		return nil, nil, err
-	}
-	if err := checkVersion(theirs); err != nil {
-		return nil, nil, err
-	}
-	if theirs.Instance.ID != to.ID {
-		return nil, nil, &FrameError{Reason: fmt.Sprintf("dialled %s, reached %s", to.ID, theirs.Instance.ID)}
-	}
-	c := t.established(n, theirs)
-	// The echo goes first, so that the peer can bound the age of all that follows.
-	return c, reader, c.sendValue(framePong, 0, &probe{Probe: theirs.Probe})
-}
-
-// Send sends a message without waiting. The message is lost if the peer cannot
-// be reached or its ring is full.
-func (t *Transport) Send(to coltsfootward.Instance, m message.Message) {
-	payload, err := encodeMessage(m)
-	if err != nil {
-		return
-	}
-	d, mine := t.reserve(to)
-	if mine {
-		t.startConnect(d, to)
-	}
-	select {
-	case <-d.ready:
-		d.deliver(payload)
-	default:
-		t.start(func() {
-			select {
-			case <-d.ready:
-				d.deliver(payload)
-			case <-t.done:
-			}
-		})
-	}
-}
-
-func (d *dialled) deliver(payload []byte) {
-	if d.err != nil {
-		return
-	}
-	d.connection.touch()
-	d.connection.trySend(frameMessage, payload)
-}
-
-// CloseWrite ends the sending direction where the connection can.
-func (c *timedConn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	return half.CloseWrite()
-}
-
-// timedConn bounds every write, so that a peer that stops reading cannot hold
-// the writer for ever.
-type timedConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c *timedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
