Draw a fresh token for a call whose turn comes after its first one has ended

Cause: a token lives for a quarter of the time in which its organisation's burst refills, 50 ms for a rate of 1,000 and a burst of 200. Calls that queued longer at a backend server were refused, though their callers would have waited and the server had time for them: of 40 calls of 100 ms at once on 2 slots 2 were answered. Ruled out: the queue's own bounds (10 places, half of the caller's time). Change: the upstream's node draws in place of a token that has ended, while the call holds its slot; the first counts as spent, so the bound holds. Claims are never renewed.

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -102,6 +102,10 @@
 	// StartWithin is how long the call's admission lasts: it must have been
 	// dispatched by then, or not at all. Zero means no limit.
 	StartWithin time.Duration `msgpack:"start_within"`
+	// Renewable is set if StartWithin is what is left of a token of the
+	// organisation's rate and nothing else: when it has passed, the upstream's
+	// node may draw a token of its own in its place.
+	Renewable bool `msgpack:"renewable"`
 	// Unrepeatable requests are never attempted again once a byte may have
 	// reached a backend server.
 	Unrepeatable bool `msgpack:"unrepeatable"`
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -14,7 +14,7 @@
 		p.admitted(call, admission{})
 		return
 	}
-	p.node.rate.acquire(call)
+	p.node.rate.acquire(entryWaiter{part: p, call: call})
 }
 
 // admitted starts an attempt that the organisation's rate allows.
@@ -43,6 +43,7 @@
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
 	head.StartWithin = granted.remaining(p.node.now)
+	head.Renewable = call.claim == nil && granted.expires != 0
 	if call.claim != nil {
 		head.StartWithin = shorter(head.StartWithin, call.claim.expires-now)
 	}
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -52,8 +52,8 @@
 	life time.Duration
 	// parts says for each part of the division what the last answer said.
 	parts []partView
-	// waiting are the calls that need a token, in the order of their arrival.
-	waiting []*entryCall
+	// waiting are those who need a token, in the order of their arrival.
+	waiting []tokenWaiter
 	// drawing is set while a draw for waiting calls is under way.
 	drawing *pendingDraw
 	// ahead is when to draw ahead again, by Instant.Monotonic.
@@ -81,26 +81,26 @@
 	}
 }
 
-// acquire answers with entry.admitted or entry.overRate, now or later.
-func (p *ratePart) acquire(call *entryCall) {
+// acquire answers the waiter, now or later.
+func (p *ratePart) acquire(w tokenWaiter) {
 	p.refresh()
-	a, ok := p.accounts[call.head.Organisation]
+	a, ok := p.accounts[w.organisation()]
 	if !ok {
-		p.node.entry.overRate(call, 0)
+		w.overRate(0)
 		return
 	}
 	a.demand.Note(p.node.now)
-	a.waiting = append(a.waiting, call)
+	a.waiting = append(a.waiting, w)
 	p.serve(a)
 	p.pump(a)
 	p.stock(a)
 }
 
-// serve gives the tokens at hand to waiting calls.
+// serve gives the tokens at hand to those who wait.
 func (p *ratePart) serve(a *account) {
 	for len(a.waiting) > 0 {
-		call := a.waiting[0]
-		if !p.waits(call) {
+		w := a.waiting[0]
+		if !w.waits() {
 			a.waiting = a.waiting[1:]
 			continue
 		}
@@ -109,23 +109,17 @@
 			return
 		}
 		a.waiting = a.waiting[1:]
-		p.node.entry.admitted(call, admission{expires: token.Expires, token: token})
+		w.admitted(admission{expires: token.Expires, token: token})
 	}
 }
 
-// waits reports whether the call still needs a token: its caller may have left
-// or its time may have run out since it asked.
-func (p *ratePart) waits(call *entryCall) bool {
-	return p.node.entry.calls[call.id] == call && !call.running && !call.answered
-}
-
-// refuse ends every waiting call: no part has a token.
+// refuse ends the wait of all: no part has a token.
 func (p *ratePart) refuse(a *account) {
 	waiting := a.waiting
 	a.waiting = nil
-	for _, call := range waiting {
-		if p.waits(call) {
-			p.node.entry.overRate(call, p.retryAfter(a))
+	for _, w := range waiting {
+		if w.waits() {
+			w.overRate(p.retryAfter(a))
 		}
 	}
 }
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -23,6 +23,8 @@
 	deadline time.Duration
 	// startBy is when the call's admission ends, by Instant.Expiry; zero means never.
 	startBy time.Duration
+	// renewing is set while the call holds a slot and waits for a new admission.
+	renewing bool
 	// token is set once the call has been dispatched.
 	token CallToken
 	// escrow holds the attempts that the calls below may still use.
@@ -87,7 +89,7 @@
 		Class:        requestClass(call.head.Method, call.head.Path),
 		Arrived:      call.arrived,
 		Deadline:     call.deadline,
-		StartBy:      call.startBy,
+		StartBy:      call.lastStart(),
 		Repeatable:   !call.head.Unrepeatable,
 	}
 }
@@ -129,7 +131,7 @@
 	// A node that was paused between admission and dispatch would start work
 	// that the organisation's rate has long been charged for elsewhere. The
 	// admission's short life ends that: what is older is not dispatched.
-	if call.startBy != 0 && now >= call.startBy {
+	if last := call.lastStart(); last != 0 && now >= last {
 		return refusal(coltsfootward.RefusalStale, "the request waited longer than its admission lasts")
 	}
 	return nil
@@ -149,6 +151,10 @@
 			p.refuse(call, *r)
 			continue
 		}
+		if call.startBy != 0 && p.node.now.Expiry >= call.startBy {
+			p.renew(call)
+			continue
+		}
 		p.dispatch(call)
 	}
 }
@@ -250,7 +256,9 @@
 		return
 	}
 	p.admission.Withdraw(admissioncontrol.RequestID(id))
+	p.admission.Unsent(admissioncontrol.RequestID(id))
 	p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalCancelled, "the caller left before the request started"))
+	p.start()
 }
 
 // tick refuses calls that have waited too long.
