Read once more: one choice of a random member, one list of successors, no event that nobody heeds

Found by reading the whole change. Two loops of membership chose a random member and differed in one condition; three places of the leases listed a slot's candidates but for the node itself.

--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -341,6 +341,12 @@
 // randomMember returns a random present member of a domain other than this
 // node, or nil.
 func (m *Machine) randomMember(domain coltsfootward.FailureDomain) *member {
+	return m.pick(domain, (*member).present)
+}
+
+// pick returns a member of a domain other than this node that fits, the first
+// from a random place on, or nil.
+func (m *Machine) pick(domain coltsfootward.FailureDomain, fits func(*member) bool) *member {
 	list := m.roster.domains[domain]
 	if len(list) == 0 {
 		return nil
@@ -348,7 +354,7 @@
 	start := m.source.IntN(len(list))
 	for i := range list {
 		line := list[(start+i)%len(list)]
-		if line.present() && line.id() != m.options.Self.ID {
+		if fits(line) && line.id() != m.options.Self.ID {
 			return line
 		}
 	}
--- a/core/membership/neighbour.go
+++ b/core/membership/neighbour.go
@@ -92,16 +92,5 @@
 // anyMember returns a random member of a domain that has not left, gone or not,
 // or nil.
 func (m *Machine) anyMember(domain coltsfootward.FailureDomain) *member {
-	list := m.roster.domains[domain]
-	if len(list) == 0 {
-		return nil
-	}
-	start := m.source.IntN(len(list))
-	for i := range list {
-		line := list[(start+i)%len(list)]
-		if line.news.State != message.MemberLeft && line.id() != m.options.Self.ID {
-			return line
-		}
-	}
-	return nil
+	return m.pick(domain, func(line *member) bool { return line.news.State != message.MemberLeft })
 }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -123,12 +123,6 @@
 	DispatchTimeout DispatchKind = "timeout"
 )
 
-// DispatchHeaded says that the upstream's status line arrived.
-type DispatchHeaded struct {
-	Call   CallID
-	Status int
-}
-
 // DispatchEnded reports the end of what a Dispatch began.
 type DispatchEnded struct {
 	Call CallID
@@ -171,7 +165,6 @@
 func (AnswerBroken) isEvent()     {}
 func (CallDone) isEvent()         {}
 func (PeerCallArrived) isEvent()  {}
-func (DispatchHeaded) isEvent()   {}
 func (DispatchEnded) isEvent()    {}
 func (MessageArrived) isEvent()   {}
 func (PeerLost) isEvent()         {}
--- a/core/node/lease.go
+++ b/core/node/lease.go
@@ -161,6 +161,12 @@
 	return found
 }
 
+// successorsOf returns the first candidates of a slot but for this node.
+func (p *leasePart) successorsOf(id slotID) []coltsfootward.Instance {
+	order := slices.DeleteFunc(p.candidates(id), func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
+	return order[:min(len(order), slotWatchers)]
+}
+
 // handOver gives up slots if the node holds more than its share: a node that
 // started first would otherwise keep them all, and its loss would stop the
 // whole domain. Slots that are in use go one at a time, since the next holder
@@ -185,9 +191,7 @@
 	}
 	id := slotID{domain: p.node.options.Self.Domain, index: index}
 	slot.Release(p.unused(index))
-	successors := slices.DeleteFunc(p.candidates(id), func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
-	successors = successors[:min(len(successors), slotWatchers)]
-	p.released = append(p.released, releasedSlot{id: id, epoch: slot.Epoch(), successors: successors})
+	p.released = append(p.released, releasedSlot{id: id, epoch: slot.Epoch(), successors: p.successorsOf(id)})
 }
 
 // takeReleased returns the slots that were given up since the last call.
@@ -257,13 +261,12 @@
 // offer tells the next candidate of a slot that it was released. Without that
 // the slot would stay unused until the candidate's next look at it.
 func (p *leasePart) offer(id slotID) {
-	for _, c := range p.candidates(id) {
-		if c.ID != p.node.options.Self.ID {
-			p.node.act(Send{To: c, Message: &message.SlotOffer{Domain: id.domain, Slot: id.index}})
-			p.successors[id.index] = c
-			return
-		}
+	order := p.successorsOf(id)
+	if len(order) == 0 {
+		return
 	}
+	p.node.act(Send{To: order[0], Message: &message.SlotOffer{Domain: id.domain, Slot: id.index}})
+	p.successors[id.index] = order[0]
 }
 
 func (p *leasePart) takeOffer(m message.SlotOffer) {
@@ -309,9 +312,7 @@
 	if watched := p.known(id); watched.ID != "" && !p.lost[watched.ID] && r.try == 0 {
 		return watched, true
 	}
-	order := p.candidates(id)
-	order = slices.DeleteFunc(order, func(c coltsfootward.Instance) bool { return c.ID == p.node.options.Self.ID })
-	order = order[:min(len(order), slotWatchers)]
+	order := p.successorsOf(id)
 	if len(order) == 0 {
 		return coltsfootward.Instance{}, false
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -35,7 +35,7 @@
 // New returns a node that has read no configuration and knows no peer. All
 // random choices come from source.
 func New(options Options, source *rand.Rand, now coltsfootward.Instant) *Node {
-	n := &Node{options: options.withDefaults(), source: source, now: now}
+	n := &Node{options: options.WithDefaults(), source: source, now: now}
 	n.table = newTablePart(n)
 	n.configuration = newConfigurationPart(n)
 	n.confirmation = newConfirmationPart(n)
@@ -78,8 +78,6 @@
 		n.entry.done(e)
 	case PeerCallArrived:
 		n.upstream.arrived(e)
-	case DispatchHeaded:
-		n.upstream.headed(e)
 	case DispatchEnded:
 		n.upstream.ended(e)
 	case MessageArrived:
@@ -97,7 +95,6 @@
 }
 
 func (n *Node) tick() {
-	n.table.tick()
 	n.configuration.tick()
 	n.membership.tick()
 	n.lease.tick()
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -69,7 +69,8 @@
 	DefaultKeyGrace       = 10 * time.Minute
 )
 
-func (o Options) withDefaults() Options {
+// WithDefaults returns a copy in which every field that was zero has its default.
+func (o Options) WithDefaults() Options {
 	if o.Attempts <= 0 {
 		o.Attempts = DefaultAttempts
 	}
--- a/core/node/table.go
+++ b/core/node/table.go
@@ -70,5 +70,3 @@
 	}
 	p.node.report(record.PlatformAvailable)
 }
-
-func (p *tablePart) tick() {}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -189,8 +189,6 @@
 	}
 }
 
-func (p *upstreamPart) headed(DispatchHeaded) {}
-
 func (p *upstreamPart) ended(e DispatchEnded) {
 	call, ok := p.calls[e.Call]
 	if !ok {
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -177,7 +177,6 @@
 	kind := node.DispatchFailed
 	if completed {
 		kind = node.DispatchAnswered
-		b.member.event(func() node.Event { return node.DispatchHeaded{Call: j.call, Status: statusOK} })
 	}
 	b.member.event(func() node.Event { return node.DispatchEnded{Call: j.call, Kind: kind} })
 	b.fill()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -181,7 +181,6 @@
 	if !deadline.Stop() {
 		return d.ended(node.DispatchTimeout)
 	}
-	d.server.loop.Post(node.DispatchHeaded{Call: d.call.ID, Status: response.StatusCode})
 	return d.ended(d.passOn(ctx, response, cancel))
 }
 
