--- a/cmd/daemon/face.go
+++ b/cmd/daemon/face.go
@@ -10,6 +10,7 @@
 	"coltsfootward/cmd/settings"
 	"coltsfootward/io/caller"
 	"coltsfootward/io/operator"
+	"coltsfootward/io/socket"
 	"coltsfootward/io/upstream"
 	"coltsfootward/schema/coltsfootward/v1/coltsfootwardv1connect"
 
@@ -29,7 +30,7 @@
 )
 
 type listeners struct {
-	callers, backend, peers, operators net.Listener
+	callers, backend, peers, operators, ready net.Listener
 }
 
 // listen opens every face, or none. An address whose port is 0 is replaced by
@@ -40,13 +41,18 @@
 	for _, face := range []struct {
 		listener *net.Listener
 		address  *string
+		listen   func(string) (net.Listener, error)
 	}{
-		{&l.callers, &addresses.Callers},
-		{&l.backend, &addresses.Backend},
-		{&l.peers, &addresses.Peers},
-		{&l.operators, &addresses.Operators},
+		{&l.callers, &addresses.Callers, listenTCP},
+		{&l.backend, &addresses.Backend, listenTCP},
+		{&l.peers, &addresses.Peers, socket.Listen},
+		{&l.operators, &addresses.Operators, listenTCP},
+		{&l.ready, &addresses.Ready, listenTCP},
 	} {
-		listener, err := net.Listen("tcp", *face.address)
+		if *face.address == "" {
+			continue
+		}
+		listener, err := face.listen(*face.address)
 		if err != nil {
 			closeAll(opened)
 			return l, fmt.Errorf("daemon: listen: %w: choose an address of this machine that is free", err)
@@ -58,6 +64,8 @@
 	return l, nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func closeAll(opened []net.Listener) {
 	for _, listener := range opened {
 		listener.Close()
--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -18,17 +18,25 @@
 	"coltsfootward/io/peer"
 	"coltsfootward/io/platform"
 	"coltsfootward/io/upstream"
+	hosting "coltsfootward/platform"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 )
 
+// table is the platform's table, whichever way it is spoken to.
+type table interface {
+	coltsfootward.Table
+	Close()
+}
+
 // parts are the pieces of a running node.
 type parts struct {
 	settings  settings.Settings
 	reporter  *reporter
 	metrics   *metrics
-	table     *platform.Client
+	table     table
+	hosted    *hosted
 	loop      *loop.Loop
 	transport *peer.Transport
 	servers   []*http.Server
@@ -50,7 +58,13 @@
 	}
 	clock := loop.NewClock()
 	options := p.settings.NodeOptions(coltsfootward.Incarnation(time.Now().UnixNano()))
-	p.table = platform.New(p.settings.PlatformURL)
+	var documents coltsfootward.Documents
+	if p.settings.Hosted() {
+		store := hosting.NewStore(p.settings.PlatformURL)
+		p.table, documents = store, store.Documents()
+	} else {
+		p.table = platform.New(p.settings.PlatformURL)
+	}
 	p.metrics = newMetrics()
 	handler := &peerHandler{ready: make(chan struct{}), reporter: p.reporter}
 	p.transport = peer.NewTransport(options.Self, clock.Now, handler, faces.peers)
@@ -60,19 +74,40 @@
 		Table:   p.table,
 		Report:  p.reporter.report,
 		Drained: p.left,
+		InForce: func(c coltsfootward.Configuration) {
+			if p.hosted != nil {
+				p.hosted.inForce(c)
+			}
+		},
 		Observe: p.metrics.observe,
 	})
 	handler.loop = p.loop
-	handler.upstream = upstream.New(p.loop, clock)
-	close(handler.ready)
+	handler.upstream = upstream.NewWithOptions(p.loop, clock, p.upstreamOptions())
 	p.metrics.inspect(p.loop)
-	p.serve(faces.callers, p.callerRouter())
-	p.serve(faces.backend, p.backendRouter(handler.upstream))
-	p.serve(faces.operators, p.operatorRouter(operator.New(p.loop, p.table, p.reporter.timeline)))
+	if p.settings.Hosted() {
+		p.startHosted(faces, handler.upstream, documents)
+	} else {
+		p.serve(faces.callers, p.callerRouter())
+		p.serve(faces.backend, p.backendRouter(handler.upstream))
+	}
+	close(handler.ready)
+	operators := operator.New(p.loop, p.table, p.reporter.timeline)
+	if p.settings.Hosted() {
+		operators.ReadOnly()
+	}
+	p.serve(faces.operators, p.operatorRouter(operators))
 	p.started()
 	return nil
 }
 
+func (p *parts) upstreamOptions() upstream.Options {
+	if !p.settings.Hosted() {
+		return upstream.Options{}
+	}
+	fields := hosting.Fields()
+	return upstream.Options{Routed: &fields}
+}
+
 // started tells where the node listens, since the machine may have chosen ports.
 func (p *parts) started() {
 	l := p.settings.Listen
@@ -91,12 +126,16 @@
 // stop leaves gracefully: the machine announces it, takes no new work and
 // finishes what runs; only then do the faces close.
 func (p *parts) stop(ctx context.Context) error {
-	p.loop.Post(node.DrainRequested{})
-	select {
-	case <-p.drained:
-	case <-ctx.Done():
-	}
 	var all []error
+	if p.hosted != nil {
+		all = append(all, p.hosted.stop(ctx))
+	} else {
+		p.loop.Post(node.DrainRequested{})
+		select {
+		case <-p.drained:
+		case <-ctx.Done():
+		}
+	}
 	for _, server := range p.servers {
 		all = append(all, server.Shutdown(ctx))
 	}
--- a/cmd/settings/field.go
+++ b/cmd/settings/field.go
@@ -224,13 +224,45 @@
 		check: func(s *Settings) string {
 			parsed, err := netip.ParseAddrPort(*target(s))
 			fits := err == nil
-			fits = fits && (kind != loopback || parsed.Addr().IsLoopback())
+			fits = fits && (kind != loopback || s.Hosted() || parsed.Addr().IsLoopback())
 			fits = fits && (kind != reachable || !parsed.Addr().IsUnspecified())
 			return unless(fits, "give "+string(kind))
 		},
 	}
 }
 
+func optionalAddress(key, meaning string, target func(*Settings) *string) Field {
+	return Field{
+		Key: key, Unit: "IP number and port", Range: string(listening) + ", or nothing", Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check: func(s *Settings) string {
+			_, err := netip.ParseAddrPort(*target(s))
+			return unless(*target(s) == "" || err == nil, "give "+string(listening))
+		},
+	}
+}
+
+func optionalName(key, meaning string, target func(*Settings) *string) Field {
+	return Field{
+		Key: key, Unit: "name", Range: nameRange, Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check: func(s *Settings) string {
+			return unless(*target(s) == "" || namePattern.MatchString(*target(s)), "give "+nameRange)
+		},
+	}
+}
+
+func fraction(key, meaning string, least, most float64, target func(*Settings) *float64) Field {
+	remedy := fmt.Sprintf("a number from %g to %g", least, most)
+	return Field{
+		Key: key, Unit: "number", Range: remedy, Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check: func(s *Settings) string {
+			return unless(*target(s) >= least && *target(s) <= most, "give "+remedy)
+		},
+	}
+}
+
 func webAddress(key, meaning string, target func(*Settings) *string) Field {
 	const remedy = "an http or https URL, as in http://10.0.0.9:7000"
 	return Field{
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -12,6 +12,7 @@
 	"maps"
 	"os"
 	"slices"
+	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/node"
@@ -22,8 +23,12 @@
 // Settings are a node's settings. They are plain values: copies are
 // independent but for the lists, which nothing changes.
 type Settings struct {
-	Instance Instance
-	Listen   Listen
+	// Deployment says how callers, backend servers and the platform are met.
+	Deployment string
+	Instance   Instance
+	Listen     Listen
+	Backend    Backend
+	Stop       Stop
 	// PlatformURL is where the platform's table and object store are.
 	PlatformURL string
 	// MaximumBody bounds a request's body in bytes.
@@ -55,6 +60,38 @@
 	Peers string
 	// Operators is where operators reach it.
 	Operators string
+	// Ready is where the hosting platform asks whether the node is ready; empty
+	// means nowhere.
+	Ready string
+}
+
+// Hosted reports whether the node runs on the users' hosting platform.
+func (s Settings) Hosted() bool { return s.Deployment == DeploymentHosted }
+
+// The kinds of deployment.
+const (
+	// DeploymentOwn is the product's own: services named in the path, backend
+	// servers that announce themselves, changes made by operators' calls.
+	DeploymentOwn = "own"
+	// DeploymentHosted is met through the users' hosting platform: requests are
+	// routed by host and path, and the configuration is one stored document.
+	DeploymentHosted = "hosted"
+)
+
+// Backend says which backend server runs beside the node. It is used in hosted
+// deployments only.
+type Backend struct {
+	Address string
+	Service string
+}
+
+// Stop says how a planned stop goes in a hosted deployment.
+type Stop struct {
+	// Grace is how long after the signal the platform ends the process.
+	Grace time.Duration
+	// Notice is how long callers go on coming after the node said that it is
+	// not ready any more.
+	Notice time.Duration
 }
 
 // Log says how to log.
@@ -80,11 +117,15 @@
 	defaultMaximumBody = 1 << 20
 	defaultTimeline    = 4096
 	defaultLevel       = "info"
+	defaultGrace       = 10 * time.Second
+	defaultNotice      = 2300 * time.Millisecond
 )
 
 // Default returns the settings that a file starts from.
 func Default() Settings {
 	return Settings{
+		Deployment:  DeploymentOwn,
+		Stop:        Stop{Grace: defaultGrace, Notice: defaultNotice},
 		MaximumBody: defaultMaximumBody,
 		Log:         Log{Level: defaultLevel, Timeline: defaultTimeline},
 		Node:        node.Options{}.WithDefaults(),
@@ -161,6 +202,9 @@
 	if len(slices.Compact(sorted)) != len(s.Instance.Domains) {
 		bad("instance.domains", "lists a failure domain twice: list each once")
 	}
+	if s.Hosted() && (s.Listen.Ready == "" || s.Backend.Address == "" || s.Backend.Service == "") {
+		bad("deployment.kind", "is hosted: give listen.ready, backend.address and backend.service too")
+	}
 	if s.Node.MaximumTimeout < s.Node.Timeout {
 		bad("requests.maximum_timeout", fmt.Sprintf("is %v: give at least requests.timeout, %v", s.Node.MaximumTimeout, s.Node.Timeout))
 	}
@@ -200,6 +244,8 @@
 // NodeOptions returns what the decisions need of the settings.
 func (s Settings) NodeOptions(incarnation coltsfootward.Incarnation) node.Options {
 	options := s.Node
+	options.Routed = s.Hosted()
+	options.Service = coltsfootward.ServiceName(s.Backend.Service)
 	options.Self = coltsfootward.Instance{
 		ID:              coltsfootward.InstanceID(s.Instance.ID),
 		Domain:          coltsfootward.FailureDomain(s.Instance.Domain),
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -110,6 +110,9 @@
 		if name == "Self" || name == "Domains" || name == "Contacts" {
 			continue // from instance and listen, by NodeOptions
 		}
+		if name == "Routed" || name == "Service" {
+			continue // by NodeOptions too; TestHostedSettingsReachTheDecisions
+		}
 		if !reached[value.Field(i).Addr().Interface()] {
 			t.Errorf("got no setting for node.Options.%s, want a line for it in cmd/settings/table.go", name)
 		}
@@ -119,6 +122,27 @@
 	}
 }
 
+// What a deployment is and which service runs beside the node reach the
+// decisions by way of NodeOptions; an own deployment has neither.
+func TestHostedSettingsReachTheDecisions(t *testing.T) {
+	hosted := strings.Replace(whole, "[listen]\n", "[listen]\nready = \"10.0.0.1:7005\"\n", 1) +
+		"[deployment]\nkind = \"hosted\"\n[backend]\naddress = \"10.0.0.1:80\"\nservice = \"quotes\"\n"
+	s, err := settings.Parse("node.toml", []byte(hosted))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := s.NodeOptions(1); !o.Routed || o.Service != "quotes" {
+		t.Errorf("got Routed %v and Service %q, want true and quotes", o.Routed, o.Service)
+	}
+	s, err = settings.Parse("node.toml", []byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := s.NodeOptions(1); o.Routed || o.Service != "" {
+		t.Errorf("got Routed %v and Service %q, want neither", o.Routed, o.Service)
+	}
+}
+
 // docs/OPERATIONS.md lists every setting. After a change of the table put the
 // text that the test prints between the page's marks.
 func TestOperationsPageListsEverySetting(t *testing.T) {
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -6,6 +6,9 @@
 // setting is added here and nowhere else.
 func Fields() []Field {
 	return []Field{
+		choice("deployment.kind", "How callers, backend servers and the platform are met: by the product's own interfaces, or on the users' hosting platform.", []string{DeploymentOwn, DeploymentHosted},
+			func(s *Settings) *string { return &s.Deployment }),
+
 		name("instance.id", "Names this instance; no other may have it.",
 			func(s *Settings) *string { return &s.Instance.ID }),
 		name("instance.domain", "The failure domain that this instance runs in.",
@@ -24,6 +27,17 @@
 		address("listen.operators", "Where operators and metrics collectors reach this node.", reachable,
 			func(s *Settings) *string { return &s.Listen.Operators }),
 
+		optionalAddress("listen.ready", "Where a hosting platform asks whether the node is ready; hosted deployments only.",
+			func(s *Settings) *string { return &s.Listen.Ready }),
+		optionalAddress("backend.address", "Where the backend server beside the node listens; hosted deployments only.",
+			func(s *Settings) *string { return &s.Backend.Address }),
+		optionalName("backend.service", "The service of the backend server beside the node; hosted deployments only.",
+			func(s *Settings) *string { return &s.Backend.Service }),
+		duration("stop.grace", "How long after SIGTERM the hosting platform ends the process; hosted deployments only.", time.Second, 10*time.Minute,
+			func(s *Settings) *time.Duration { return &s.Stop.Grace }),
+		duration("stop.notice", "How long callers go on coming after the node has said that it is not ready; hosted deployments only.", 0, time.Minute,
+			func(s *Settings) *time.Duration { return &s.Stop.Notice }),
+
 		webAddress("platform.url", "Where the platform's table and object store are.",
 			func(s *Settings) *string { return &s.PlatformURL }),
 
@@ -43,6 +57,12 @@
 
 		whole("rate.slots", "slots", "The number of slots in each failure domain, the same on all instances; every slot's holder grants a part of each organisation's rate.", 1, 1024,
 			func(s *Settings) *int { return &s.Node.Slots }),
+		duration("rate.configuration_spread", "How long a change of the configuration may take to reach every instance; a raised part of a rate waits for it.", time.Second, time.Minute,
+			func(s *Settings) *time.Duration { return &s.Node.ConfigurationSpread }),
+		fraction("retries.share", "How many retries each answered request allows one instance.", 0, 1,
+			func(s *Settings) *float64 { return &s.Node.RetryShare }),
+		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
+			func(s *Settings) *float64 { return &s.Node.RetryCapacity }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/configuration.go
+++ b/configuration.go
@@ -30,9 +30,13 @@
 
 // Organisation is a tenant and its share.
 type Organisation struct {
-	Name     OrganisationName `msgpack:"name" json:"name"`
-	Rate     Rate             `msgpack:"rate" json:"rate"`
-	Revision Revision         `msgpack:"revision" json:"revision"`
+	Name OrganisationName `msgpack:"name" json:"name"`
+	Rate Rate             `msgpack:"rate" json:"rate"`
+	// Unlimited is set if Rate does not bound the organisation.
+	Unlimited bool `msgpack:"unlimited,omitempty" json:"unlimited,omitempty"`
+	// Priority goes before the route's; empty means the route's.
+	Priority Priority `msgpack:"priority,omitempty" json:"priority,omitempty"`
+	Revision Revision `msgpack:"revision" json:"revision"`
 }
 
 // Key is a caller's credential, known only by its digest.
@@ -66,8 +70,13 @@
 	Attempts int `msgpack:"attempts" json:"attempts"`
 	// Timeout bounds a request that brings no timeout of its own. Zero means
 	// the node's setting.
-	Timeout  time.Duration `msgpack:"timeout" json:"timeout"`
-	Revision Revision      `msgpack:"revision" json:"revision"`
+	Timeout time.Duration `msgpack:"timeout" json:"timeout"`
+	// HealthPath is where each of its backend servers tells how it is, and
+	// Connections how many connections each accepts; they are set in hosted
+	// deployments.
+	HealthPath  string   `msgpack:"health_path,omitempty" json:"health_path,omitempty"`
+	Connections int      `msgpack:"connections,omitempty" json:"connections,omitempty"`
+	Revision    Revision `msgpack:"revision" json:"revision"`
 }
 
 // MarkFor returns the mark for a request. Without a matching one the request
@@ -106,6 +115,9 @@
 	organisations map[OrganisationName]Organisation
 	keys          map[KeyDigest]Key
 	services      map[ServiceName]Service
+	routes        []Route
+	routeTable    routeTable
+	limits        Limits
 }
 
 // NewConfiguration returns a configuration that holds these objects at revision r.
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -73,7 +73,14 @@
 
 // Announce spreads what the local backend server offers.
 func (m *Machine) Announce(service coltsfootward.ServiceName, slots int, draining bool) {
+	m.AnnounceCold(service, slots, draining, 0)
+}
+
+// AnnounceCold spreads what the local backend server offers and how much longer
+// it is slow after its start.
+func (m *Machine) AnnounceCold(service coltsfootward.ServiceName, slots int, draining bool, cold time.Duration) {
 	m.publish(func(a *message.Announcement) {
+		a.Cold = cold
 		a.Service = service
 		a.Slots = slots
 		a.Draining = draining || a.Leaving
--- a/core/message/configuration.go
+++ b/core/message/configuration.go
@@ -94,3 +94,35 @@
 
 // MessageKind implements Message.
 func (*DomainConfirmation) MessageKind() Kind { return KindDomainConfirmation }
+
+// ConfigurationWhole is a whole configuration in one message, for deployments
+// whose configuration is stored and changed as one document.
+type ConfigurationWhole struct {
+	Revision      coltsfootward.Revision       `msgpack:"revision"`
+	Organisations []coltsfootward.Organisation `msgpack:"organisations"`
+	Keys          []coltsfootward.Key          `msgpack:"keys"`
+	Services      []coltsfootward.Service      `msgpack:"services"`
+	Routes        []coltsfootward.Route        `msgpack:"routes"`
+	Limits        coltsfootward.Limits         `msgpack:"limits"`
+}
+
+// MessageKind implements Message.
+func (*ConfigurationWhole) MessageKind() Kind { return KindConfigurationWhole }
+
+// NewConfigurationWhole returns the message that carries c.
+func NewConfigurationWhole(c coltsfootward.Configuration) *ConfigurationWhole {
+	return &ConfigurationWhole{
+		Revision:      c.Revision(),
+		Organisations: c.Organisations(),
+		Keys:          c.Keys(),
+		Services:      c.Services(),
+		Routes:        c.Routes(),
+		Limits:        c.Limits(),
+	}
+}
+
+// Configuration returns the configuration that the message carries.
+func (m *ConfigurationWhole) Configuration() coltsfootward.Configuration {
+	return coltsfootward.NewConfiguration(m.Revision, m.Organisations, m.Keys, m.Services).
+		WithRoutes(m.Routes).WithLimits(m.Limits)
+}
--- a/core/message/membership.go
+++ b/core/message/membership.go
@@ -1,6 +1,8 @@
 package message
 
 import (
+	"time"
+
 	"coltsfootward"
 )
 
@@ -19,6 +21,9 @@
 	Draining bool `msgpack:"draining"`
 	// Leaving is set when the node itself is about to stop.
 	Leaving bool `msgpack:"leaving"`
+	// Cold is how much longer the backend server is slow after its start, as of
+	// this version.
+	Cold time.Duration `msgpack:"cold"`
 }
 
 // MessageKind implements Message. An announcement that travels alone is news
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -28,6 +28,7 @@
 	KindConfirmation         Kind = "confirmation"
 	KindConfirmationQuery    Kind = "confirmation_query"
 	KindDomainConfirmation   Kind = "domain_confirmation"
+	KindConfigurationWhole   Kind = "configuration_whole"
 	KindClaimRequest         Kind = "claim_request"
 	KindClaimVerdict         Kind = "claim_verdict"
 	KindClaimHandover        Kind = "claim_handover"
@@ -59,6 +60,7 @@
 	KindGrant:                func() Message { return &Grant{} },
 	KindOffer:                func() Message { return &SlotOffer{} },
 	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
+	KindConfigurationWhole:   func() Message { return &ConfigurationWhole{} },
 	KindConfirmation:         func() Message { return &Confirmation{} },
 	KindConfirmationQuery:    func() Message { return &ConfirmationQuery{} },
 	KindDomainConfirmation:   func() Message { return &DomainConfirmation{} },
@@ -113,6 +115,16 @@
 	IdempotencyKey string `msgpack:"idempotency_key"`
 	// Depth counts the calls above this one; the entry call has depth zero.
 	Depth int `msgpack:"depth"`
+	// Route is set if the request was routed by host and path. It is the class
+	// that the request's work belongs to.
+	Route coltsfootward.RouteName `msgpack:"route,omitempty"`
+	// Host is the authority that a routed request named.
+	Host string `msgpack:"host,omitempty"`
+	// Caller is the service beside the node that a routed request entered at.
+	Caller coltsfootward.ServiceName `msgpack:"caller,omitempty"`
+	// Objective is what is left of the time within which an answer has its full
+	// worth; zero means that there is no such time.
+	Objective time.Duration `msgpack:"objective,omitempty"`
 }
 
 // Load is what an upstream's node says about itself with every answer.
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -97,22 +97,26 @@
 	Transaction coltsfootward.Transaction
 }
 
+// ConfigurationInForce says that a whole configuration has come into force.
+type ConfigurationInForce struct{ Configuration coltsfootward.Configuration }
+
 // Report puts a record into the log and onto the time line.
 type Report struct{ Record record.Record }
 
 // Drained says that the node has nothing left to do and may exit.
 type Drained struct{}
 
-func (Refuse) isAction()         {}
-func (Forward) isAction()        {}
-func (Dispatch) isAction()       {}
-func (Replay) isAction()         {}
-func (EndAnswer) isAction()      {}
-func (CancelAttempt) isAction()  {}
-func (CancelDispatch) isAction() {}
-func (Send) isAction()           {}
-func (ReadTable) isAction()      {}
-func (ScanTable) isAction()      {}
-func (TransactTable) isAction()  {}
-func (Report) isAction()         {}
-func (Drained) isAction()        {}
+func (ConfigurationInForce) isAction() {}
+func (Refuse) isAction()               {}
+func (Forward) isAction()              {}
+func (Dispatch) isAction()             {}
+func (Replay) isAction()               {}
+func (EndAnswer) isAction()            {}
+func (CancelAttempt) isAction()        {}
+func (CancelDispatch) isAction()       {}
+func (Send) isAction()                 {}
+func (ReadTable) isAction()            {}
+func (ScanTable) isAction()            {}
+func (TransactTable) isAction()        {}
+func (Report) isAction()               {}
+func (Drained) isAction()              {}
--- a/core/node/bucket.go
+++ b/core/node/bucket.go
@@ -31,11 +31,11 @@
 // finds itself lapsed and grants nothing.
 func (p *ratePart) grant(m message.Draw) message.Grant {
 	id := slotID{domain: m.Domain, index: m.Slot}
-	slot, ok := p.node.lease.own(id)
-	if !ok || !slot.Held(p.node.now) {
-		return message.Grant{ID: m.ID, Ask: p.node.lease.known(id)}
+	term, ok := p.node.slots.term(id)
+	if !ok {
+		return message.Grant{ID: m.ID, Ask: p.node.slots.known(id)}
 	}
-	g := p.bucket(m.Organisation, m.Slot).Draw(p.node.now, m.Need, m.Ahead)
+	g := p.bucket(m.Organisation, m.Slot, term).Draw(p.node.now, m.Need, m.Ahead)
 	return message.Grant{
 		ID: m.ID, Held: true,
 		Tokens: g.Tokens, Life: g.Life, EmptyFor: g.EmptyFor, Level: g.Level,
@@ -43,8 +43,7 @@
 }
 
 // bucket returns the bucket of an organisation's part in a slot that is held.
-func (p *ratePart) bucket(organisation coltsfootward.OrganisationName, index int) *rate.Bucket {
-	slot := p.node.lease.slots[index]
+func (p *ratePart) bucket(organisation coltsfootward.OrganisationName, index int, term slotTerm) *rate.Bucket {
 	a, ok := p.accounts[organisation]
 	if !ok {
 		return rate.NewBucket(rate.Part{}, p.node.now.Monotonic)
@@ -52,8 +51,8 @@
 	part := a.share.Part(p.node.now, p.node.options.Self.Domain, index)
 	id := bucketID{slot: index, organisation: organisation}
 	held, ok := p.buckets[id]
-	if !ok || held.epoch != slot.Epoch() {
-		held = &heldBucket{bucket: p.newBucket(a, index, part), epoch: slot.Epoch(), part: part}
+	if !ok || held.epoch != term.epoch {
+		held = &heldBucket{bucket: p.newBucket(a, term, part), epoch: term.epoch, part: part}
 		p.buckets[id] = held
 	}
 	if held.part != part {
@@ -68,10 +67,9 @@
 // or if the organisation was created so long after the epoch's begin that no
 // earlier holder knew it. After a change that moved shares between parts it is
 // empty too: what the part gains was another's, and may have been drawn there.
-func (p *ratePart) newBucket(a *account, index int, part rate.Part) *rate.Bucket {
-	slot := p.node.lease.slots[index]
-	since := max(slot.Began().Monotonic, a.share.Settled())
-	unused := slot.First() || (a.created && a.since >= slot.Began().Monotonic+configurationSpread)
+func (p *ratePart) newBucket(a *account, term slotTerm, part rate.Part) *rate.Bucket {
+	since := max(term.began.Monotonic, a.share.Settled())
+	unused := term.first || (a.created && a.since >= term.began.Monotonic+p.node.options.ConfigurationSpread)
 	if unused && a.share.Settled() == 0 {
 		return rate.NewFullBucket(part, since)
 	}
--- a/core/node/claims.go
+++ b/core/node/claims.go
@@ -58,7 +58,7 @@
 // key belongs to one slot, and only the holder of that slot's lease grants it.
 type claimsPart struct {
 	node    *Node
-	slots   claimSlots
+	slots   slotHolders
 	holders map[slotID]*slotHolder
 	// handovers are on their way from the last holders of slots.
 	handovers map[slotID]*incomingHandover
@@ -75,7 +75,7 @@
 func newClaimsPart(n *Node) *claimsPart {
 	return &claimsPart{
 		node:      n,
-		slots:     newClaimSlots(n),
+		slots:     n.slots,
 		handovers: make(map[slotID]*incomingHandover),
 		holders:   make(map[slotID]*slotHolder),
 		asking:    make(map[claim.ID]*entryClaim),
--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -133,7 +133,7 @@
 // draw asks a slot's holder. It returns the draw under way, or nil if the
 // answer is there already.
 func (p *ratePart) draw(a *account, id slotID, need, ahead int64, redirects int) *pendingDraw {
-	holder, ok := p.node.lease.holder(id)
+	holder, ok := p.node.slots.holder(id)
 	if !ok {
 		p.silent(a, id)
 		return nil
@@ -174,16 +174,16 @@
 	}
 	switch {
 	case m.Held:
-		p.node.lease.holderAnswered(d.slot, d.asked)
+		p.node.slots.elsewhere(d.slot, d.asked)
 		p.granted(a, d.slot, m, d.sent)
 	case current && m.Ask.ID != "" && m.Ask.ID != d.asked.ID && d.redirects < slotWatchers:
-		p.node.lease.holderAnswered(d.slot, m.Ask)
+		p.node.slots.elsewhere(d.slot, m.Ask)
 		a.drawing = p.draw(a, d.slot, d.need, d.ahead, d.redirects+1)
 	case current && d.redirects < slotWatchers:
-		p.node.lease.holderFailed(d.slot)
+		p.node.slots.elsewhere(d.slot, coltsfootward.Instance{})
 		a.drawing = p.draw(a, d.slot, d.need, d.ahead, d.redirects+1)
 	default:
-		p.node.lease.holderFailed(d.slot)
+		p.node.slots.elsewhere(d.slot, coltsfootward.Instance{})
 		p.silent(a, d.slot)
 	}
 	p.pump(a)
@@ -251,7 +251,7 @@
 			continue
 		}
 		d.abandoned = true
-		p.node.lease.holderFailed(d.slot)
+		p.node.slots.elsewhere(d.slot, coltsfootward.Instance{})
 		p.silent(d.account, d.slot)
 		if d.account.drawing == d {
 			d.account.drawing = nil
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -63,6 +63,20 @@
 	body uint64
 	// admission is what entitles the next attempt to start.
 	admission admission
+	// objective is the latency up to which an answer has its full worth; zero
+	// means that there is none.
+	objective time.Duration
+	// unmetered requests are on nobody's rate.
+	unmetered bool
+	// metered is set once the request was charged to its organisation's rate; a
+	// routed request is charged once, however often it is attempted.
+	metered bool
+	// ownAttempts is set if budget bounds the backend servers that this request
+	// is sent to, and not the attempts of the whole chain.
+	ownAttempts bool
+	// hops counts the attempts of the request, those that no backend server saw
+	// included.
+	hops int
 }
 
 // entryPart takes requests from callers and from the local backend server and
@@ -70,10 +84,16 @@
 type entryPart struct {
 	node  *Node
 	calls map[CallID]*entryCall
+	// splits holds the turn of each route with several targets.
+	splits map[coltsfootward.RouteName]*splitState
 }
 
 func newEntryPart(n *Node) *entryPart {
-	return &entryPart{node: n, calls: make(map[CallID]*entryCall)}
+	return &entryPart{
+		node:   n,
+		calls:  make(map[CallID]*entryCall),
+		splits: make(map[coltsfootward.RouteName]*splitState),
+	}
 }
 
 func (p *entryPart) count() int { return len(p.calls) }
@@ -88,7 +108,7 @@
 	if p.shedAtEntry(call) {
 		return
 	}
-	if call.head.IdempotencyKey != "" && call.head.Unrepeatable {
+	if call.head.IdempotencyKey != "" && call.head.Unrepeatable && !call.ownAttempts {
 		p.node.claims.claim(call)
 		return
 	}
@@ -97,6 +117,9 @@
 
 // open checks who calls and what, and returns the call to serve.
 func (p *entryPart) open(e RequestArrived) (*entryCall, *coltsfootward.Refusal) {
+	if e.Routed {
+		return p.openRouted(e)
+	}
 	if e.Token != "" {
 		return p.openChild(e)
 	}
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -10,7 +10,7 @@
 // attempt asks for what the next attempt needs. Child calls were paid for by
 // the caller's request at the top of the chain.
 func (p *entryPart) attempt(call *entryCall) {
-	if call.parent != "" {
+	if call.parent != "" || call.unmetered || call.metered {
 		p.admitted(call, admission{})
 		return
 	}
@@ -37,13 +37,21 @@
 	}
 	call.target = target.ID
 	call.running = true
+	call.hops++
+	call.metered = call.ownAttempts
 	p.node.placement.sent(call)
 	head := call.head
 	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
-	head.StartWithin = granted.remaining(p.node.now)
-	head.Renewable = call.claim == nil && granted.expires != 0
+	head.Objective = call.objectiveLeft(now)
+	// A routed request is charged when it is admitted, and may queue for longer
+	// than its token lives: the deployment's bound on the rate leaves room for
+	// what is spent late.
+	if !call.ownAttempts {
+		head.StartWithin = granted.remaining(p.node.now)
+		head.Renewable = call.claim == nil && granted.expires != 0
+	}
 	if call.claim != nil {
 		head.StartWithin = shorter(head.StartWithin, call.claim.expires-now)
 	}
@@ -81,6 +89,7 @@
 	call.attempts += attemptsUsed(call, e)
 	p.node.ledger.forecast.Missed(call.head.Service)
 	p.settleAdmission(call, e)
+	unseen := e.Kind == AttemptUnsent || e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun && e.Attempts == 0
 	refused := refusalOf(e)
 	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
@@ -88,7 +97,7 @@
 	call.last = refused
 	call.tried[call.target] = true
 	p.node.ledger.topUp(call)
-	if p.mayRetry(call, refused) {
+	if p.mayRetry(call, refused, unseen) {
 		p.attempt(call)
 		return
 	}
@@ -112,7 +121,7 @@
 	switch {
 	case e.Kind == AttemptUnsent:
 		return 0
-	case e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun:
+	case e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun && !call.ownAttempts:
 		return 0
 	case e.Kind == AttemptRefused && e.Attempts >= 0:
 		return min(e.Attempts, call.carried)
@@ -134,17 +143,27 @@
 }
 
 // mayRetry decides whether another attempt follows. A request whose execution
-// is unknown is attempted again only if it is repeatable.
-func (p *entryPart) mayRetry(call *entryCall, refused coltsfootward.Refusal) bool {
+// is unknown is attempted again only if it is repeatable. An attempt that no
+// backend server saw costs none of them anything, so another one draws on no
+// allowance, but there are only few, as each is a hop under load.
+func (p *entryPart) mayRetry(call *entryCall, refused coltsfootward.Refusal, unseen bool) bool {
 	if refused.Final || !call.mayRetry || !p.node.ledger.enough(call) {
 		return false
 	}
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
+	if call.ownAttempts && unseen {
+		return repeatable(call, refused) && call.hops < maximumHops
+	}
 	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
 }
 
+// maximumHops bounds the nodes that a routed request is sent to, whether or not
+// their backend servers saw it. With two choices each time, three full servers
+// in a row mean that most are full.
+const maximumHops = 3
+
 func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -75,7 +75,7 @@
 	}
 	p.node.ledger.topUp(call)
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
-	if p.mayRetry(call, r) {
+	if p.mayRetry(call, r, false) {
 		p.attempt(call)
 		return
 	}
--- /dev/null
+++ b/core/node/entry_route.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/message"
+)
+
+// openRouted checks who calls and what by the configuration's routes, and
+// returns the call to serve. A node that leaves serves on: its callers and the
+// backend server beside it know no other node, and go on until it is gone.
+func (p *entryPart) openRouted(e RequestArrived) (*entryCall, *coltsfootward.Refusal) {
+	configuration := p.node.configuration.current
+	if configuration.Revision() == 0 {
+		r := coltsfootward.NewRefusal(coltsfootward.RefusalConfiguration, "no configuration has been read yet").
+			WithRetryAfter(p.node.spreadRetryAfter())
+		return nil, &r
+	}
+	route, ok := configuration.Route(e.Host, e.Path)
+	if !ok {
+		return nil, refusal(coltsfootward.RefusalUnknownRoute, "no route begins the request's host and path")
+	}
+	organisation, refused := p.organisation(configuration, route, e.Key)
+	if refused != nil {
+		return nil, refused
+	}
+	return p.buildRouted(e, route, organisation), nil
+}
+
+// organisation returns whom a request is for; the zero value if nobody, as for
+// the calls of backend servers.
+func (p *entryPart) organisation(c coltsfootward.Configuration, route coltsfootward.Route, digest coltsfootward.KeyDigest) (coltsfootward.Organisation, *coltsfootward.Refusal) {
+	if !c.HasOrganisations() {
+		return coltsfootward.Organisation{}, nil
+	}
+	key, ok := c.Key(digest)
+	if !ok && route.Public {
+		return coltsfootward.Organisation{}, nil
+	}
+	if !ok || key.Withdrawn {
+		return coltsfootward.Organisation{}, refusal(coltsfootward.RefusalUnauthenticated, "the key is missing, unknown or withdrawn")
+	}
+	organisation, _ := c.Organisation(key.Organisation)
+	return organisation, nil
+}
+
+func (p *entryPart) buildRouted(e RequestArrived, route coltsfootward.Route, organisation coltsfootward.Organisation) *entryCall {
+	request := e.Request
+	if request == "" {
+		request = p.node.newRequestID()
+	}
+	priority := route.Priority
+	if organisation.Priority != "" {
+		priority = organisation.Priority
+	}
+	timeout := p.timeout(e.Timeout, route.Timeout)
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	call := &entryCall{
+		id:          e.Call,
+		arrived:     p.node.now.Expiry,
+		deadline:    p.node.now.Expiry + timeout,
+		timeout:     timeout,
+		budget:      max(route.Attempts, 1),
+		mayRetry:    true,
+		tried:       make(map[coltsfootward.InstanceID]bool),
+		unmetered:   organisation.Name == "" || organisation.Unlimited,
+		objective:   route.Objective,
+		ownAttempts: true,
+	}
+	call.head = message.Call{
+		Request:      request,
+		Organisation: organisation.Name,
+		Service:      p.split(route),
+		Method:       e.Method,
+		Path:         e.Path,
+		Priority:     priority,
+		ShedRank:     ShedRank(priority, organisation.Name, request),
+		Unrepeatable: route.Unrepeatable,
+		Route:        route.Name,
+		Host:         e.Host,
+		Caller:       p.node.options.Service,
+	}
+	if organisation.Name == "" {
+		call.head.Depth = 1
+	}
+	return call
+}
+
+// splitState is how far each target of a route is behind its share.
+type splitState struct {
+	targets []coltsfootward.RouteTarget
+	behind  []int
+}
+
+// split chooses the service of a route's next request by smooth weighted round
+// robin: each node's requests keep the weights exactly, without chance, so the
+// fleet's do too. What a service has no room for is refused and not moved.
+func (p *entryPart) split(route coltsfootward.Route) coltsfootward.ServiceName {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	state, ok := p.splits[route.Name]
+	if !ok || !sameTargets(state.targets, route.Targets) {
+		state = &splitState{targets: route.Targets, behind: make([]int, len(route.Targets))}
+		p.splits[route.Name] = state
+	}
+	best, sum := -1, 0
+	for i, target := range route.Targets {
+		sum += target.Weight
+		state.behind[i] += target.Weight
+		if best < 0 || state.behind[i] > state.behind[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	state.behind[best] -= sum
+	return route.Targets[best].Service
+}
+
+func sameTargets(a, b []coltsfootward.RouteTarget) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// leftOf returns what is left of an objective that began with the call; zero
+// means that there is none or it has passed.
+func (c *entryCall) objectiveLeft(now time.Duration) time.Duration {
+	if c.objective == 0 {
+		return 0
+	}
+	return max(c.objective-(now-c.arrived), time.Millisecond)
+}
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -34,6 +34,13 @@
 	Method         string
 	Path           string
 	IdempotencyKey string
+	// Routed is set if Host and Path choose the service, by the configuration's
+	// routes, and Service is left empty.
+	Routed bool
+	Host   string
+	// Request is the caller's own name for the request; empty means that the
+	// node chooses one.
+	Request coltsfootward.RequestID
 	// Body is a digest of the body; it is read for requests with an
 	// idempotency key.
 	Body uint64
@@ -43,6 +50,12 @@
 	Timeout time.Duration
 }
 
+// ConfigurationRead brings a whole configuration that was read from the platform.
+type ConfigurationRead struct{ Configuration coltsfootward.Configuration }
+
+// BackendLost says that nothing listens at the local backend server's address.
+type BackendLost struct{}
+
 // CallerLeft says that nobody waits for the call's answer any more.
 type CallerLeft struct{ Call CallID }
 
@@ -112,6 +125,9 @@
 	DispatchAnswered DispatchKind = "answered"
 	// DispatchUnsent means that no byte of the request reached the upstream.
 	DispatchUnsent DispatchKind = "unsent"
+	// DispatchRejected means that the upstream answered that it did not run the
+	// request.
+	DispatchRejected DispatchKind = "rejected"
 	// DispatchFailed means that the upstream broke off after bytes may have reached it.
 	DispatchFailed DispatchKind = "failed"
 	// DispatchTruncated means that the answer broke off after it had begun; the
@@ -145,11 +161,17 @@
 	Service  coltsfootward.ServiceName
 	Slots    int
 	Draining bool
+	// Cold is how much longer the backend server is slow after its start.
+	Cold time.Duration
 }
 
 // DrainRequested says that the node is to stop: it takes no new work.
 type DrainRequested struct{}
 
+// FinishRequested says that callers have been let go: a node that drains may
+// end as soon as nothing is in hand.
+type FinishRequested struct{}
+
 // TableAnswered brings the outcome of a table operation.
 type TableAnswered struct {
 	Operation OperationID
@@ -158,16 +180,19 @@
 	Err error
 }
 
-func (Tick) isEvent()             {}
-func (RequestArrived) isEvent()   {}
-func (CallerLeft) isEvent()       {}
-func (AttemptEnded) isEvent()     {}
-func (AnswerBroken) isEvent()     {}
-func (CallDone) isEvent()         {}
-func (PeerCallArrived) isEvent()  {}
-func (DispatchEnded) isEvent()    {}
-func (MessageArrived) isEvent()   {}
-func (PeerLost) isEvent()         {}
-func (BackendAnnounced) isEvent() {}
-func (DrainRequested) isEvent()   {}
-func (TableAnswered) isEvent()    {}
+func (Tick) isEvent()              {}
+func (FinishRequested) isEvent()   {}
+func (ConfigurationRead) isEvent() {}
+func (BackendLost) isEvent()       {}
+func (RequestArrived) isEvent()    {}
+func (CallerLeft) isEvent()        {}
+func (AttemptEnded) isEvent()      {}
+func (AnswerBroken) isEvent()      {}
+func (CallDone) isEvent()          {}
+func (PeerCallArrived) isEvent()   {}
+func (DispatchEnded) isEvent()     {}
+func (MessageArrived) isEvent()    {}
+func (PeerLost) isEvent()          {}
+func (BackendAnnounced) isEvent()  {}
+func (DrainRequested) isEvent()    {}
+func (TableAnswered) isEvent()     {}
--- a/core/node/ledger.go
+++ b/core/node/ledger.go
@@ -52,6 +52,9 @@
 // carry returns how many of the call's attempts the next one takes along. Only
 // entry nodes reserve: at every layer the reserves would add up to all there is.
 func (p *ledgerPart) carry(call *entryCall) int {
+	if call.ownAttempts {
+		return 1
+	}
 	left := call.budget - call.attempts
 	if call.parent != "" || !call.mayRetry || call.head.Unrepeatable {
 		return left
@@ -63,6 +66,9 @@
 // that begins with less than the service needs fails deeper down, after work
 // has been spent on it.
 func (p *ledgerPart) enough(call *entryCall) bool {
+	if call.ownAttempts {
+		return call.attempts < call.budget
+	}
 	return call.budget-call.attempts >= p.forecast.Need(call.head.Service)
 }
 
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -107,7 +107,7 @@
 	if !changed {
 		return
 	}
-	p.machine.Announce(e.Service, e.Slots, e.Draining)
+	p.machine.AnnounceCold(e.Service, e.Slots, e.Draining, e.Cold)
 	p.publishLocal()
 	code := record.BackendAnnounced
 	if e.Draining {
@@ -117,6 +117,18 @@
 	p.node.upstream.start()
 }
 
+// backendLost takes the local backend server out until it announces itself
+// again: nothing listens at its address, so every request placed on it would
+// cost a hop for nothing.
+func (p *membershipPart) backendLost() {
+	if p.local.Service == "" {
+		return
+	}
+	p.node.report(record.BackendLost, field("service", string(p.local.Service)))
+	p.machine.Announce("", 0, p.local.Draining)
+	p.publishLocal()
+}
+
 func (p *membershipPart) drain() {
 	p.machine.Leave()
 	p.publishLocal()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -18,6 +18,8 @@
 	// draining is set once the node takes no new work.
 	draining bool
 	drained  bool
+	// finishing is set once callers have been let go.
+	finishing bool
 
 	configuration *configurationPart
 	confirmation  *confirmationPart
@@ -25,6 +27,8 @@
 	placement     *placementPart
 	rate          *ratePart
 	lease         *leasePart
+	assigned      *assignedSlots
+	slots         slotHolders
 	claims        *claimsPart
 	ledger        *ledgerPart
 	entry         *entryPart
@@ -42,6 +46,11 @@
 	n.membership = newMembershipPart(n)
 	n.placement = newPlacementPart(n)
 	n.lease = newLeasePart(n)
+	n.assigned = newAssignedSlots(n)
+	n.slots = leasedSlots{node: n}
+	if n.options.Routed {
+		n.slots = n.assigned
+	}
 	n.rate = newRatePart(n)
 	n.claims = newClaimsPart(n)
 	n.ledger = newLedgerPart(n)
@@ -91,16 +100,28 @@
 		n.drain()
 	case TableAnswered:
 		n.table.answered(e)
+	case ConfigurationRead:
+		n.configuration.adopt(e.Configuration)
+	case FinishRequested:
+		n.finishing = true
+	case BackendLost:
+		n.membership.backendLost()
 	}
 }
 
+// tick lets time pass. A node of a routed deployment has no leases, claims or
+// operators' confirmations to look after.
 func (n *Node) tick() {
-	n.configuration.tick()
 	n.membership.tick()
-	n.lease.tick()
-	n.confirmation.tick()
+	if n.options.Routed {
+		n.assigned.tick()
+	} else {
+		n.configuration.tick()
+		n.lease.tick()
+		n.confirmation.tick()
+		n.claims.tick()
+	}
 	n.rate.tick()
-	n.claims.tick()
 	n.upstream.tick()
 	n.entry.tick()
 }
@@ -108,6 +129,9 @@
 func (n *Node) message(e MessageArrived) {
 	n.lease.heard(e.From)
 	n.membership.received(e)
+	if from, ok := n.membership.instance(e.From); ok {
+		n.assigned.heardFrom(from)
+	}
 	switch m := e.Message.(type) {
 	case *message.Gossip:
 		n.configuration.digest(e, m.Digest)
@@ -125,6 +149,8 @@
 		n.configuration.pull(e.From, *m)
 	case *message.ConfigurationChanges:
 		n.configuration.changes(e.From, *m)
+	case *message.ConfigurationWhole:
+		n.configuration.adopt(m.Configuration())
 	case *message.Draw:
 		n.rate.drawn(*m)
 	case *message.Grant:
@@ -149,12 +175,17 @@
 	n.draining = true
 	n.report(record.NodeDraining)
 	n.membership.drain()
-	n.lease.drain()
+	if !n.options.Routed {
+		n.lease.drain()
+	}
 }
 
 // checkDrained reports the end of a drain once: nothing may be in hand, since
 // a planned stop cuts off no request.
 func (n *Node) checkDrained() {
+	if n.options.Routed && !n.finishing {
+		return
+	}
 	if !n.draining || n.drained || n.entry.count() > 0 || n.upstream.count() > 0 || n.lease.leaving() {
 		return
 	}
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -6,6 +6,7 @@
 	"coltsfootward"
 	"coltsfootward/core/claim"
 	"coltsfootward/core/lease"
+	"coltsfootward/core/retry"
 )
 
 // Options are a node's settings as far as the decisions need them. The zero
@@ -42,6 +43,22 @@
 	// Slots is the number of slots in each failure domain; every node of the
 	// deployment has the same. The default is 4.
 	Slots int
+	// Routed is set for deployments whose requests are routed by host and path,
+	// whose configuration is one document that comes as ConfigurationRead, and
+	// where each slot of the rate belongs to a node by the roster alone.
+	Routed bool
+	// Service is the service beside this node; backend servers of a routed
+	// deployment are told where a request entered.
+	Service coltsfootward.ServiceName
+	// ConfigurationSpread is how long a change of the configuration may take to
+	// reach every holder of a slot. The default is the target's 13 s.
+	ConfigurationSpread time.Duration
+	// RetryShare is how many retries each answered request allows; the default
+	// is retry.Ratio.
+	RetryShare float64
+	// RetryCapacity is how many retries for one service all nodes of a routed
+	// deployment together may save up. The default is 48.
+	RetryCapacity float64
 	// LeaseTerm is how long a node holds a slot without the platform's answer.
 	// The default is 1 min.
 	LeaseTerm time.Duration
@@ -67,6 +84,9 @@
 	DefaultPollInterval   = time.Second
 	DefaultSlots          = 4
 	DefaultKeyGrace       = 10 * time.Minute
+
+	DefaultConfigurationSpread = 13 * time.Second
+	DefaultRetryCapacity       = 48
 )
 
 // WithDefaults returns a copy in which every field that was zero has its default.
@@ -93,6 +113,15 @@
 		o.LeaseMargin = lease.DefaultMargin
 	}
 	o.setClaimDefaults()
+	if o.ConfigurationSpread <= 0 {
+		o.ConfigurationSpread = DefaultConfigurationSpread
+	}
+	if o.RetryShare <= 0 {
+		o.RetryShare = retry.Ratio
+	}
+	if o.RetryCapacity <= 0 {
+		o.RetryCapacity = DefaultRetryCapacity
+	}
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -46,6 +46,7 @@
 		s = &servicePool{pool: placement.NewPool(p.node.options.Self, p.reachable)}
 		p.pools[name] = s
 	}
+	s.retries.Options = p.retryOptions()
 	return s
 }
 
@@ -72,7 +73,13 @@
 	joined := before.Service == "" && (now-p.started > settling || id == p.node.options.Self.ID)
 	p.services[id] = a.Service
 	pool := p.service(a.Service).pool
-	pool.Set(now, a.Instance, a.Slots, restarted || joined)
+	if p.node.options.Routed {
+		// The backend server says itself how long it is still cold, so that one
+		// whose node alone has restarted keeps its share.
+		pool.SetCold(now, a.Instance, a.Slots, a.Cold)
+	} else {
+		pool.Set(now, a.Instance, a.Slots, restarted || joined)
+	}
 	pool.Suspect(id, news.State == message.MemberSuspected)
 }
 
@@ -119,7 +126,7 @@
 }
 
 func kindOf(call *entryCall) placement.Kind {
-	return placement.Kind{Organisation: call.head.Organisation, Class: requestClass(call.head.Method, call.head.Path)}
+	return placement.Kind{Organisation: call.head.Organisation, Class: classOf(call.head)}
 }
 
 // mayRetry reports whether the service's allowance has room for one more
@@ -128,6 +135,17 @@
 	return p.service(service).retries.Take(p.node.now.Monotonic)
 }
 
+// retryOptions returns this node's part of what the fleet may retry. The
+// capacity is divided by the nodes, so that it holds for all of them together
+// without any agreement.
+func (p *placementPart) retryOptions() retry.Options {
+	o := p.node.options
+	if !o.Routed {
+		return retry.Options{Share: o.RetryShare}
+	}
+	return retry.Options{Share: o.RetryShare, Capacity: o.RetryCapacity / float64(max(p.node.membership.machine.Size(), 1)), Bounded: true}
+}
+
 // shed reports whether every upstream of the service sheds the call.
 func (p *placementPart) shed(call *entryCall) bool {
 	now := p.node.now.Monotonic
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -11,12 +11,6 @@
 	// spendSpare is how much of a token's life must be left for the way to the
 	// upstream's node.
 	spendSpare = 2 * time.Millisecond
-	// configurationSpread is how long a change of the configuration may take
-	// to reach every holder. The target's 13 s.
-	configurationSpread = 13 * time.Second
-	// raiseDelay is how long a part is raised after others were lowered: every
-	// holder has lowered by then, and what it granted before is spent or void.
-	raiseDelay = configurationSpread + rate.MaximumLife
 	// retrySpread is the least time over which refused callers are spread.
 	retrySpread = 200 * time.Millisecond
 )
@@ -196,10 +190,16 @@
 	}
 }
 
+// raiseDelay is how long a part is raised after others were lowered: every
+// holder has lowered by then, and what it granted before is spent or void.
+func (p *ratePart) raiseDelay() time.Duration {
+	return p.node.options.ConfigurationSpread + rate.MaximumLife
+}
+
 func (p *ratePart) change(a *account, whole coltsfootward.Rate) {
 	a.whole = whole
 	division := rate.Divide(a.name, whole, p.node.options.Domains, p.node.options.Slots)
-	a.share.Change(p.node.now, division, raiseDelay)
+	a.share.Change(p.node.now, division, p.raiseDelay())
 	a.parts = make([]partView, len(division))
 	a.life = rate.MaximumLife
 	for _, part := range division {
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// claimTerm is this node's own term of a slot's lease.
-type claimTerm struct {
+// slotTerm is this node's own term of a slot.
+type slotTerm struct {
 	epoch uint64
 	began coltsfootward.Instant
 	// first is set if nobody held the lease before.
@@ -25,8 +25,8 @@
 	successors []coltsfootward.Instance
 }
 
-// claimSlots says who holds which slot.
-type claimSlots interface {
+// slotHolders says who holds which slot.
+type slotHolders interface {
 	// count is the number of slots in each failure domain.
 	count() int
 	// own lists the slots of this node's failure domain.
@@ -40,7 +40,7 @@
 	// does if that is known.
 	elsewhere(id slotID, holder coltsfootward.Instance)
 	// term returns this node's term of the slot if its lease stands now.
-	term(id slotID) (claimTerm, bool)
+	term(id slotID) (slotTerm, bool)
 	// released lists the slots that this node is giving up.
 	released() []releasedSlot
 }
@@ -60,17 +60,18 @@
 	return slotID{domain: domain, index: int(hash / uint64(len(domains)) % uint64(p.slots.count()))}
 }
 
-// leasedSlots brings claims to the holders of the slots' leases.
+// leasedSlots knows the holders of the slots' leases.
 type leasedSlots struct{ node *Node }
 
-func newClaimSlots(n *Node) claimSlots { return leasedSlots{node: n} }
-
 func (l leasedSlots) count() int { return l.node.options.Slots }
 
-func (l leasedSlots) own() []slotID {
-	all := make([]slotID, l.count())
+func (l leasedSlots) own() []slotID { return ownSlots(l.node) }
+
+// ownSlots lists the slots of the node's failure domain.
+func ownSlots(n *Node) []slotID {
+	all := make([]slotID, n.options.Slots)
 	for i := range all {
-		all[i] = slotID{domain: l.node.options.Self.Domain, index: i}
+		all[i] = slotID{domain: n.options.Self.Domain, index: i}
 	}
 	return all
 }
@@ -87,12 +88,12 @@
 	l.node.lease.holderAnswered(id, holder)
 }
 
-func (l leasedSlots) term(id slotID) (claimTerm, bool) {
+func (l leasedSlots) term(id slotID) (slotTerm, bool) {
 	slot, ok := l.node.lease.own(id)
 	if !ok || !slot.Held(l.node.now) {
-		return claimTerm{}, false
+		return slotTerm{}, false
 	}
-	return claimTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
+	return slotTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.First()}, true
 }
 
 func (l leasedSlots) released() []releasedSlot { return l.node.lease.takeReleased() }
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -52,6 +52,9 @@
 	return s
 }
 
+// Members returns how many nodes run, as far as this one knows, itself included.
+func (n *Node) Members() int { return n.membership.machine.Size() }
+
 func (n *Node) loadOf(id coltsfootward.InstanceID) message.Load {
 	if id == n.options.Self.ID {
 		return n.Load()
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -86,7 +86,7 @@
 		Deep:         call.head.Depth > 0,
 		Organisation: call.head.Organisation,
 		Weight:       organisation.Rate.PerSecond,
-		Class:        requestClass(call.head.Method, call.head.Path),
+		Class:        classOf(call.head),
 		Arrived:      call.arrived,
 		Deadline:     call.deadline,
 		StartBy:      call.lastStart(),
@@ -94,6 +94,15 @@
 	}
 }
 
+// classOf returns the class of work that a request belongs to: its route, where
+// it has one.
+func classOf(head message.Call) string {
+	if head.Route != "" {
+		return string(head.Route)
+	}
+	return requestClass(head.Method, head.Path)
+}
+
 // requestClass groups requests that probably take equally long: the method and
 // the path's first two parts. What follows is usually the name of one thing.
 func requestClass(method, path string) string {
@@ -203,6 +212,8 @@
 	switch e.Kind {
 	case DispatchUnsent:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
+	case DispatchRejected:
+		p.rejected(call)
 	case DispatchFailed:
 		p.refuse(call, p.failed(call))
 	case DispatchTimeout:
@@ -218,6 +229,15 @@
 	p.refuseShed()
 }
 
+// rejected answers a call that the backend server said it did not run. The
+// server has seen it, so it counts as an attempt.
+func (p *upstreamPart) rejected(call *upstreamCall) {
+	delete(p.calls, call.id)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the backend server rejected the request without running it").
+		WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: 1})
+}
+
 // failed is the refusal of a call that the backend server broke off.
 //
 // One that broke off because a further call of its own was refused is final:
@@ -313,7 +333,7 @@
 		Running:   p.admission.Running(),
 		Queued:    p.admission.Queued(),
 		Limit:     p.admission.Limit(),
-		ShedLevel: p.admission.Level(head.Organisation, requestClass(head.Method, head.Path)),
+		ShedLevel: p.admission.Level(head.Organisation, classOf(head)),
 	}
 }
 
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -67,6 +67,15 @@
 	u.slots = slots
 }
 
+// SetCold adds a backend server or changes its slots, like Set. cold is how much
+// longer it is slow after its start; zero means that it gets its full share.
+func (p *Pool) SetCold(now time.Duration, instance coltsfootward.Instance, slots int, cold time.Duration) {
+	p.Set(now, instance, slots, false)
+	if cold > 0 {
+		p.upstreams[instance.ID].joined = now - slowStart + min(cold, slowStart)
+	}
+}
+
 // Suspect says whether a backend server's node is suspected to be gone. It gets
 // no request then as long as there are others.
 func (p *Pool) Suspect(id coltsfootward.InstanceID, suspected bool) {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -21,11 +21,15 @@
 	LimitChanged        Code = 303
 	OverloadBegan       Code = 304
 	OverloadEnded       Code = 305
+	BackendLost         Code = 306
+	BackendFound        Code = 307
+	HeartbeatRefused    Code = 308
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
 	KeysHonoured        Code = 404
 	SnapshotInForce     Code = 405
+	DocumentUnread      Code = 406
 	SlotHeld            Code = 501
 	SlotLost            Code = 502
 	ClaimRefused        Code = 601
@@ -67,11 +71,15 @@
 		{LimitChanged, "limit_changed", "info", "The number of requests that the backend server is given at once moved, at most one report a second. Below its slots it slows down with more; check what it announces and its machine."},
 		{OverloadBegan, "overload_began", "warn", "The node began to refuse requests that its backend server has no room for. The least important go first; add backend servers if it lasts."},
 		{OverloadEnded, "overload_ended", "info", "The node has refused nothing for want of room for a second."},
+		{BackendLost, "backend_lost", "warn", "Nothing listens at the backend server's address; it gets no work until it announces itself again."},
+		{BackendFound, "backend_found", "info", "A node that has just started found its backend server by a health check."},
+		{HeartbeatRefused, "heartbeat_refused", "warn", "A heartbeat was not of the backend server beside the node, or of an earlier start of it."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
 		{KeysHonoured, "keys_honoured", "info", "The node hears of the platform or of most failure domains again and honours keys."},
 		{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than its peers' history reaches and took a whole configuration."},
+		{DocumentUnread, "document_unread", "warn", "The configuration document could not be read or used; the one in force stays."},
 		{SlotHeld, "slot_held", "info", "The node holds the slot and grants its parts of every organisation's rate."},
 		{SlotLost, "slot_lost", "info", "The node no longer holds the slot: its term ended, it gave the slot up, or another node took it."},
 		{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; the decision says why."},
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -29,6 +29,8 @@
 	writer  http.ResponseWriter
 	body    []byte
 	header  map[string][]string
+	// refuse writes a refusal in the deployment's way.
+	refuse func(http.ResponseWriter, coltsfootward.Refusal)
 	// keep is set while the answer's body, of which start has been read, may
 	// still be kept for repeats.
 	keep  bool
@@ -52,7 +54,7 @@
 			if e.download.begun {
 				panic(http.ErrAbortHandler)
 			}
-			writeRefusal(e.writer, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, "the node has stopped").
+			e.refuse(e.writer, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, "the node has stopped").
 				WithExecution(coltsfootward.ExecutionUnknown))
 			return
 		}
@@ -66,7 +68,7 @@
 		if e.download.begun {
 			panic(http.ErrAbortHandler) // the caller must not take the part that it has for whole
 		}
-		writeRefusal(e.writer, a.Refusal)
+		e.refuse(e.writer, a.Refusal)
 		return true
 	case node.Replay:
 		e.replay(a)
--- a/io/caller/face.go
+++ b/io/caller/face.go
@@ -17,6 +17,7 @@
 	"coltsfootward/core/node"
 	"coltsfootward/io/loop"
 	"coltsfootward/io/peer"
+	"coltsfootward/io/wire"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
@@ -29,6 +30,9 @@
 type Options struct {
 	// MaximumBody bounds a request's body in bytes. Zero means DefaultMaximumBody.
 	MaximumBody int64
+	// Routed, if not nil, has requests routed by host and path, with the header
+	// fields that it names.
+	Routed *wire.Fields
 	// Local is set for the face towards the local backend server: its requests
 	// bring a call token instead of a key.
 	Local bool
@@ -86,7 +90,7 @@
 	if event.IdempotencyKey != "" {
 		event.Body = xxhash.Sum64(body)
 	}
-	e := &exchange{face: f, call: call, request: r, writer: w, body: body, header: PassedOn(r.Header, key)}
+	e := &exchange{face: f, call: call, request: r, writer: w, body: body, header: PassedOn(r.Header, key), refuse: writeRefusal}
 	f.loop.Post(event)
 	e.run()
 }
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"coltsfootward/io/wire"
 )
 
 // The header fields that callers and backend servers use.
@@ -33,13 +35,6 @@
 // ownPrefix marks the fields that only nodes set.
 const ownPrefix = "Coltsfootward-"
 
-// hopFields belong to one connection by RFC 9110 and are not passed on. Expect
-// is answered by the node that reads the body.
-var hopFields = map[string]bool{
-	"Expect": true, "Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-}
-
 // credentialFields may hold the caller's key. They end at the entry node.
 var credentialFields = map[string]bool{"Authorization": true, "Cookie": true, "X-Api-Key": true}
 
@@ -48,10 +43,9 @@
 // none that only nodes set. A field whose name or value holds the key is left
 // out whatever it is.
 func PassedOn(h http.Header, key string) map[string][]string {
-	connection := connectionFields(h)
 	passed := make(map[string][]string, len(h))
 	for name, values := range h {
-		if hopFields[name] || connection[name] || credentialFields[name] || strings.HasPrefix(name, ownPrefix) {
+		if wire.HopField(h, name) || credentialFields[name] || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		if key != "" && (holds(values, key) || containsFold(name, key)) {
@@ -64,10 +58,9 @@
 
 // AnswerFields returns the fields of a backend server's answer that go back.
 func AnswerFields(h http.Header) map[string][]string {
-	connection := connectionFields(h)
 	passed := make(map[string][]string, len(h))
 	for name, values := range h {
-		if hopFields[name] || connection[name] || strings.HasPrefix(name, ownPrefix) {
+		if wire.HopField(h, name) || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		passed[name] = values
@@ -75,16 +68,6 @@
 	return passed
 }
 
-func connectionFields(h http.Header) map[string]bool {
-	named := make(map[string]bool)
-	for _, value := range h.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return named
-}
-
 func holds(values []string, key string) bool {
 	for _, value := range values {
 		if strings.Contains(value, key) {
--- /dev/null
+++ b/io/document/watch.go
@@ -0,0 +1,123 @@
+// Package document follows the platform's configuration document and hands each
+// new one to the node.
+package document
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"coltsfootward"
+)
+
+const (
+	// firstWait and longestWait bound the pause after a failed call. The longest
+	// one is short beside the seconds within which a change is to be in force;
+	// one call a second from each node that watches is far below what the
+	// platform serves.
+	firstWait   = 100 * time.Millisecond
+	longestWait = 800 * time.Millisecond
+	// idleWait is the pause of a node that does not watch, before it asks again
+	// whether it is to.
+	idleWait = time.Second
+	// readTimeout bounds one read of the whole document.
+	readTimeout = 2 * time.Second
+)
+
+// Options say what a Watcher does with what it reads.
+type Options struct {
+	// Source is where the document is.
+	Source coltsfootward.Documents
+	// Watches reports whether this node is to watch now.
+	Watches func() bool
+	// Found is given each configuration that was read.
+	Found func(coltsfootward.Configuration)
+	// Failed is told of each call that failed, and of documents that can't be used.
+	Failed func(error)
+	// Answered is told of each call that was answered.
+	Answered func()
+}
+
+// Watcher follows the document until Close. Create it with New.
+type Watcher struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+// New returns a watcher that runs.
+func New(options Options) *Watcher {
+	w := &Watcher{options: options}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.wait.Go(w.run)
+	return w
+}
+
+// Close stops the watcher and waits for it.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.wait.Wait()
+}
+
+// run reads the document whole, then follows its changes. After a failure it
+// follows on from the same place: the platform keeps some history, and reading
+// everything again from all nodes at once is what a platform that has just come
+// back can least bear.
+func (w *Watcher) run() {
+	known := false
+	var cursor coltsfootward.Cursor
+	pause := firstWait
+	for w.ctx.Err() == nil {
+		if !w.options.Watches() {
+			w.sleep(idleWait)
+			continue
+		}
+		var c coltsfootward.Configuration
+		var next coltsfootward.Cursor
+		var err error
+		if known {
+			c, next, err = w.options.Source.Changed(w.ctx, cursor)
+		} else {
+			c, next, err = w.read()
+		}
+		var invalid *coltsfootward.DocumentError
+		usable := err == nil || errors.Is(err, coltsfootward.ErrNoDocument) || errors.As(err, &invalid)
+		if err != nil && w.ctx.Err() == nil {
+			w.options.Failed(err)
+		}
+		if !usable {
+			known = known && !errors.Is(err, coltsfootward.ErrHistoryLost)
+			w.sleep(pause)
+			pause = min(2*pause, longestWait)
+			continue
+		}
+		pause = firstWait
+		known = true
+		cursor = next
+		w.options.Answered()
+		if c.Revision() > 0 {
+			w.options.Found(c)
+		}
+	}
+}
+
+func (w *Watcher) read() (coltsfootward.Configuration, coltsfootward.Cursor, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, readTimeout)
+	defer cancel()
+	return w.options.Source.Read(ctx)
+}
+
+// sleep waits for about d, spread so that nodes that failed together do not
+// call together again.
+func (w *Watcher) sleep(d time.Duration) {
+	d = d/2 + time.Duration(rand.Int64N(int64(d)))
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.ctx.Done():
+	}
+}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -37,6 +37,9 @@
 	Table coltsfootward.Table
 	// Report takes a record for log and time line.
 	Report func(record.Record)
+	// InForce is given each whole configuration that comes into force; nil means
+	// that nobody is.
+	InForce func(coltsfootward.Configuration)
 	// Drained is called once the node has nothing left to do after a drain.
 	Drained func()
 	// Observe is told of every event that the machine took, on the machine's
@@ -172,6 +175,10 @@
 		l.deliver(a.Call, a)
 	case node.Send:
 		l.outlets.Send(a.To, a.Message)
+	case node.ConfigurationInForce:
+		if l.outlets.InForce != nil {
+			l.outlets.InForce(a.Configuration)
+		}
 	case node.Report:
 		l.outlets.Report(a.Record)
 	case node.Drained:
--- a/io/operator/change.go
+++ b/io/operator/change.go
@@ -179,6 +179,10 @@
 	if c == nil || c.ChangeId == "" || len(c.ChangeId) > 128 {
 		return nil, invalid("context.change_id must have 1 to 128 characters: choose one per change")
 	}
+	if s.readOnly {
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			errors.New("operator: the configuration of this deployment is a document on its platform: change it there"))
+	}
 	change.ID = c.ChangeId
 	precondition := configuration.Precondition{BasedOn: coltsfootward.Revision(c.BasedOn), Force: c.Force}
 	revision, err := s.store.Submit(ctx, change, precondition)
--- a/io/operator/service.go
+++ b/io/operator/service.go
@@ -16,6 +16,9 @@
 	loop     *loop.Loop
 	store    *configuration.Store
 	timeline *record.Ring
+	// readOnly is set where the configuration is a document that is changed
+	// elsewhere.
+	readOnly bool
 }
 
 // New returns a service that changes the configuration in table.
@@ -23,6 +26,13 @@
 	return &Service{loop: l, store: configuration.NewStore(table), timeline: timeline}
 }
 
+// ReadOnly has the service refuse changes, for deployments whose configuration
+// is a document on the platform: a change made here would never be in force.
+func (s *Service) ReadOnly() *Service {
+	s.readOnly = true
+	return s
+}
+
 func (s *Service) configuration() coltsfootward.Configuration {
 	var c coltsfootward.Configuration
 	s.loop.Inspect(func(n *node.Node) { c = n.Configuration() })
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/io/socket"
 )
 
 // welcome answers the dialler's hello.
@@ -73,7 +74,7 @@
 }
 
 func (t *Transport) handshake(to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
-	n, err := net.DialTimeout("tcp", to.Address, handshakeTimeout)
+	n, err := socket.Dialer(dialTimeout).Dial("tcp", to.Address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: dial %s: %w: check that the instance runs and its address is reachable", to.ID, err)
 	}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -15,6 +15,10 @@
 
 const (
 	handshakeTimeout = 3 * time.Second
+	// dialTimeout bounds the making of a connection. A peer that is cut off does
+	// not answer at all, and whoever waits for it could go elsewhere; it is well
+	// above a round trip between failure domains and one lost packet.
+	dialTimeout = 1500 * time.Millisecond
 	// probeInterval is the time between two probes of a peer's clock.
 	probeInterval = 10 * time.Second
 	// idleTimeout closes dialled connections that nothing uses, so that a node
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -7,10 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"coltsfootward"
@@ -19,19 +20,13 @@
 	"coltsfootward/io/caller"
 	"coltsfootward/io/loop"
 	"coltsfootward/io/peer"
+	"coltsfootward/io/wire"
 )
 
 const (
 	copyBuffer = 32 << 10
 	// stallTimeout ends an answer whose body makes no progress.
 	stallTimeout = 30 * time.Second
-	// idleTimeout closes connections before backend servers do: a common limit
-	// of theirs is 5 s. A request that meets a connection just closed by the
-	// other side ends in doubt, and an order in doubt is not sent again.
-	idleTimeout = 4 * time.Second
-	// maximumAnswerHeader bounds the header of a backend server's answer in
-	// bytes: it must fit into one frame to the entry node.
-	maximumAnswerHeader = 256 << 10
 	// DefaultMaximumBody is the default of Options.MaximumBody, in bytes.
 	DefaultMaximumBody = 64 << 20
 )
@@ -46,6 +41,9 @@
 	// guards this node's memory against a broken peer, so it is larger than
 	// what callers may send. Zero means DefaultMaximumBody.
 	MaximumBody int64
+	// Routed, if not nil, has the backend server spoken to in the header fields
+	// that it names.
+	Routed *wire.Fields
 }
 
 // Server sends dispatched calls to the local backend server. Create it with
@@ -55,9 +53,9 @@
 	clock   *loop.Clock
 	options Options
 
-	mu        sync.Mutex
-	address   string
-	transport *http.Transport
+	mu      sync.Mutex
+	backend string
+	pool    *pool
 }
 
 // New returns a server that knows no backend server yet, with default options.
@@ -78,28 +76,33 @@
 func (s *Server) Use(address string, connections int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.address == address && s.transport != nil && s.transport.MaxConnsPerHost == connections {
+	if s.pool != nil && s.pool.address == address && cap(s.pool.slots) == connections {
 		return
 	}
-	if s.transport != nil {
-		s.transport.CloseIdleConnections()
+	if s.pool != nil {
+		s.pool.close()
 	}
-	s.address = address
-	s.transport = &http.Transport{
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     idleTimeout,
-		DialContext:         dialGated,
+	s.pool = newPool(address, connections)
+}
 
-		MaxResponseHeaderBytes: maximumAnswerHeader,
-		DisableCompression:     true,
+// UseBackend directs requests to the backend server of that name. Connections
+// to an earlier one at the same address are not used again.
+func (s *Server) UseBackend(name, address string, connections int) {
+	s.mu.Lock()
+	if s.backend != name && s.pool != nil {
+		s.pool.close()
+		s.pool = nil
 	}
+	s.backend = name
+	s.mu.Unlock()
+	s.Use(address, connections)
 }
 
-func (s *Server) target() (string, *http.Transport) {
+// target returns the backend server's name, where it has one, and connections.
+func (s *Server) target() (string, *pool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.address, s.transport
+	return s.backend, s.pool
 }
 
 // ServeCall takes one call from a peer to its end.
@@ -160,6 +163,13 @@
 	writer  *peer.AnswerWriter
 	gate    gate
 	timedUp atomic.Bool
+	link    *link
+	pool    *pool
+	// stop ends the watch that closes the connection with the context.
+	stop func() bool
+	// keep is set once the connection may carry another request.
+	keep  bool
+	lives time.Duration
 }
 
 // run reports whether the call is over. If not, the machine's refusal or the
@@ -173,24 +183,53 @@
 		cancel()
 	})
 	defer deadline.Stop()
+	defer d.release()
 	response, err := d.send(ctx)
 	if err != nil {
-		return d.ended(d.failedKind(ctx))
+		return d.ended(d.failedKind(ctx, err))
+	}
+	if d.server.options.Routed != nil {
+		if d.rejected(response) {
+			return d.ended(node.DispatchRejected)
+		}
+		if !caller.RoutedAnswer(*d.server.options.Routed, response.StatusCode, response.Header, d.head.Request) {
+			return d.ended(node.DispatchFailed)
+		}
 	}
-	defer response.Body.Close()
 	if !deadline.Stop() {
 		return d.ended(node.DispatchTimeout)
 	}
 	return d.ended(d.passOn(ctx, response, cancel))
 }
 
+// release gives the connection back.
+func (d *dispatch) release() {
+	if d.link != nil {
+		d.pool.put(d.link, d.keep, d.lives)
+		d.link = nil
+	}
+}
+
+// rejected reports whether the backend server says that it did not run the
+// request. One at which another server listens by now says so with status 421.
+func (d *dispatch) rejected(response *http.Response) bool {
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	if misdirected {
+		d.server.loop.Post(node.BackendLost{})
+	}
+	return misdirected || response.Header.Get(d.server.options.Routed.NotRun) != ""
+}
+
 // ended reports the end and whether no action of the machine follows it.
 func (d *dispatch) ended(kind node.DispatchKind) bool {
 	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind})
 	return kind == node.DispatchCancelled || kind == node.DispatchTruncated
 }
 
-func (d *dispatch) failedKind(ctx context.Context) node.DispatchKind {
+func (d *dispatch) failedKind(ctx context.Context, err error) node.DispatchKind {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.server.loop.Post(node.BackendLost{})
+	}
 	switch {
 	case d.gate.withdraw():
 		return node.DispatchUnsent
@@ -204,10 +243,19 @@
 }
 
 func (d *dispatch) send(ctx context.Context) (*http.Response, error) {
-	address, transport := d.server.target()
-	if transport == nil {
+	backend, connections := d.server.target()
+	if connections == nil {
 		return nil, errors.New("upstream: no backend server has announced itself")
 	}
+	most := time.Duration(idleTimeout)
+	if d.action.Unrepeatable {
+		most = unrepeatableIdle
+	}
+	l, err := connections.take(ctx, most)
+	if err != nil {
+		return nil, err
+	}
+	d.link, d.pool = l, connections
 	// The node may have been paused, or the request have waited for a
 	// connection, since the machine decided: the admission is checked once more
 	// with nothing between the check and the first byte.
@@ -215,31 +263,52 @@
 		late := d.action.StartBy != 0 && d.server.clock.Now().Expiry >= d.action.StartBy
 		return !late && ctx.Err() == nil
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		info.Conn.(*gatedConn).gate.Store(&d.gate)
-	}}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, d.head.Method, "http://"+address+d.head.Path, nil)
-	if err != nil {
-		return nil, err
+	l.conn.gate.Store(&d.gate)
+	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
+	d.stop = stop
+	request := &http.Request{
+		Method: d.head.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:    &url.URL{Scheme: "http", Host: connections.address, Opaque: d.head.Path},
+		Host:   d.head.Host,
+		Header: make(http.Header, len(d.head.Header)+4),
 	}
-	d.fill(request)
-	response, err := transport.RoundTrip(request)
+	if request.Host == "" {
+		request.Host = connections.address
+	}
+	d.fill(request, backend)
+	response, err := l.exchange(request)
 	if err != nil {
 		return nil, err
 	}
-	return response, checkHead(response)
+	return response, d.checkHead(response)
 }
 
-func (d *dispatch) fill(request *http.Request) {
+func (d *dispatch) fill(request *http.Request, backend string) {
 	for name, values := range d.head.Header {
 		request.Header[name] = values
 	}
-	request.Header.Set(caller.HeaderRequest, string(d.head.Request))
-	request.Header.Set(caller.HeaderOrganisation, string(d.head.Organisation))
-	request.Header.Set(caller.HeaderCallToken, string(d.action.Token))
+	// Without this line the library names itself to the backend server.
+	if _, ok := request.Header["User-Agent"]; !ok {
+		request.Header["User-Agent"] = []string{""}
+	}
 	left := d.action.Deadline - d.server.clock.Now().Expiry
-	request.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	deadline := strconv.FormatInt(max(left.Milliseconds(), 1), 10)
+	if fields := d.server.options.Routed; fields != nil {
+		request.Header[fields.Request] = []string{string(d.head.Request)}
+		request.Header[fields.Caller] = []string{string(d.head.Caller)}
+		request.Header[fields.Deadline] = []string{deadline}
+		if backend != "" {
+			request.Header[fields.Expected] = []string{backend}
+		}
+		if d.head.Organisation != "" {
+			request.Header[fields.Organisation] = []string{string(d.head.Organisation)}
+		}
+	} else {
+		request.Header.Set(caller.HeaderRequest, string(d.head.Request))
+		request.Header.Set(caller.HeaderOrganisation, string(d.head.Organisation))
+		request.Header.Set(caller.HeaderCallToken, string(d.action.Token))
+		request.Header.Set(caller.HeaderDeadline, deadline)
+	}
 	request.ContentLength = int64(len(d.body))
 	if len(d.body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(d.body))
@@ -251,47 +320,98 @@
 var errUnframed = errors.New("upstream: answer without Content-Length or chunks: have the backend server frame its answers")
 
 // checkHead refuses answers that cannot be passed on whole. A body that ends
-// with its connection looks whole when the backend server is killed half-way.
-// An answer to an upgrade was not asked for.
-func checkHead(r *http.Response) error {
+// with its connection looks whole when the backend server is killed half-way;
+// in a routed deployment such answers are part of the protocol. An answer to an
+// upgrade was not asked for.
+func (d *dispatch) checkHead(r *http.Response) error {
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
-	if r.StatusCode < http.StatusOK || !framed {
-		r.Body.Close()
+	if r.StatusCode < http.StatusOK || !framed && d.server.options.Routed == nil {
 		return errUnframed
 	}
+	d.keep = framed && !r.Close
+	d.lives = lives(r)
 	return nil
 }
 
-// passOn streams the answer to the peer and reports how that ended.
-func (d *dispatch) passOn(ctx context.Context, response *http.Response, cancel context.CancelFunc) node.DispatchKind {
-	var load message.Load
-	d.server.loop.Inspect(func(n *node.Node) { load = n.LoadFor(d.head) })
-	head := message.Answer{Status: response.StatusCode, Header: caller.AnswerFields(response.Header), Load: load}
-	if d.writer.Head(head) != nil {
-		return node.DispatchCancelled
+// answerFields returns the fields of the answer that go back to the caller.
+func (d *dispatch) answerFields(h http.Header) map[string][]string {
+	if fields := d.server.options.Routed; fields != nil {
+		return fields.AnswerFields(h)
 	}
+	return caller.AnswerFields(h)
+}
+
+// passOn passes the answer to the peer and reports how that ended.
+//
+// In a routed deployment nothing is sent before the buffer is full or the body
+// whole: an answer that breaks off within it is then a failed attempt, after
+// which a request that may run twice is sent elsewhere, and not an answer that
+// its caller sees break.
+func (d *dispatch) passOn(ctx context.Context, response *http.Response, cancel context.CancelFunc) node.DispatchKind {
+	keep := d.keep
+	d.keep = false
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
 	pooled := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(pooled)
 	buffer := pooled[:]
-	for {
-		n, err := response.Body.Read(buffer)
+	n, whole := 0, false
+	var err error
+	if d.server.options.Routed != nil {
+		n, err = io.ReadFull(response.Body, buffer)
+		whole = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && d.atEnd(response, n)
+		if err != nil && !whole {
+			return d.failedKind(ctx, err)
+		}
+	}
+	if kind := d.begin(response, buffer[:n]); kind != "" {
+		return kind
+	}
+	for !whole {
+		stall.Reset(stallTimeout)
+		n, err = response.Body.Read(buffer)
 		if n > 0 {
-			stall.Reset(stallTimeout)
 			if _, failed := d.writer.Write(buffer[:n]); failed != nil {
 				return node.DispatchCancelled
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return node.DispatchAnswered
-		case ctx.Err() != nil:
+			whole = true
+		case err != nil && ctx.Err() != nil:
 			return node.DispatchCancelled
 		case err != nil:
 			return node.DispatchTruncated
 		}
 	}
+	d.keep = keep && d.stop()
+	return node.DispatchAnswered
+}
+
+// atEnd reports whether a body that ended after n bytes is whole. The library
+// gives one error for a body that ends before a buffer is full and for one that
+// ends before its own length.
+func (d *dispatch) atEnd(response *http.Response, n int) bool {
+	if response.ContentLength >= 0 {
+		return int64(n) == response.ContentLength
+	}
+	_, err := response.Body.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+// begin sends the answer's head and the first part of its body; it returns how
+// the dispatch ended, or nothing.
+func (d *dispatch) begin(response *http.Response, first []byte) node.DispatchKind {
+	var load message.Load
+	d.server.loop.Inspect(func(n *node.Node) { load = n.LoadFor(d.head) })
+	head := message.Answer{Status: response.StatusCode, Header: d.answerFields(response.Header), Load: load}
+	if d.writer.Head(head) != nil {
+		return node.DispatchCancelled
+	}
+	if _, err := d.writer.Write(first); err != nil {
+		return node.DispatchCancelled
+	}
+	return ""
 }
 
 // Announcement is what a backend server says of itself.
--- a/platform.go
+++ b/platform.go
@@ -62,3 +62,39 @@
 	Get(ctx context.Context, name string) ([]byte, error)
 	Put(ctx context.Context, name string, data []byte) error
 }
+
+// Cursor is a place in the history of what a platform keeps.
+type Cursor uint64
+
+// ErrHistoryLost is returned by Documents.Changed when the platform has dropped
+// the history after the cursor. Read the document again.
+var ErrHistoryLost = errors.New("coltsfootward: the platform has dropped its history: read the whole document again")
+
+// ErrNoDocument is returned by Documents.Read while operators have stored none.
+var ErrNoDocument = errors.New("coltsfootward: no configuration is stored: have operators write one")
+
+// Documents is where a platform keeps the whole configuration as one document.
+// Implementations are safe for concurrent use. Every method may return
+// ErrUnavailable.
+type Documents interface {
+	// Read returns the present document and where its history goes on. It
+	// returns a *DocumentError for one that can't be used.
+	Read(ctx context.Context) (Configuration, Cursor, error)
+	// Changed waits for a change after the cursor, as long as the platform lets
+	// it wait, and returns the changed document and the next cursor. Without a
+	// change the configuration has revision zero.
+	Changed(ctx context.Context, after Cursor) (Configuration, Cursor, error)
+}
+
+// DocumentError says what is wrong with a configuration document.
+type DocumentError struct {
+	// Place names the part of the document.
+	Place string
+	// Problem says what is wrong and how to correct it.
+	Problem string
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	return "coltsfootward: configuration document: " + e.Place + ": " + e.Problem
+}
--- a/refusal.go
+++ b/refusal.go
@@ -28,9 +28,12 @@
 const (
 	RefusalBadRequest      RefusalKind = "bad_request"
 	RefusalTooLarge        RefusalKind = "too_large"
+	RefusalHeaderTooLarge  RefusalKind = "header_too_large"
+	RefusalSlowRequest     RefusalKind = "slow_request"
 	RefusalUnauthenticated RefusalKind = "unauthenticated"
 	RefusalCallToken       RefusalKind = "call_token"
 	RefusalUnknownService  RefusalKind = "unknown_service"
+	RefusalUnknownRoute    RefusalKind = "unknown_route"
 	RefusalOverRate        RefusalKind = "over_rate"
 	RefusalOverloaded      RefusalKind = "overloaded"
 	RefusalNoUpstream      RefusalKind = "no_upstream"
@@ -56,9 +59,12 @@
 var refusalTexts = map[RefusalKind]refusalText{
 	RefusalBadRequest:      {http.StatusBadRequest, "correct the request as described"},
 	RefusalTooLarge:        {http.StatusRequestEntityTooLarge, "send a smaller request or have the limit raised in the node's settings"},
+	RefusalHeaderTooLarge:  {http.StatusRequestHeaderFieldsTooLarge, "send a smaller header"},
+	RefusalSlowRequest:     {http.StatusRequestTimeout, "send the whole request within the time allowed"},
 	RefusalUnauthenticated: {http.StatusUnauthorized, "send Authorization: Bearer with a key that has been issued and not withdrawn"},
 	RefusalCallToken:       {http.StatusForbidden, "pass on the call token of the request being served, while it is being served"},
 	RefusalUnknownService:  {http.StatusNotFound, "have the service created with coltsfootctl service set"},
+	RefusalUnknownRoute:    {http.StatusNotFound, "have a route added for the host and path"},
 	RefusalOverRate:        {http.StatusTooManyRequests, "come back after the stated time or have the organisation's rate raised"},
 	RefusalOverloaded:      {http.StatusServiceUnavailable, "come back after the stated time"},
 	RefusalNoUpstream:      {http.StatusServiceUnavailable, "start a backend server of the service or wait until one announces itself"},
