Hand out a routed deployment's document whole when a peer asks for it

Ruled out: a wrong look-up (the same requests pass before the restart). TestNodeLearnsRoutesFromPeers failed first.

--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -230,6 +230,10 @@
 	if m.After >= p.current.Revision() {
 		return
 	}
+	if p.node.options.Routed {
+		p.send(from, message.NewConfigurationWhole(p.current))
+		return
+	}
 	oldest := p.current.Revision() - coltsfootward.Revision(len(p.history))
 	if m.Snapshot != 0 || m.After < oldest {
 		p.servePage(from, m)
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -68,6 +68,8 @@
 	Timeout time.Duration
 	// Token is set for calls of a backend server.
 	Token node.CallToken
+	// Host has the request routed by host and path; Service is left empty then.
+	Host string
 }
 
 // Outcome is what became of a request. It fills in as time passes.
@@ -230,6 +232,11 @@
 	m.event(func() node.Event { return node.BackendAnnounced{Service: service, Slots: slots} })
 }
 
+// Read tells the node of a configuration document that the platform stores.
+func (m *Member) Read(c coltsfootward.Configuration) {
+	m.event(func() node.Event { return node.ConfigurationRead{Configuration: c} })
+}
+
 // DrainBackend tells the node that its backend server takes no new work.
 func (m *Member) DrainBackend() {
 	m.event(func() node.Event {
@@ -264,6 +271,7 @@
 			Call: o.call, Key: request.Key, Token: request.Token, Service: request.Service,
 			Method: request.Method, Path: request.Path, IdempotencyKey: request.IdempotencyKey, Body: request.Body,
 			Attempt: max(request.Attempt, 1), Timeout: request.Timeout,
+			Routed: request.Host != "", Host: request.Host,
 		}
 	})
 	return o
--- /dev/null
+++ b/core/nodetest/routed_test.go
@@ -0,0 +1,83 @@
+package nodetest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+)
+
+const routedHost = "quotes.example"
+
+// routedDocument returns a configuration with one route for each service, and
+// the organisation traders at that rate.
+func routedDocument(revision coltsfootward.Revision, rate coltsfootward.Rate, services ...coltsfootward.ServiceName) coltsfootward.Configuration {
+	var routes []coltsfootward.Route
+	for _, service := range services {
+		routes = append(routes, coltsfootward.Route{
+			Name: coltsfootward.RouteName(service), Host: routedHost, PathPrefix: "/" + string(service) + "/",
+			Targets: []coltsfootward.RouteTarget{{Service: service, Weight: 1}},
+			Timeout: 2 * time.Second, Objective: 500 * time.Millisecond, Attempts: 2, Priority: coltsfootward.PriorityNormal,
+		})
+	}
+	organisations := []coltsfootward.Organisation{{Name: "traders", Rate: rate}}
+	keys := []coltsfootward.Key{{ID: "k", Digest: key, Organisation: "traders"}}
+	return coltsfootward.NewConfiguration(revision, organisations, keys, nil).WithRoutes(routes)
+}
+
+// newRouted returns a rig with nodes nodes in each of the domains, each with a
+// backend server of quotes with four slots, and the document in force.
+func newRouted(seed uint64, nodes int, document coltsfootward.Configuration, domains ...coltsfootward.FailureDomain) (*nodetest.Rig, []*nodetest.Member) {
+	r := nodetest.New(seed)
+	var members []*nodetest.Member
+	for _, domain := range domains {
+		for i := range nodes {
+			id := coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i))
+			members = append(members, r.Add(node.Options{
+				Self: nodetest.Instance(id, domain), Domains: domains, Routed: true, ConfigurationSpread: 2 * time.Second,
+			}))
+		}
+	}
+	for _, m := range members {
+		m.Read(document)
+		m.Announce("quotes", 4)
+	}
+	r.Run(8 * time.Second)
+	return r, members
+}
+
+func get(m *nodetest.Member) *nodetest.Outcome {
+	return m.Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/urea"})
+}
+
+func TestRoutedRequestIsAnswered(t *testing.T) {
+	r, members := newRouted(1, 2, routedDocument(1, coltsfootward.Rate{PerSecond: 100, Burst: 100}, "quotes"), "north", "south")
+	o := get(members[0])
+	r.Run(time.Second)
+	if !o.Answered {
+		t.Errorf("got %+v, want an answer", o)
+	}
+}
+
+// A node starts while the platform is away and learns the configuration from
+// its peers. It took only the parts of it that an own deployment has, without
+// the routes, and answered every request with 404.
+func TestNodeLearnsRoutesFromPeers(t *testing.T) {
+	r, members := newRouted(1, 2, routedDocument(7, coltsfootward.Rate{PerSecond: 100, Burst: 100}, "quotes"), "north", "south")
+	late := members[1]
+	late.Kill()
+	r.Run(time.Second)
+	late.Restart()
+	r.Run(3 * time.Second)
+	if got := late.Node().Configuration().Revision(); got != 7 {
+		t.Fatalf("got revision %v, want 7 from its peers", got)
+	}
+	o := get(late)
+	r.Run(time.Second)
+	if o.Refusal != nil {
+		t.Errorf("got %v, want an answer", o.Refusal)
+	}
+}
