Refuse at the entry what a deep service has no room for; reload on SIGHUP

Gates: answers carry how much is offered to each service that the request's class needs; the entry lets the part of the demand pass that fits, by rank. The calls of a backend server do not name their parents, so each node learns which routes each class calls from what runs while calls come (core/pressure). Tenants' priorities come first and the route's second: all tenants may have the same one.

--- a/cmd/coltsfootward/main.go
+++ b/cmd/coltsfootward/main.go
@@ -26,11 +26,13 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.Log.Level)
+	logger, err := newLogger()
 	if err != nil {
 		return err
 	}
 	d := daemon.New(s, logger)
+	reloads := watchSettings(c.Args.Settings, d)
+	defer reloads.close()
 	if err := d.Start(context.Background()); err != nil {
 		return err
 	}
@@ -58,14 +60,14 @@
 	return nil
 }
 
-func newLogger(level string) (*zap.Logger, error) {
-	parsed, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, err
-	}
+// newLogger returns a logger to standard output that passes every level; the
+// daemon holds it to the one of the settings.
+func newLogger() (*zap.Logger, error) {
 	config := zap.NewProductionConfig()
-	config.Level = parsed
+	config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
 	config.Sampling = nil
+	config.DisableCaller = true
+	config.OutputPaths = []string{"stdout"}
 	return config.Build()
 }
 
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -89,6 +89,11 @@
 	}
 }
 
+// FixLimit keeps the limit at the announced slots, for servers that refuse what
+// is beyond them and whose requests wait for further calls: their latency rises
+// with that of the services below, and fewer requests at once do not help those.
+func (c *Controller) FixLimit() { c.limiter.fixed = true }
+
 // SetSlots changes the number of slots that the server announces.
 func (c *Controller) SetSlots(slots int) { c.limiter.SetSlots(slots) }
 
@@ -101,6 +106,9 @@
 // Limit returns how many requests are served at once.
 func (c *Controller) Limit() int { return c.limiter.Limit() }
 
+// Estimate returns how long a request of a class is expected to take.
+func (c *Controller) Estimate(class string) time.Duration { return c.limiter.Estimate(class) }
+
 // Level returns the shed level for an organisation's requests of a class; see
 // Shedder.Level.
 func (c *Controller) Level(organisation coltsfootward.OrganisationName, class string) uint32 {
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -51,6 +51,8 @@
 // the server is slow for another reason, and fewer requests at once would only
 // waste its slots, so the limit goes back and the floor moves instead.
 type Limiter struct {
+	// fixed keeps the limit at the ceiling.
+	fixed   bool
 	slots   int
 	limit   float64
 	classes map[string]*class
@@ -89,7 +91,12 @@
 }
 
 // Limit returns the present limit: at least 1, unless there are no slots.
-func (l *Limiter) Limit() int { return min(max(int(l.limit), 1), l.slots) }
+func (l *Limiter) Limit() int {
+	if l.fixed {
+		return l.slots
+	}
+	return min(max(int(l.limit), 1), l.slots)
+}
 
 // Estimate returns how long a request of a class is expected to take, zero if
 // nothing is known.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -37,8 +37,9 @@
 	cost float64
 }
 
-// priorityCount is the number of priority ranks.
-const priorityCount = 4
+// priorityCount is the number of priority ranks: four priorities, each of them
+// in four ranks of a second one.
+const priorityCount = 16
 
 // Queue holds waiting requests. Requests of higher priority leave first;
 // within a priority deep ones leave before fresh ones, since slots elsewhere
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -91,6 +91,9 @@
 	// Header is filled in by the caller's face; the decisions do not read it.
 	Header   map[string][]string    `msgpack:"header"`
 	Priority coltsfootward.Priority `msgpack:"priority"`
+	// Second orders requests of one priority, where the organisation's priority
+	// goes before the route's.
+	Second coltsfootward.Priority `msgpack:"second,omitempty"`
 	// ShedRank orders requests for shedding over the whole chain; lower is
 	// more important. It is the same at every depth of one request.
 	ShedRank uint32 `msgpack:"shed_rank"`
@@ -137,6 +140,21 @@
 	Limit int `msgpack:"limit"`
 	// ShedLevel is the highest shed rank that is still accepted; zero means all are.
 	ShedLevel uint32 `msgpack:"shed_level"`
+	// Offered is what is offered to the upstream in proportion to what it serves
+	// well, in a routed deployment.
+	Offered float64 `msgpack:"offered,omitempty"`
+	// Below says the same of the services that requests of this class need
+	// further down.
+	Below []Pressure `msgpack:"below,omitempty"`
+}
+
+// Pressure is how much is offered to a service in proportion to what it serves
+// well.
+type Pressure struct {
+	//lint:ignore U1000 msgpack reads the tag of this field
+	_msgpack struct{}                  `msgpack:",as_array"`
+	Service  coltsfootward.ServiceName `msgpack:"service"`
+	Offered  float64                   `msgpack:"offered"`
 }
 
 // Answer is the head of what comes back for a Call: a backend server's status
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -86,6 +86,8 @@
 	calls map[CallID]*entryCall
 	// splits holds the turn of each route with several targets.
 	splits map[coltsfootward.RouteName]*splitState
+	// nextMoved is when to look again which gates have moved.
+	nextMoved time.Duration
 }
 
 func newEntryPart(n *Node) *entryPart {
@@ -217,6 +219,9 @@
 // done for it. Under overload each hop that a doomed request takes is capacity
 // lost to the requests that will be answered.
 func (p *entryPart) shedAtEntry(call *entryCall) bool {
+	if call.ownAttempts {
+		return p.refusedAtGate(call)
+	}
 	if !p.node.placement.shed(call) {
 		return false
 	}
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -137,6 +137,7 @@
 
 // tick ends calls whose time has passed while they waited.
 func (p *entryPart) tick() {
+	p.moveGates()
 	for _, id := range sortedCalls(p.calls) {
 		call := p.calls[id]
 		if call.answered || p.node.now.Expiry < call.deadline {
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/message"
+	"coltsfootward/core/record"
 )
 
 // openRouted checks who calls and what by the configuration's routes, and
@@ -50,7 +53,10 @@
 	if request == "" {
 		request = p.node.newRequestID()
 	}
-	priority := route.Priority
+	priority, second := route.Priority, coltsfootward.PriorityCritical
+	if organisation.Name != "" {
+		second = route.Priority
+	}
 	if organisation.Priority != "" {
 		priority = organisation.Priority
 	}
@@ -77,7 +83,8 @@
 		Method:       e.Method,
 		Path:         e.Path,
 		Priority:     priority,
-		ShedRank:     ShedRank(priority, organisation.Name, request),
+		Second:       second,
+		ShedRank:     RoutedRank(priority, second, organisation.Name, request),
 		Unrepeatable: route.Unrepeatable,
 		Route:        route.Name,
 		Host:         e.Host,
@@ -85,6 +92,7 @@
 	}
 	if organisation.Name == "" {
 		call.head.Depth = 1
+		p.node.callees.Called(route.Name)
 	}
 	return call
 }
@@ -142,3 +150,40 @@
 	}
 	return max(c.objective-(now-c.arrived), time.Millisecond)
 }
+
+// refusedAtGate refuses a caller's request that a service which it needs, here
+// or further down the chain, has no room for, before any work is done for it. A
+// further call of a request that has begun is never refused so: the work above it
+// would be lost.
+func (p *entryPart) refusedAtGate(call *entryCall) bool {
+	if call.head.Depth > 0 {
+		return false
+	}
+	full, passed := p.node.gates.Admit(p.node.now.Monotonic, call.head.Route, call.head.ShedRank)
+	if passed {
+		return false
+	}
+	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", full)).
+		WithRetryAfter(p.node.spread(shortestRetryAfter)))
+	return true
+}
+
+// moveGates sets the gates and tells of those that have moved.
+func (p *entryPart) moveGates() {
+	now := p.node.now.Monotonic
+	p.node.gates.Tick(now)
+	if now < p.nextMoved {
+		return
+	}
+	p.nextMoved = now + movedInterval
+	for _, m := range p.node.gates.Moved(now) {
+		p.node.report(record.GateMoved, field("service", string(m.Service)), field("ratio", decimal(m.Ratio)),
+			field("age", m.Age.String()), field("passed", decimal(m.Passed)))
+	}
+}
+
+// movedInterval is the time between two looks at which gates have moved, so that
+// each is told of at most twice a second.
+const movedInterval = 500 * time.Millisecond
+
+func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -6,6 +6,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/message"
+	"coltsfootward/core/pressure"
 	"coltsfootward/core/record"
 )
 
@@ -29,6 +30,9 @@
 	lease         *leasePart
 	assigned      *assignedSlots
 	slots         slotHolders
+	meter         pressure.Meter
+	callees       pressure.Callees
+	gates         pressure.Gates
 	claims        *claimsPart
 	ledger        *ledgerPart
 	entry         *entryPart
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -122,6 +122,20 @@
 	}
 	if e.Kind == AttemptAnswered || e.Kind == AttemptRefused {
 		s.pool.Observe(now, call.target, kindOf(call), e.Load)
+		p.report(call, e.Load)
+	}
+}
+
+// report has the gates take in what an answer told of the services that the
+// request needed.
+func (p *placementPart) report(call *entryCall, load message.Load) {
+	if call.head.Route == "" {
+		return
+	}
+	now := p.node.now.Monotonic
+	p.node.gates.Report(now, call.head.Route, call.head.Service, load.Offered)
+	for _, below := range load.Below {
+		p.node.gates.Report(now, call.head.Route, below.Service, below.Offered)
 	}
 }
 
--- a/core/node/shed_rank.go
+++ b/core/node/shed_rank.go
@@ -18,6 +18,17 @@
 	return uint32(priority.Rank())<<shedHashBits | uint32(hash>>(64-shedHashBits))
 }
 
+// secondShift is where the second priority stands in a routed request's rank.
+const secondShift = 26
+
+// RoutedRank orders the requests of a routed deployment: by the organisation's
+// priority, where it has one, then by the route's, then by a hash. With the same
+// priority for all organisations the route's decides.
+func RoutedRank(priority, second coltsfootward.Priority, organisation coltsfootward.OrganisationName, request coltsfootward.RequestID) uint32 {
+	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
+	return uint32(priority.Rank())<<shedHashBits | uint32(second.Rank())<<secondShift | uint32(hash>>(64-secondShift))
+}
+
 // agingLimit bounds how many repeats move a request up.
 const agingLimit = 3
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -49,7 +49,11 @@
 }
 
 func newUpstreamPart(n *Node) *upstreamPart {
-	return &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
+	p := &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
+	if n.options.Routed {
+		p.admission.FixLimit()
+	}
+	return p
 }
 
 func (p *upstreamPart) count() int { return len(p.calls) }
@@ -81,7 +85,7 @@
 	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
 	return admissioncontrol.Request{
 		ID:           admissioncontrol.RequestID(call.id),
-		Priority:     call.head.Priority.Rank(),
+		Priority:     queuePriority(call.head),
 		ShedRank:     call.head.ShedRank,
 		Deep:         call.head.Depth > 0,
 		Organisation: call.head.Organisation,
@@ -94,6 +98,16 @@
 	}
 }
 
+// queuePriority is the place of a request's priorities in the queue. Without a
+// second priority only every fourth place is used.
+func queuePriority(head message.Call) int {
+	second := 0
+	if head.Second != "" {
+		second = head.Second.Rank()
+	}
+	return head.Priority.Rank()*len(coltsfootward.Priorities()) + second
+}
+
 // classOf returns the class of work that a request belongs to: its route, where
 // it has one.
 func classOf(head message.Call) string {
@@ -171,6 +185,9 @@
 func (p *upstreamPart) dispatch(call *upstreamCall) {
 	call.token = p.node.newCallToken()
 	p.node.ledger.open(call)
+	if call.head.Route != "" {
+		p.node.callees.Began(call.head.Route)
+	}
 	p.node.act(Dispatch{
 		Call:         call.id,
 		Token:        call.token,
@@ -183,6 +200,7 @@
 // refuseShed answers what admission has refused since the last time.
 func (p *upstreamPart) refuseShed() {
 	for _, shed := range p.admission.Refused() {
+		p.node.meter.Refused(p.admission.Estimate(shed.Request.Class))
 		text := "more important requests fill the backend server's queue"
 		switch shed.Reason {
 		case admissioncontrol.ReasonWaited:
@@ -204,6 +222,9 @@
 		return
 	}
 	p.node.ledger.close(call)
+	if call.head.Route != "" {
+		p.node.callees.Ended(call.head.Route)
+	}
 	if e.Kind == DispatchUnsent {
 		p.admission.Unsent(admissioncontrol.RequestID(call.id))
 	} else {
@@ -282,6 +303,7 @@
 // tick refuses calls that have waited too long.
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
+	p.node.meter.Observe(p.node.now.Monotonic, p.admission.Running(), p.admission.Queued())
 	p.refuseShed()
 	p.reportOverload()
 	p.reportLimit()
@@ -329,6 +351,9 @@
 
 // load is what goes back with every answer to such a request.
 func (p *upstreamPart) load(head message.Call) message.Load {
+	if head.Route != "" {
+		return p.routedLoad(head)
+	}
 	return message.Load{
 		Running:   p.admission.Running(),
 		Queued:    p.admission.Queued(),
@@ -337,6 +362,21 @@
 	}
 }
 
+// routedLoad tells how full this upstream is, and the services that such
+// requests need further down.
+func (p *upstreamPart) routedLoad(head message.Call) message.Load {
+	load := message.Load{
+		Running: p.admission.Running(),
+		Queued:  p.admission.Queued(),
+		Limit:   p.admission.Limit(),
+		Offered: p.node.meter.Ratio(p.admission.Limit()),
+	}
+	for _, r := range p.node.gates.Below(p.node.now.Monotonic, p.node.callees.Of(head.Route)) {
+		load.Below = append(load.Below, message.Pressure{Service: r.Service, Offered: r.Ratio})
+	}
+	return load
+}
+
 // Load returns the state of the node's own upstream, without a shed level.
 func (n *Node) Load() message.Load {
 	return n.upstream.load(message.Call{})
--- /dev/null
+++ b/core/pressure/gate.go
@@ -0,0 +1,242 @@
+package pressure
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"coltsfootward"
+)
+
+const (
+	// gateInterval is the time between two settings of the share to refuse. What
+	// an entry node refuses shows at a deep service only once the requests before
+	// it have passed the services above, so a shorter interval would answer the
+	// same overload twice.
+	gateInterval = 200 * time.Millisecond
+	// gateLag is how long what is let pass takes to show in the ratio: the way
+	// through the services above, the meter's own time and the reports' smoothing.
+	// The ratio is compared with what was let pass about so long ago; compared
+	// with what is let pass now, the same overload would be answered again and
+	// again until it shows, and the gate would swing between open and shut.
+	gateLag = 900 * time.Millisecond
+	// gateStep is how much of the way to the part that the ratio asks for is gone
+	// in one interval.
+	gateStep = 0.4
+	// lowestRatio bounds how far one look may open the gate.
+	lowestRatio = 0.4
+	// leastPassed is what is let pass at least, so that there are answers that
+	// tell when the overload has ended.
+	leastPassed = 0.03
+	// ratioWeight is the weight of the newest report in the ratio.
+	ratioWeight = 0.1
+	// ratioLife is how long a report counts. Without newer ones the share to
+	// refuse fades.
+	ratioLife = time.Second
+	// staleRise is by how much more is let pass in each interval without reports.
+	staleRise = 1.25
+	// demandFade is what remains of the demand's counts from one interval to the
+	// next: they reach back two seconds.
+	demandFade = 0.9
+	// reachLife is how long a class is held to need a service after an answer has
+	// said so.
+	reachLife = 30 * time.Second
+	// rankBits is how many bits a shed rank has, bucketBits how many of them
+	// choose a bucket of the demand.
+	rankBits   = 30
+	bucketBits = 7
+	buckets    = 1 << bucketBits
+)
+
+// Gates are an entry node's gates for all services. The zero value is ready. It
+// is not safe for concurrent use.
+type Gates struct {
+	gates map[coltsfootward.ServiceName]*gate
+	// reach says which services requests of a class need, and when an answer
+	// said so last.
+	reach map[coltsfootward.RouteName]map[coltsfootward.ServiceName]time.Duration
+	next  time.Duration
+}
+
+// gate is what is known of one service.
+type gate struct {
+	// effective is the part let pass that the present ratio is the effect of.
+	effective float64
+	ratio     float64
+	heard     time.Duration
+	known     bool
+	passed    float64
+	demand    [buckets]float64
+	// limit is the rank above which requests are refused.
+	limit uint32
+	// told is the part that was let pass when the gate was last told of.
+	told float64
+}
+
+// Moved is a gate that has moved.
+type Moved struct {
+	Service coltsfootward.ServiceName
+	// Ratio is how much is offered to the service in proportion to what it serves
+	// well, and Age how old that is.
+	Ratio float64
+	Age   time.Duration
+	// Passed is the part of the demand that is let pass.
+	Passed float64
+}
+
+// toldStep is by how much a gate must have moved to be told of.
+const toldStep = 0.1
+
+// Moved returns the gates that have moved much since they were last told of, in
+// the order of their services.
+func (g *Gates) Moved(now time.Duration) []Moved {
+	var moved []Moved
+	for _, service := range slices.Sorted(maps.Keys(g.gates)) {
+		known := g.gates[service]
+		step := math.Abs(known.passed - known.told)
+		if step < toldStep && (known.passed < 1 || step == 0) {
+			continue
+		}
+		known.told = known.passed
+		moved = append(moved, Moved{Service: service, Ratio: known.ratio, Age: now - known.heard, Passed: known.passed})
+	}
+	return moved
+}
+
+func (g *Gates) gate(service coltsfootward.ServiceName) *gate {
+	if g.gates == nil {
+		g.gates = make(map[coltsfootward.ServiceName]*gate)
+	}
+	known, ok := g.gates[service]
+	if !ok {
+		known = &gate{passed: 1, effective: 1, told: 1, limit: math.MaxUint32}
+		g.gates[service] = known
+	}
+	return known
+}
+
+// Report takes in how full a service is, as an answer to a request of the class
+// told.
+func (g *Gates) Report(now time.Duration, class coltsfootward.RouteName, service coltsfootward.ServiceName, ratio float64) {
+	if g.reach == nil {
+		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]time.Duration)
+	}
+	needs, ok := g.reach[class]
+	if !ok {
+		needs = make(map[coltsfootward.ServiceName]time.Duration)
+		g.reach[class] = needs
+	}
+	needs[service] = now
+	g.gate(service).report(now, ratio)
+}
+
+func (g *gate) report(now time.Duration, ratio float64) {
+	if !g.known || now-g.heard > ratioLife {
+		g.ratio = ratio
+	}
+	g.known = true
+	g.heard = now
+	g.ratio += ratioWeight * (ratio - g.ratio)
+}
+
+// Reported is how full a service is.
+type Reported struct {
+	Service coltsfootward.ServiceName
+	Ratio   float64
+}
+
+// Below returns how full the services are that requests of the classes need, for
+// an answer to tell.
+func (g *Gates) Below(now time.Duration, classes []coltsfootward.RouteName) []Reported {
+	var found []Reported
+	seen := make(map[coltsfootward.ServiceName]bool)
+	for _, class := range classes {
+		needs := g.reach[class]
+		for _, service := range slices.Sorted(maps.Keys(needs)) {
+			if seen[service] || now-needs[service] > reachLife {
+				continue
+			}
+			seen[service] = true
+			found = append(found, Reported{Service: service, Ratio: g.gate(service).current(now)})
+		}
+	}
+	return found
+}
+
+func (g *gate) current(now time.Duration) float64 {
+	if !g.known || now-g.heard > ratioLife {
+		return 0
+	}
+	return g.ratio
+}
+
+// Admit counts a request and reports whether it is to be let pass; if not, it
+// names the service that has no room for it.
+func (g *Gates) Admit(now time.Duration, class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
+	var full coltsfootward.ServiceName
+	for service, at := range g.reach[class] {
+		if now-at > reachLife {
+			delete(g.reach[class], service)
+			continue
+		}
+		known := g.gate(service)
+		known.demand[bucketOf(rank)]++
+		if rank > known.limit {
+			full = service
+		}
+	}
+	return full, full == ""
+}
+
+func bucketOf(rank uint32) int {
+	return int(min(rank>>(rankBits-bucketBits), buckets-1))
+}
+
+// Tick sets the gates anew at the end of each interval.
+func (g *Gates) Tick(now time.Duration) {
+	if now < g.next {
+		return
+	}
+	g.next = now + gateInterval
+	for _, known := range g.gates {
+		known.set(now)
+	}
+}
+
+// set moves the part of the demand that is let pass towards what the service has
+// room for, and finds the rank up to which the demand is that part.
+func (g *gate) set(now time.Duration) {
+	if !g.known || now-g.heard > ratioLife {
+		g.passed = min(1, g.passed*staleRise)
+	} else {
+		wanted := min(g.effective/max(g.ratio, lowestRatio), 1)
+		g.passed += gateStep * (wanted - g.passed)
+	}
+	g.passed = max(g.passed, leastPassed)
+	g.effective += gateInterval.Seconds() / gateLag.Seconds() * (g.passed - g.effective)
+	g.limit = g.rankAt(g.passed)
+	for i := range g.demand {
+		g.demand[i] *= demandFade
+	}
+}
+
+// rankAt returns the rank below which the given part of the demand lies.
+func (g *gate) rankAt(part float64) uint32 {
+	if part >= 1 {
+		return math.MaxUint32
+	}
+	total := 0.0
+	for _, n := range g.demand {
+		total += n
+	}
+	wanted := part * total
+	for i, n := range g.demand {
+		if n > wanted {
+			width := float64(uint32(1) << (rankBits - bucketBits))
+			return uint32((float64(i) + wanted/n) * width)
+		}
+		wanted -= n
+	}
+	return math.MaxUint32
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -14,6 +14,8 @@
 	NodeStarted         Code = 101
 	NodeDraining        Code = 102
 	NodeStopped         Code = 103
+	SettingsRead        Code = 104
+	SettingsRefused     Code = 105
 	RequestRefused      Code = 201
 	AttemptFailed       Code = 202
 	BackendAnnounced    Code = 301
@@ -24,6 +26,7 @@
 	BackendLost         Code = 306
 	BackendFound        Code = 307
 	HeartbeatRefused    Code = 308
+	GateMoved           Code = 309
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -64,6 +67,8 @@
 		{NodeStarted, "node_started", "info", "The node runs."},
 		{NodeDraining, "node_draining", "info", "The node takes no new work and finishes what runs."},
 		{NodeStopped, "node_stopped", "info", "The node has finished all work and exits."},
+		{SettingsRead, "settings_read", "info", "The settings file was read anew. The log level is in force; other changes wait for the next start."},
+		{SettingsRefused, "settings_refused", "error", "The settings file could not be read or is wrong; the settings in force stay. Correct the file."},
 		{RequestRefused, "request_refused", "debug", "A request was answered with a refusal; kind and execution say which."},
 		{AttemptFailed, "attempt_failed", "debug", "An attempt ended without an answer; the request may be attempted again."},
 		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
@@ -74,6 +79,7 @@
 		{BackendLost, "backend_lost", "warn", "Nothing listens at the backend server's address; it gets no work until it announces itself again."},
 		{BackendFound, "backend_found", "info", "A node that has just started found its backend server by a health check."},
 		{HeartbeatRefused, "heartbeat_refused", "warn", "A heartbeat was not of the backend server beside the node, or of an earlier start of it."},
+		{GateMoved, "gate_moved", "info", "The node lets another part of the demand for a service pass; ratio is what is offered to the service in proportion to what it serves well, age how old that is."},
 		{RevisionInForce, "revision_in_force", "info", "The node applied changes of the configuration up to this revision."},
 		{KeyWithdrawn, "key_withdrawn", "info", "A key stopped working at this node."},
 		{KeysStopped, "keys_stopped", "error", "The node has been cut off from the platform and from most failure domains for longer than its grace; it honours no key until it hears of them again. Mend the network."},
