Repeat what backend servers reject within a share of the requests, callers' own first

Binds: a request of eight calls that are each rejected half of the time is hardly ever served within a fifth of repeats.

--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -59,7 +59,7 @@
 			func(s *Settings) *int { return &s.Node.Slots }),
 		duration("rate.configuration_spread", "How long a change of the configuration may take to reach every instance; a raised part of a rate waits for it.", time.Second, time.Minute,
 			func(s *Settings) *time.Duration { return &s.Node.ConfigurationSpread }),
-		fraction("retries.share", "How many retries each answered request allows one instance.", 0, 1,
+		fraction("retries.share", "What all repeats at a service may be of its requests; hosted deployments only.", 0, 1,
 			func(s *Settings) *float64 { return &s.Node.RetryShare }),
 		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
 			func(s *Settings) *float64 { return &s.Node.RetryCapacity }),
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -74,6 +74,10 @@
 	// ownAttempts is set if budget bounds the backend servers that this request
 	// is sent to, and not the attempts of the whole chain.
 	ownAttempts bool
+	// seenBy lists the backend servers that have seen the request, and sends is
+	// how often they have.
+	seenBy []coltsfootward.InstanceID
+	sends  int
 	// hops counts the attempts of the request, those that no backend server saw
 	// included.
 	hops int
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootward"
@@ -19,7 +20,9 @@
 
 // admitted starts an attempt that the organisation's rate allows.
 func (p *entryPart) admitted(call *entryCall, granted admission) {
-	call.admission = granted
+	if !call.metered {
+		call.admission = granted
+	}
 	now := p.node.now.Expiry
 	if now >= call.deadline {
 		p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started"))
@@ -30,7 +33,7 @@
 			WithRetryAfter(p.node.spreadRetryAfter()))
 		return
 	}
-	target, ok := p.node.placement.choose(call)
+	target, ok := p.target(call)
 	if !ok {
 		p.giveUp(call, p.noTarget(call))
 		return
@@ -39,6 +42,9 @@
 	call.running = true
 	call.hops++
 	call.metered = call.ownAttempts
+	if call.ownAttempts && call.hops == 1 {
+		p.node.placement.requested(call)
+	}
 	p.node.placement.sent(call)
 	head := call.head
 	call.carried = p.node.ledger.carry(call)
@@ -96,6 +102,10 @@
 		field("instance", string(call.target)), field("kind", string(refused.Kind)))
 	call.last = refused
 	call.tried[call.target] = true
+	if !unseen {
+		call.sends++
+		call.noteSeen(call.target)
+	}
 	p.node.ledger.topUp(call)
 	if p.mayRetry(call, refused, unseen) {
 		p.attempt(call)
@@ -104,9 +114,44 @@
 	p.finish(call, refused)
 }
 
+// mayRepeat decides for a routed request. Its attempts bound the backend servers
+// that see it; one of them that has rejected it may be asked again, since a server
+// that rejects at random serves the next try as likely as not.
+func (p *entryPart) mayRepeat(call *entryCall, refused coltsfootward.Refusal, unseen bool) bool {
+	if refused.Final || p.node.now.Expiry >= call.deadline || !repeatable(call, refused) {
+		return false
+	}
+	if unseen {
+		return call.hops < maximumHops
+	}
+	rejected := refused.Execution == coltsfootward.ExecutionNotRun
+	if call.sends >= maximumSends || !rejected && len(call.seenBy) >= call.budget {
+		return false
+	}
+	return p.node.placement.mayRepeat(call)
+}
+
+// target returns where the next attempt goes.
+func (p *entryPart) target(call *entryCall) (coltsfootward.Instance, bool) {
+	if call.ownAttempts && len(call.seenBy) >= call.budget {
+		return p.node.placement.again(call)
+	}
+	return p.node.placement.choose(call)
+}
+
+// noteSeen notes that a backend server has seen the call.
+func (c *entryCall) noteSeen(id coltsfootward.InstanceID) {
+	if !slices.Contains(c.seenBy, id) {
+		c.seenBy = append(c.seenBy, id)
+	}
+}
+
 // settleAdmission gives back what an attempt did not spend. An attempt that
 // may have started has spent its admission, whatever became of it.
 func (p *entryPart) settleAdmission(call *entryCall, e AttemptEnded) {
+	if call.ownAttempts {
+		return // charged once; finish gives back what never ran
+	}
 	spent := e.Kind == AttemptLost || (e.Kind == AttemptRefused && e.Refusal.Execution != coltsfootward.ExecutionNotRun)
 	if !spent {
 		p.node.rate.release(call.head.Organisation, call.admission)
@@ -147,15 +192,15 @@
 // backend server saw costs none of them anything, so another one draws on no
 // allowance, but there are only few, as each is a hop under load.
 func (p *entryPart) mayRetry(call *entryCall, refused coltsfootward.Refusal, unseen bool) bool {
+	if call.ownAttempts {
+		return p.mayRepeat(call, refused, unseen)
+	}
 	if refused.Final || !call.mayRetry || !p.node.ledger.enough(call) {
 		return false
 	}
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
-	if call.ownAttempts && unseen {
-		return repeatable(call, refused) && call.hops < maximumHops
-	}
 	return repeatable(call, refused) && p.node.placement.mayRetry(call.head.Service)
 }
 
@@ -164,6 +209,10 @@
 // in a row mean that most are full.
 const maximumHops = 3
 
+// maximumSends bounds how often backend servers see one routed request. A server
+// that rejects half of what it gets serves 94 in 100 within four.
+const maximumSends = 4
+
 func repeatable(call *entryCall, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -28,6 +28,9 @@
 	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 	}
+	if call.ownAttempts && r.Execution == coltsfootward.ExecutionNotRun {
+		p.node.rate.release(call.head.Organisation, call.admission)
+	}
 	if call.claim != nil {
 		p.node.claims.ended(call, r.Execution, nil)
 	}
--- a/core/node/ledger.go
+++ b/core/node/ledger.go
@@ -66,9 +66,6 @@
 // that begins with less than the service needs fails deeper down, after work
 // has been spent on it.
 func (p *ledgerPart) enough(call *entryCall) bool {
-	if call.ownAttempts {
-		return call.attempts < call.budget
-	}
 	return call.budget-call.attempts >= p.forecast.Need(call.head.Service)
 }
 
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -53,8 +53,8 @@
 	// ConfigurationSpread is how long a change of the configuration may take to
 	// reach every holder of a slot. The default is the target's 13 s.
 	ConfigurationSpread time.Duration
-	// RetryShare is how many retries each answered request allows; the default
-	// is retry.Ratio.
+	// RetryShare is what all repeats at a service of a routed deployment may be
+	// of its requests; the default is retry.Ratio.
 	RetryShare float64
 	// RetryCapacity is how many retries for one service all nodes of a routed
 	// deployment together may save up. The default is 48.
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -24,6 +24,8 @@
 type servicePool struct {
 	pool    *placement.Pool
 	retries retry.Allowance
+	// budget takes the place of retries in a routed deployment.
+	budget retry.Budget
 	// shedding is when shedding at entry began, shed when it last happened.
 	shedding, shed time.Duration
 }
@@ -46,7 +48,6 @@
 		s = &servicePool{pool: placement.NewPool(p.node.options.Self, p.reachable)}
 		p.pools[name] = s
 	}
-	s.retries.Options = p.retryOptions()
 	return s
 }
 
@@ -149,15 +150,37 @@
 	return p.service(service).retries.Take(p.node.now.Monotonic)
 }
 
-// retryOptions returns this node's part of what the fleet may retry. The
-// capacity is divided by the nodes, so that it holds for all of them together
-// without any agreement.
-func (p *placementPart) retryOptions() retry.Options {
-	o := p.node.options
-	if !o.Routed {
-		return retry.Options{Share: o.RetryShare}
+// requested counts a routed request's first attempt towards what may be repeated.
+func (p *placementPart) requested(call *entryCall) {
+	s := p.service(call.head.Service)
+	s.budget.Share = p.node.options.RetryShare
+	s.budget.Saved = p.node.options.RetryCapacity / float64(max(p.node.membership.machine.Size(), 1))
+	s.budget.Requested(p.node.now.Monotonic, p.retryKind(call))
+}
+
+// mayRepeat reports whether a routed request may be sent once more, and counts
+// that if so.
+func (p *placementPart) mayRepeat(call *entryCall) bool {
+	return p.service(call.head.Service).budget.Take(p.retryKind(call))
+}
+
+func (p *placementPart) retryKind(call *entryCall) retry.Kind {
+	above := p.node.gates.Needs(call.head.Route) > 1
+	switch {
+	case call.head.Depth == 0 && !above:
+		return retry.KindCaller
+	case call.head.Depth == 0:
+		return retry.KindCallerAbove
+	case !above:
+		return retry.KindCall
+	default:
+		return retry.KindCallAbove
 	}
-	return retry.Options{Share: o.RetryShare, Capacity: o.RetryCapacity / float64(max(p.node.membership.machine.Size(), 1)), Bounded: true}
+}
+
+// again returns a backend server that has seen the call and rejected it.
+func (p *placementPart) again(call *entryCall) (coltsfootward.Instance, bool) {
+	return p.service(call.head.Service).pool.Instance(call.seenBy[0])
 }
 
 // shed reports whether every upstream of the service sheds the call.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// Instance returns where a backend server of the pool runs.
+func (p *Pool) Instance(id coltsfootward.InstanceID) (coltsfootward.Instance, bool) {
+	u, ok := p.upstreams[id]
+	if !ok {
+		return coltsfootward.Instance{}, false
+	}
+	return u.instance, true
+}
+
 // Suspect says whether a backend server's node is suspected to be gone. It gets
 // no request then as long as there are others.
 func (p *Pool) Suspect(id coltsfootward.InstanceID, suspected bool) {
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -171,6 +171,10 @@
 	return g.ratio
 }
 
+// Needs returns how many services a class of requests needs, the one that it goes
+// to included, as far as answers have told.
+func (g *Gates) Needs(class coltsfootward.RouteName) int { return len(g.reach[class]) }
+
 // Admit counts a request and reports whether it is to be let pass; if not, it
 // names the service that has no room for it.
 func (g *Gates) Admit(now time.Duration, class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -17,32 +17,6 @@
 	floorPerSecond = 1.0
 )
 
-// Options bound the retries of one node for one service. The zero value means
-// the package's constants.
-type Options struct {
-	// Share is how many retries each success allows; zero means Ratio.
-	Share float64
-	// Capacity is how many may be saved up; zero means the constant Capacity.
-	Capacity float64
-	// Bounded is set if the node's part of the fleet's retries must not be
-	// exceeded: nothing is allowed without a success then.
-	Bounded bool
-}
-
-func (o Options) share() float64 {
-	if o.Share > 0 {
-		return o.Share
-	}
-	return Ratio
-}
-
-func (o Options) capacity() float64 {
-	if o.Capacity > 0 {
-		return o.Capacity
-	}
-	return Capacity
-}
-
 // Allowance says how many retries a service may get from one node. The zero
 // value is full. It is not safe for concurrent use.
 //
@@ -50,9 +24,6 @@
 // a bound each request would come back several times, and the load grows by
 // that factor just when capacity is short.
 type Allowance struct {
-	// Options may change at any time.
-	Options Options
-
 	started bool
 	tokens  float64
 	filled  time.Duration
@@ -61,7 +32,7 @@
 // Succeeded counts a request that was answered.
 func (a *Allowance) Succeeded(now time.Duration) {
 	a.fill(now)
-	a.tokens = min(a.Options.capacity(), a.tokens+a.Options.share())
+	a.tokens = min(Capacity, a.tokens+Ratio)
 }
 
 // Take reports whether one more retry is allowed, and counts it if so.
@@ -77,10 +48,8 @@
 func (a *Allowance) fill(now time.Duration) {
 	if !a.started {
 		a.started = true
-		a.tokens = a.Options.capacity()
-	}
-	if !a.Options.Bounded {
-		a.tokens = min(a.Options.capacity(), a.tokens+floorPerSecond*max(now-a.filled, 0).Seconds())
+		a.tokens = Capacity
 	}
+	a.tokens = min(Capacity, a.tokens+floorPerSecond*max(now-a.filled, 0).Seconds())
 	a.filled = now
 }
