--- /dev/null
+++ b/io/caller/server_test.go
@@ -0,0 +1,242 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/io/caller"
+)
+
+const serverWait = 5 * time.Second
+
+// serve runs a server for the handler and returns a connection to it.
+func serve(t *testing.T, handler http.HandlerFunc, options caller.ServerOptions) (*caller.Server, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := caller.NewServer(handler, options)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		_ = server.Serve(listener) // it ends with the test
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Shutdown(ctx) // connections that the test left open are cut
+		<-finished
+	})
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(serverWait)); err != nil {
+		t.Fatal(err)
+	}
+	return server, c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive returns an answer's status and body and whether it ends the connection.
+func receive(t *testing.T, r *bufio.Reader) (int, string, bool) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body), response.Close
+}
+
+func getLine(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: quotes.example\r\n\r\n" }
+
+func eager(*http.Request) bool { return true }
+
+// A caller sends three requests at once, and the first takes longest. The others
+// run beside it, yet the answers come in the order of the requests: in another
+// one the caller would take each for the answer to another request.
+func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
+	first := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-first
+		}
+		if r.URL.Path == "/3" {
+			close(first)
+		}
+		fmt.Fprint(w, r.URL.Path)
+	}
+	_, c := serve(t, handler, caller.ServerOptions{Eager: eager})
+	send(t, c, getLine("/1")+getLine("/2")+getLine("/3"))
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		if status, body, _ := receive(t, r); status != http.StatusOK || body != want {
+			t.Fatalf("got %d %q, want 200 %q", status, body, want)
+		}
+	}
+}
+
+// A request that must not run twice lies behind one whose answer closes the
+// connection. The caller sends it again, so it must not have run here.
+func TestUnrepeatableWaitsForItsTurn(t *testing.T) {
+	ran := make(chan string, 2)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		ran <- r.URL.Path
+		time.Sleep(50 * time.Millisecond)
+		fmt.Fprint(w, r.URL.Path)
+	}
+	_, c := serve(t, handler, caller.ServerOptions{})
+	send(t, c, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	r := bufio.NewReader(c)
+	if _, body, closes := receive(t, r); body != "/1" || !closes {
+		t.Fatalf("got %q, closing %v, want /1 and true", body, closes)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("got %v behind the last answer, want the end of the connection", err)
+	}
+	if got := len(ran); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// A caller leaves while a further request of its lies unread behind the one in
+// service. The handler must hear of it at once: whatever works for a caller that
+// has gone is lost to those that wait.
+func TestLeavingIsNoticedBehindUnreadRequests(t *testing.T) {
+	left := make(chan struct{})
+	began := make(chan struct{})
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/1" {
+			return
+		}
+		close(began)
+		<-r.Context().Done()
+		close(left)
+	}
+	_, c := serve(t, handler, caller.ServerOptions{})
+	send(t, c, getLine("/1")+getLine("/2"))
+	<-began
+	c.Close()
+	select {
+	case <-left:
+	case <-time.After(serverWait):
+		t.Error("the handler did not hear that the caller left")
+	}
+}
+
+// An answer that breaks off must not look whole, whichever way its end shows.
+func TestBrokenAnswerDoesNotLookWhole(t *testing.T) {
+	for _, length := range []string{"", "100"} {
+		handler := func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			fmt.Fprint(w, "half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, c := serve(t, handler, caller.ServerOptions{})
+		send(t, c, getLine("/"))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err == nil {
+			t.Errorf("length %q: the answer looks whole", length)
+		}
+	}
+}
+
+// Bad requests get their own status and end the connection, since nobody knows
+// where the next request begins.
+func TestBadRequestsAreRefused(t *testing.T) {
+	limits := func() coltsfootward.Limits {
+		return coltsfootward.Limits{HeaderBytes: 1 << 10, BodyBytes: 8, HeaderTimeout: 200 * time.Millisecond}
+	}
+	tests := []struct {
+		name, text string
+		status     int
+	}{
+		{"no protocol", "hello\r\n\r\n", http.StatusBadRequest},
+		{"large header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 9<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"large body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n123456789", http.StatusRequestEntityTooLarge},
+		{"large chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"slow header", "GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			handler := func(http.ResponseWriter, *http.Request) { t.Error("the handler ran") }
+			_, c := serve(t, handler, caller.ServerOptions{Limits: limits})
+			send(t, c, test.text)
+			r := bufio.NewReader(c)
+			if status, _, closes := receive(t, r); status != test.status || !closes {
+				t.Errorf("got %d, closing %v, want %d and true", status, closes, test.status)
+			}
+		})
+	}
+}
+
+// A planned stop ends idle connections at once and lets those in hand have their
+// answers, with which they close.
+func TestShutdownCutsNobodyOff(t *testing.T) {
+	began := make(chan struct{})
+	end := make(chan struct{})
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-end
+		fmt.Fprint(w, "whole")
+	}
+	server, c := serve(t, handler, caller.ServerOptions{})
+	send(t, c, getLine("/"))
+	<-began
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(end)
+	_, body, closes := receive(t, bufio.NewReader(c))
+	if body != "whole" || !closes {
+		t.Errorf("got %q, closing %v, want whole and true", body, closes)
+	}
+	c.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
+// A body of unknown length comes whole, in chunks.
+func TestBodyOfUnknownLength(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		fmt.Fprint(w, string(body), "|")
+		w.(http.Flusher).Flush()
+		fmt.Fprint(w, "end")
+	}
+	_, c := serve(t, handler, caller.ServerOptions{})
+	send(t, c, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	if _, body, _ := receive(t, bufio.NewReader(c)); body != "abc|end" {
+		t.Errorf("got %q, want abc|end", body)
+	}
+}
