--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -62,6 +62,8 @@
 type Controller struct {
 	limiter *Limiter
 	shedder *Shedder
+	// patient lets deep requests wait like fresh ones.
+	patient bool
 	queue   Queue
 	running map[RequestID]service
 	refused []Refused
@@ -94,6 +96,12 @@
 // with that of the services below, and fewer requests at once do not help those.
 func (c *Controller) FixLimit() { c.limiter.fixed = true }
 
+// LetDeepWait lets deep requests wait as long as fresh ones. It is for
+// deployments that refuse at the entry what a deep service has no room for: what
+// comes all the same is a swing that passes, and a request of ten calls of which
+// one in twenty is refused fails four times in ten, with all its work lost.
+func (c *Controller) LetDeepWait() { c.patient = true }
+
 // SetSlots changes the number of slots that the server announces.
 func (c *Controller) SetSlots(slots int) { c.limiter.SetSlots(slots) }
 
@@ -226,7 +234,7 @@
 			return ReasonDeadline
 		case r.StartBy > 0 && now >= r.StartBy:
 			return ReasonStartBy
-		case now-r.Arrived > waitOf(r, standing):
+		case now-r.Arrived > c.waitOf(r, standing):
 			return ReasonWaited
 		default:
 			return ""
@@ -238,8 +246,8 @@
 }
 
 // waitOf returns how long a request may wait.
-func waitOf(r Request, standing bool) time.Duration {
-	if !r.Deep {
+func (c *Controller) waitOf(r Request, standing bool) time.Duration {
+	if !r.Deep || c.patient {
 		return time.Duration(freshWait * float64(r.Deadline-r.Arrived))
 	}
 	if standing {
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -90,6 +91,7 @@
 	p.node.placement.observe(call, e)
 	if e.Kind == AttemptAnswered {
 		call.answered = true
+		p.callEnded(call, e.Status >= http.StatusInternalServerError)
 		return
 	}
 	call.attempts += attemptsUsed(call, e)
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -25,6 +25,7 @@
 // have run, a later one that certainly did not makes nothing undone.
 func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal) {
 	delete(p.calls, call.id)
+	p.callEnded(call, true)
 	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 	}
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -159,7 +159,7 @@
 	if call.head.Depth > 0 {
 		return false
 	}
-	full, passed := p.node.gates.Admit(p.node.now.Monotonic, call.head.Route, call.head.ShedRank)
+	full, passed := p.node.gates.Admit(call.head.Route, call.head.ShedRank)
 	if passed {
 		return false
 	}
@@ -168,6 +168,13 @@
 	return true
 }
 
+// callEnded notes how a further call of the local backend server ended.
+func (p *entryPart) callEnded(call *entryCall, failed bool) {
+	if call.ownAttempts && call.head.Depth > 0 {
+		p.node.callees.CallEnded(failed)
+	}
+}
+
 // moveGates sets the gates and tells of those that have moved.
 func (p *entryPart) moveGates() {
 	now := p.node.now.Monotonic
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -143,6 +143,8 @@
 type DispatchEnded struct {
 	Call CallID
 	Kind DispatchKind
+	// Failed is set if the upstream's answer says that it failed.
+	Failed bool
 }
 
 // MessageArrived brings a peer's message.
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -6,6 +6,7 @@
 	"coltsfootward"
 	"coltsfootward/core/message"
 	"coltsfootward/core/placement"
+	"coltsfootward/core/pressure"
 	"coltsfootward/core/retry"
 )
 
@@ -133,11 +134,11 @@
 	if call.head.Route == "" {
 		return
 	}
-	now := p.node.now.Monotonic
-	p.node.gates.Report(now, call.head.Route, call.head.Service, load.Offered)
+	told := []pressure.Reported{{Service: call.head.Service, Ratio: load.Offered}}
 	for _, below := range load.Below {
-		p.node.gates.Report(now, call.head.Route, below.Service, below.Offered)
+		told = append(told, pressure.Reported{Service: below.Service, Ratio: below.Offered})
 	}
+	p.node.gates.Answered(p.node.now.Monotonic, call.head.Route, told)
 }
 
 func kindOf(call *entryCall) placement.Kind {
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -52,6 +52,7 @@
 	p := &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
 	if n.options.Routed {
 		p.admission.FixLimit()
+		p.admission.LetDeepWait()
 	}
 	return p
 }
@@ -223,7 +224,7 @@
 	}
 	p.node.ledger.close(call)
 	if call.head.Route != "" {
-		p.node.callees.Ended(p.node.now.Monotonic, call.head.Route)
+		p.node.callees.Ended(p.node.now.Monotonic, call.head.Route, e.Failed)
 	}
 	if e.Kind == DispatchUnsent {
 		p.admission.Unsent(admissioncontrol.RequestID(call.id))
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -21,9 +21,24 @@
 	// as one that makes them, and calleeRuns how many requests must have been seen.
 	calleeLeast = 0.3
 	calleeRuns  = 10.0
+	// calleeShare is the part of all calls to a route that a class must make.
+	// Below it refusing the class would hardly relieve the service, and what the
+	// fit gives to such a class is mostly chance.
+	calleeShare = 0.1
 	// calleeSteps is how often the solution is improved; a few classes settle
 	// within twenty.
 	calleeSteps = 40
+	// A class of which many requests ended while further calls failed, and of
+	// whose own hardly any failed, makes none: evidenceLeast is how many failures
+	// there should have been, evidenceShare the part of them that there must be,
+	// evidenceFrom the part of all calls that must fail for the evidence to count.
+	evidenceLeast = 3.0
+	evidenceShare = 0.3
+	evidenceFrom  = 0.05
+	// evidenceFade is what remains of the evidence with each request.
+	evidenceFade = 0.998
+	// failedWeight is the weight of the newest call in the part that fails.
+	failedWeight = 0.02
 	// maximumClasses bounds the classes that are told apart; the sums grow with
 	// their square. Later ones are taken to make no calls.
 	maximumClasses = 32
@@ -34,7 +49,11 @@
 // the calls, and for how long requests of each class were in service. The calls
 // per time in service that fit these counts best, none of them negative, are the
 // classes' own: least squares, each window weighted by the inverse of its total,
-// as for counts of events that come at random. The zero value is ready. It is not
+// as for counts of events that come at random.
+//
+// With much in service at once the fit is uncertain. Where further calls fail it
+// does not matter, and there a second look decides: a request of a class that
+// makes such calls fails as often as they do. The zero value is ready. It is not
 // safe for concurrent use.
 type Callees struct {
 	index map[coltsfootward.RouteName]int
@@ -45,6 +64,8 @@
 	at       time.Duration
 	began    time.Duration
 	solved   time.Duration
+	// failing is the part of the further calls that have failed of late.
+	failing float64
 }
 
 // calls is what is known of one class.
@@ -55,6 +76,9 @@
 	// window is the time in service in the present window, total that of all
 	// windows, both in seconds summed over the requests.
 	window, total float64
+	// expected is how many requests should have failed if the class made calls,
+	// failed how many did.
+	expected, failed float64
 }
 
 // callee is what is known of the calls to one route.
@@ -141,11 +165,33 @@
 	k.runs++
 }
 
-// Ended counts one that ended it.
-func (c *Callees) Ended(now time.Duration, class coltsfootward.RouteName) {
+// Ended counts one that ended it, and whether the backend server failed it.
+func (c *Callees) Ended(now time.Duration, class coltsfootward.RouteName, failed bool) {
 	c.advance(now)
 	k := c.class(class)
 	k.running = max(k.running-1, 0)
+	if c.failing < evidenceFrom {
+		return
+	}
+	k.expected = k.expected*evidenceFade + c.failing
+	k.failed *= evidenceFade
+	if failed {
+		k.failed++
+	}
+}
+
+// CallEnded counts the end of a further call, and whether it failed.
+func (c *Callees) CallEnded(failed bool) {
+	c.failing -= failedWeight * c.failing
+	if failed {
+		c.failing += failedWeight
+	}
+}
+
+// spared reports whether the class has been seen not to suffer from calls that
+// failed.
+func (k *calls) spared() bool {
+	return k.expected >= evidenceLeast && k.failed < evidenceShare*k.expected
 }
 
 // Called counts a further call.
@@ -176,15 +222,28 @@
 		c.solve()
 	}
 	k := c.list[i]
+	if k.spared() {
+		return nil
+	}
 	var found []coltsfootward.RouteName
 	for _, route := range slices.Sorted(maps.Keys(c.made)) {
-		if c.made[route].rates[i]*k.total/k.runs >= calleeLeast {
+		own := c.made[route].rates[i] * k.total
+		if own/k.runs >= calleeLeast && own >= calleeShare*c.all(c.made[route]) {
 			found = append(found, route)
 		}
 	}
 	return found
 }
 
+// all returns how many calls to a route the fit gives to all classes.
+func (c *Callees) all(m *callee) float64 {
+	sum := 0.0
+	for i, k := range c.list {
+		sum += m.rates[i] * k.total
+	}
+	return sum
+}
+
 // solve finds the rates by improving one class's at a time.
 func (c *Callees) solve() {
 	for _, m := range c.made {
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -39,9 +39,14 @@
 	// demandFade is what remains of the demand's counts from one interval to the
 	// next: they reach back two seconds.
 	demandFade = 0.9
-	// reachLife is how long a class is held to need a service after an answer has
-	// said so.
-	reachLife = 30 * time.Second
+	// reachWeight is the weight of the newest answer in the share of answers that
+	// name a service. A class needs a service that reachLeast of them name; one that
+	// reachForget or fewer name is forgotten. A service named for the first time
+	// starts at reachFirst, so that a few more answers decide.
+	reachWeight = 0.1
+	reachLeast  = 0.5
+	reachForget = 0.05
+	reachFirst  = 0.3
 	// rankBits is how many bits a shed rank has, bucketBits how many of them
 	// choose a bucket of the demand.
 	rankBits   = 30
@@ -53,9 +58,9 @@
 // is not safe for concurrent use.
 type Gates struct {
 	gates map[coltsfootward.ServiceName]*gate
-	// reach says which services requests of a class need, and when an answer
-	// said so last.
-	reach map[coltsfootward.RouteName]map[coltsfootward.ServiceName]time.Duration
+	// reach says which part of the answers to requests of a class name a service
+	// as needed.
+	reach map[coltsfootward.RouteName]map[coltsfootward.ServiceName]float64
 	next  time.Duration
 }
 
@@ -116,19 +121,29 @@
 	return known
 }
 
-// Report takes in how full a service is, as an answer to a request of the class
-// told.
-func (g *Gates) Report(now time.Duration, class coltsfootward.RouteName, service coltsfootward.ServiceName, ratio float64) {
+// Answered takes in what an answer to a request of the class told: how full the
+// services are that such requests need. The nodes of a service learn by themselves
+// what is needed, and not all at once; what most answers name counts.
+func (g *Gates) Answered(now time.Duration, class coltsfootward.RouteName, told []Reported) {
 	if g.reach == nil {
-		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]time.Duration)
+		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]float64)
 	}
 	needs, ok := g.reach[class]
 	if !ok {
-		needs = make(map[coltsfootward.ServiceName]time.Duration)
+		needs = make(map[coltsfootward.ServiceName]float64)
 		g.reach[class] = needs
 	}
-	needs[service] = now
-	g.gate(service).report(now, ratio)
+	for service, share := range needs {
+		needs[service] = share * (1 - reachWeight)
+	}
+	for _, r := range told {
+		if _, known := needs[r.Service]; !known {
+			needs[r.Service] = reachFirst
+		}
+		needs[r.Service] += reachWeight
+		g.gate(r.Service).report(now, r.Ratio)
+	}
+	maps.DeleteFunc(needs, func(_ coltsfootward.ServiceName, share float64) bool { return share < reachForget })
 }
 
 func (g *gate) report(now time.Duration, ratio float64) {
@@ -154,7 +169,7 @@
 	for _, class := range classes {
 		needs := g.reach[class]
 		for _, service := range slices.Sorted(maps.Keys(needs)) {
-			if seen[service] || now-needs[service] > reachLife {
+			if seen[service] || needs[service] < reachLeast {
 				continue
 			}
 			seen[service] = true
@@ -173,15 +188,22 @@
 
 // Needs returns how many services a class of requests needs, the one that it goes
 // to included, as far as answers have told.
-func (g *Gates) Needs(class coltsfootward.RouteName) int { return len(g.reach[class]) }
+func (g *Gates) Needs(class coltsfootward.RouteName) int {
+	needed := 0
+	for _, share := range g.reach[class] {
+		if share >= reachLeast {
+			needed++
+		}
+	}
+	return needed
+}
 
 // Admit counts a request and reports whether it is to be let pass; if not, it
 // names the service that has no room for it.
-func (g *Gates) Admit(now time.Duration, class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
+func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
 	var full coltsfootward.ServiceName
-	for service, at := range g.reach[class] {
-		if now-at > reachLife {
-			delete(g.reach[class], service)
+	for service, share := range g.reach[class] {
+		if share < reachLeast {
 			continue
 		}
 		known := g.gate(service)
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -47,7 +47,7 @@
 			c.Called(now, "deep")
 			continue
 		}
-		c.Ended(now, running[i].class)
+		c.Ended(now, running[i].class, false)
 		running = append(running[:i], running[i+1:]...)
 	}
 	if got := c.Of(now, "four"); len(got) != 1 {
@@ -61,6 +61,31 @@
 	}
 }
 
+// Two classes always run side by side, so that nothing but chance tells which of
+// them makes the calls. Then the calls begin to fail, and with them the requests of
+// one class only: the other one does not need the deep service.
+func TestFailuresTellWhoNeedsTheDeepService(t *testing.T) {
+	var c pressure.Callees
+	now := time.Duration(0)
+	for i := range 400 {
+		now += 50 * time.Millisecond
+		failing := i >= 200 && i%3 == 0
+		c.Began(now, "calls")
+		c.Began(now, "files")
+		c.Called(now, "deep")
+		now += 50 * time.Millisecond
+		c.CallEnded(failing)
+		c.Ended(now, "calls", failing)
+		c.Ended(now, "files", false)
+	}
+	if got := c.Of(now, "calls"); len(got) != 1 {
+		t.Errorf("calls: got %v, want deep", got)
+	}
+	if got := c.Of(now, "files"); len(got) != 0 {
+		t.Errorf("files: got %v, want nothing", got)
+	}
+}
+
 // plant is a deep service behind services that take lag to pass what the gate
 // lets through.
 type plant struct {
@@ -82,14 +107,14 @@
 		admitted := 0
 		for range perStep {
 			rank := uint32(1)<<28 | uint32(p.source.IntN(3))<<26 | p.source.Uint32N(1<<26)
-			if _, ok := p.gates.Admit(p.now, "quotes", rank); ok {
+			if _, ok := p.gates.Admit("quotes", rank); ok {
 				admitted++
 			}
 		}
 		p.gates.Tick(p.now)
 		p.passed = append(p.passed, demand*float64(admitted)/perStep)
 		if len(p.passed) > lag {
-			p.gates.Report(p.now, "quotes", "deep", p.passed[len(p.passed)-lag])
+			p.gates.Answered(p.now, "quotes", []pressure.Reported{{Service: "deep", Ratio: p.passed[len(p.passed)-lag]}})
 		}
 	}
 	sum := 0.0
@@ -129,7 +154,7 @@
 	const tries = 300
 	for class := range 3 {
 		for range tries {
-			if _, ok := p.gates.Admit(p.now, "quotes", uint32(1)<<28|uint32(class)<<26|p.source.Uint32N(1<<26)); ok {
+			if _, ok := p.gates.Admit("quotes", uint32(1)<<28|uint32(class)<<26|p.source.Uint32N(1<<26)); ok {
 				served[class]++
 			}
 		}
@@ -143,7 +168,7 @@
 func TestGateLeavesOtherClassesAlone(t *testing.T) {
 	p := &plant{source: rand.New(rand.NewPCG(7, 8))}
 	p.run(3, 5*time.Second)
-	if _, ok := p.gates.Admit(p.now, "files", math.MaxUint32>>2); !ok {
+	if _, ok := p.gates.Admit("files", math.MaxUint32>>2); !ok {
 		t.Error("a class that does not need the full service was refused")
 	}
 }
@@ -157,7 +182,7 @@
 		p.now += 100 * time.Millisecond
 		p.gates.Tick(p.now)
 	}
-	if _, ok := p.gates.Admit(p.now, "quotes", 1<<30-1); !ok {
+	if _, ok := p.gates.Admit("quotes", 1<<30-1); !ok {
 		t.Error("got a refusal 4 s after the last news, want none")
 	}
 }
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -167,6 +167,8 @@
 	pool    *pool
 	// stop ends the watch that closes the connection with the context.
 	stop func() bool
+	// failed is set if the answer says that the backend server failed.
+	failed bool
 	// keep is set once the connection may carry another request.
 	keep  bool
 	lives time.Duration
@@ -222,7 +224,7 @@
 
 // ended reports the end and whether no action of the machine follows it.
 func (d *dispatch) ended(kind node.DispatchKind) bool {
-	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind})
+	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind, Failed: d.failed})
 	return kind == node.DispatchCancelled || kind == node.DispatchTruncated
 }
 
@@ -330,6 +332,7 @@
 	}
 	d.keep = framed && !r.Close
 	d.lives = lives(r)
+	d.failed = r.StatusCode >= http.StatusInternalServerError
 	return nil
 }
 
