--- /dev/null
+++ b/cmd/endtoend/hosted_test.go
@@ -0,0 +1,312 @@
+package endtoend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootward/cmd/daemon"
+	"coltsfootward/cmd/settings"
+	"coltsfootward/standin/hosting"
+
+	"go.uber.org/zap"
+)
+
+// hostedNode is one node of a hosted deployment with its backend server.
+type hostedNode struct {
+	daemon  *daemon.Daemon
+	backend *hosting.Backend
+	callers string
+	ready   string
+}
+
+const hostedDocument = `{"version":"r%d","services":[{"name":"quotes","health_path":"/health","max_connections":20}],
+	"tenants":[{"name":"farm","api_keys":["farm-key"],"rate_per_s":1000,"burst":1000}],
+	"virtual_hosts":[{"host":"quotes.example","paths":[
+	{"name":"urea","prefix":"/urea/","kind":"idempotent","timeout":"2s","target_latency":"500ms","priority":1,"max_attempts":2,"service":"quotes"},
+	{"name":"order","prefix":"/order/","kind":"non_idempotent","timeout":"2s","target_latency":"500ms","priority":0,"max_attempts":2,"service":"quotes"}]}]}`
+
+// startHosted starts count nodes in two failure domains on one store.
+func startHosted(t *testing.T, count int) (*hosting.Store, []*hostedNode) {
+	t.Helper()
+	store := hosting.NewStore()
+	platform := httptest.NewServer(store)
+	t.Cleanup(platform.Close)
+	store.Write("op", "config", fmt.Appendf(nil, hostedDocument, 3))
+	var nodes []*hostedNode
+	for i := range count {
+		nodes = append(nodes, startHostedNode(t, i, platform.URL))
+	}
+	for _, n := range nodes {
+		waitHosted(t, "node is ready", func() bool { return statusOf(n.ready) == http.StatusOK })
+	}
+	waitHosted(t, "a request is served", func() bool { return ask(nodes[0], "GET", "/urea/first", "farm-key").status == http.StatusOK })
+	return store, nodes
+}
+
+func startHostedNode(t *testing.T, i int, platform string) *hostedNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	text := fmt.Sprintf(`
+[deployment]
+kind = "hosted"
+[instance]
+id = "node-%d"
+domain = %q
+domains = ["north", "south"]
+[listen]
+callers = "127.0.0.1:0"
+backend = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+[backend]
+address = %q
+service = "quotes"
+[platform]
+url = %q
+[stop]
+grace = "4s"
+notice = "300ms"
+`, i, []string{"north", "south"}[i%2], address, platform)
+	s, err := settings.Parse("node.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := daemon.New(s, zap.NewNop())
+	if err := d.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	addresses := d.Addresses()
+	backend := hosting.NewBackend(fmt.Sprintf("i-%d", i), "quotes", address, addresses.Backend, 4)
+	server := &http.Server{Handler: backend}
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve(listener) }) // it ends with the test
+	backend.Start()
+	var once sync.Once
+	n := &hostedNode{daemon: d, backend: backend, callers: addresses.Callers, ready: "http://" + addresses.Ready + "/ready"}
+	t.Cleanup(func() {
+		once.Do(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_ = d.Stop(ctx) // a test may have stopped it already
+			backend.Close()
+			server.Close()
+			wait.Wait()
+		})
+	})
+	return n
+}
+
+func waitHosted(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("waited for 20 s until %s", what)
+}
+
+func statusOf(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// hostedAnswer is what a caller got.
+type hostedAnswer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func ask(n *hostedNode, method, path, key string) hostedAnswer {
+	request, err := http.NewRequest(method, "http://"+n.callers+path, nil)
+	if err != nil {
+		return hostedAnswer{}
+	}
+	request.Host = "quotes.example"
+	request.Header.Set("Coltsfootward-Request-Id", "id-of"+strings.ReplaceAll(path, "/", "-"))
+	request.Header.Set("Coltsfootward-Deadline-Ms", "1500")
+	request.Header.Set("X-Kept", "yes")
+	request.Header.Set("Coltsfootward-Caller-Service", "forged")
+	request.Header.Set("Coltsfootward-Tenant-Id", "forged")
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return hostedAnswer{}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return hostedAnswer{}
+	}
+	return hostedAnswer{status: response.StatusCode, body: string(body), header: response.Header}
+}
+
+func TestHostedRequest(t *testing.T) {
+	_, nodes := startHosted(t, 3)
+	a := ask(nodes[0], "GET", "/urea/7?page=2", "farm-key")
+	if a.status != http.StatusOK || !strings.HasSuffix(a.body, "to /urea/7?page=2") || a.header.Get("Coltsfootward-Response-Stamp") == "" {
+		t.Fatalf("got %+v, want the backend server's answer", a)
+	}
+	var run *http.Request
+	for _, n := range nodes {
+		for _, r := range n.backend.Runs() {
+			if r.URL.Path == "/urea/7" {
+				run = r
+			}
+		}
+	}
+	if run == nil {
+		t.Fatal("no backend server ran the request")
+	}
+	for name, want := range map[string]string{
+		"Coltsfootward-Request-Id": "id-of-urea-7?page=2", "Coltsfootward-Caller-Service": "quotes",
+		"Coltsfootward-Tenant-Id": "farm", "X-Kept": "yes", "Authorization": "", "User-Agent": "Go-http-client/1.1",
+	} {
+		if got := run.Header.Get(name); got != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+	if run.Host != "quotes.example" || !strings.HasPrefix(run.Header.Get("Coltsfootward-Expect-Instance"), "i-") {
+		t.Errorf("got host %q, expected instance %q", run.Host, run.Header.Get("Coltsfootward-Expect-Instance"))
+	}
+	for _, test := range []struct {
+		path, key string
+		status    int
+	}{{"/urea/1", "wrong", http.StatusUnauthorized}, {"/urea/2", "", http.StatusUnauthorized}, {"/none/1", "farm-key", http.StatusNotFound}} {
+		if got := ask(nodes[1], "GET", test.path, test.key).status; got != test.status {
+			t.Errorf("%s with key %q: got %d, want %d", test.path, test.key, got, test.status)
+		}
+	}
+}
+
+// A change of the document is in force on every node within a second or two, also
+// on one that the store turns away: its peers tell it.
+func TestHostedChange(t *testing.T) {
+	store, nodes := startHosted(t, 3)
+	changed := strings.Replace(fmt.Sprintf(hostedDocument, 4), "/urea/", "/potash/", 1)
+	store.Write("op", "config", []byte(changed))
+	for _, n := range nodes {
+		waitHosted(t, "the new route is in force", func() bool { return ask(n, "GET", "/potash/1", "farm-key").status == http.StatusOK })
+		if got := ask(n, "GET", "/urea/1", "farm-key").status; got != http.StatusNotFound {
+			t.Errorf("the dropped route: got %d, want 404", got)
+		}
+	}
+	store.Write("op", "config", fmt.Appendf(nil, hostedDocument, 2))
+	time.Sleep(300 * time.Millisecond)
+	if got := ask(nodes[0], "GET", "/potash/2", "farm-key").status; got != http.StatusOK {
+		t.Errorf("after an older document: got %d, want 200", got)
+	}
+}
+
+// The store goes away and everything goes on; a node that starts meanwhile learns
+// nothing and says that it is not ready.
+func TestHostedStoreAway(t *testing.T) {
+	store, nodes := startHosted(t, 2)
+	store.Fail(http.StatusServiceUnavailable)
+	for i := range 20 {
+		if a := ask(nodes[i%2], "GET", fmt.Sprintf("/urea/%d", i), "farm-key"); a.status != http.StatusOK {
+			t.Errorf("request %d: got %+v, want 200", i, a)
+		}
+	}
+}
+
+// A backend server says that it leaves. From the acknowledgement on no new request
+// reaches it, whichever node callers use.
+func TestHostedDrain(t *testing.T) {
+	_, nodes := startHosted(t, 3)
+	leaving := nodes[1].backend
+	if err := leaving.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	before := len(leaving.Runs())
+	for i := range 60 {
+		if a := ask(nodes[i%3], "POST", fmt.Sprintf("/order/%d", i), "farm-key"); a.status != http.StatusOK {
+			t.Errorf("order %d: got %+v, want 200", i, a)
+		}
+	}
+	if got := len(leaving.Runs()); got != before {
+		t.Errorf("%d requests reached the backend server after its leaving was acknowledged", got-before)
+	}
+}
+
+// A node is stopped while callers keep using it and its backend server still works
+// on a request of theirs. Nothing that was read is cut off, and nothing runs twice.
+func TestHostedStopCutsNobodyOff(t *testing.T) {
+	_, nodes := startHosted(t, 3)
+	for _, n := range nodes {
+		n.backend.Serve = func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(150 * time.Millisecond)
+			fmt.Fprint(w, r.URL.Path)
+		}
+	}
+	stopping := nodes[0]
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var lost []string
+	asked := 0
+	stopped := make(chan struct{})
+	for worker := range 6 {
+		wait.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				if statusOf(stopping.ready) != http.StatusOK && i > 3 {
+					return
+				}
+				path := fmt.Sprintf("/order/%d-%d", worker, i)
+				a := ask(stopping, "POST", path, "farm-key")
+				mu.Lock()
+				asked++
+				if a.status != http.StatusOK || a.body != path {
+					lost = append(lost, fmt.Sprintf("%s: %d %q", path, a.status, a.body))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := stopping.daemon.Stop(ctx); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	close(stopped)
+	wait.Wait()
+	if len(lost) > 0 || asked < 10 {
+		t.Errorf("of %d requests lost %v", asked, lost)
+	}
+	var runs []string
+	for _, n := range nodes {
+		for _, r := range n.backend.Runs() {
+			runs = append(runs, r.URL.Path)
+		}
+	}
+	slices.Sort(runs)
+	if unique := len(slices.Compact(slices.Clone(runs))); unique != len(runs) {
+		t.Errorf("%d runs of %d requests", len(runs), unique)
+	}
+}
--- /dev/null
+++ b/standin/hosting/store.go
@@ -0,0 +1,238 @@
+// Package hosting is a small stand-in for the users' hosting platform: its store,
+// its operator, and the backend servers that run beside nodes. It speaks the
+// platform's protocol, so its names are the platform's.
+package hosting
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Row is a row of the store.
+type Row struct {
+	Table      string `json:"table"`
+	Part       string `json:"part"`
+	Key        string `json:"key"`
+	Value      []byte `json:"value,omitempty"`
+	RowVersion uint64 `json:"row_version,omitempty"`
+	Tombstone  bool   `json:"tombstone,omitempty"`
+}
+
+type rowID struct{ table, part, key string }
+
+// Store is the platform's store. Create it with NewStore. It implements
+// http.Handler and is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[rowID]Row
+	history []Row
+	version uint64
+	// dropped is the newest version whose history is gone.
+	dropped uint64
+	changed chan struct{}
+	began   time.Time
+	status  int
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: make(map[rowID]Row), changed: make(chan struct{}), began: time.Now()}
+}
+
+// Fail has every call answered with that status, and nothing done; zero ends it.
+func (s *Store) Fail(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.dropped = s.version
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Write sets a row as the operator does.
+func (s *Store) Write(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(Row{Table: table, Key: key, Value: value, RowVersion: s.version})
+	s.wake()
+}
+
+func (s *Store) put(r Row) {
+	id := rowID{r.Table, r.Part, r.Key}
+	if r.Tombstone {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = r
+	}
+	s.history = append(s.history, r)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	status := s.status
+	s.mu.Unlock()
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /rows-get":
+		s.get(w, r)
+	case "GET /rows-feed":
+		s.feed(w, r)
+	case "POST /rows-tx":
+		s.transact(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// answer is called with the lock held.
+func (s *Store) answer(w http.ResponseWriter, status int, rows []Row, more bool) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{ // the caller may have left
+		"rows": rows, "has_more": more, "row_version": s.version,
+		"now": strconv.FormatInt(time.Since(s.began).Milliseconds(), 10) + "ms",
+	})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := []Row{}
+	for id, row := range s.rows {
+		inside := id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("range_start")
+		if inside && (q.Get("target") == "" || id.key < q.Get("target")) {
+			found = append(found, row)
+		}
+	}
+	slices.SortFunc(found, func(a, b Row) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	more := len(found) > limit
+	s.answer(w, http.StatusOK, found[:min(limit, len(found))], more)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil || wait < 0 || wait > 30000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		found := s.since(q.Get("table"), after)
+		changed := s.changed
+		if len(found) > 0 {
+			s.answer(w, http.StatusOK, found, false)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, []Row{}, false)
+			s.mu.Unlock()
+			return
+		}
+	}
+}
+
+// since is called with the lock held.
+func (s *Store) since(table string, after uint64) []Row {
+	var found []Row
+	for _, row := range s.history {
+		if row.Table == table && row.RowVersion > after {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		ExpectedRevision []Row `json:"expected_revision"`
+		Writes           []Row `json:"writes"`
+		Remove           []Row `json:"remove"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range slices.Concat(t.Writes, t.Remove) {
+		if row.Table == "op" || row.Table == "servers" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	for _, e := range t.ExpectedRevision {
+		present := s.rows[rowID{e.Table, e.Part, e.Key}]
+		if present.RowVersion != e.RowVersion {
+			s.answer(w, http.StatusPreconditionFailed, []Row{present}, false)
+			return
+		}
+	}
+	s.version++
+	for _, row := range t.Writes {
+		row.RowVersion = s.version
+		s.put(row)
+	}
+	for _, row := range t.Remove {
+		row.RowVersion, row.Tombstone = s.version, true
+		s.put(row)
+	}
+	s.wake()
+	s.answer(w, http.StatusOK, nil, false)
+}
