--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -164,10 +164,26 @@
 		return false
 	}
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", full)).
-		WithRetryAfter(p.node.spread(shortestRetryAfter)))
+		WithRetryAfter(p.node.spread(returnAfter(call.objective))))
 	return true
 }
 
+// The bounds of what a caller refused at a gate is told.
+const (
+	earliestReturn = 100 * time.Millisecond
+	latestReturn   = time.Second
+	// returnPart is the part of the objective after which it may come back.
+	returnPart = 3
+)
+
+// returnAfter says when a caller refused at a gate may come back, before
+// spreading. A gate lets a part of the demand pass at any time and moves within a
+// second or two, so the next try is as likely to pass soon as late; soon, its
+// answer may still have its full worth.
+func returnAfter(objective time.Duration) time.Duration {
+	return min(max(objective/returnPart, earliestReturn), latestReturn)
+}
+
 // callEnded notes how a further call of the local backend server ended.
 func (p *entryPart) callEnded(call *entryCall, failed bool) {
 	if call.ownAttempts && call.head.Depth > 0 {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"coltsfootward/io/socket"
 )
 
 var (
@@ -80,11 +82,10 @@
 
 // dialTimeout bounds the making of a connection to the backend server, which
 // is on the same machine.
-const dialTimeout = 3 * time.Second
+const dialTimeout = time.Second
 
 func dialGated(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, network, address)
+	c, err := socket.Dialer(dialTimeout).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
