--- a/cmd/daemon/face.go
+++ b/cmd/daemon/face.go
@@ -92,6 +92,7 @@
 	path, handler := coltsfootwardv1connect.NewOperatorServiceHandler(service)
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/debug/vars", p.metrics.serve)
+	router.HandleFunc("/metrics", p.metrics.serveText)
 	return router
 }
 
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -4,11 +4,14 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/node"
 	"coltsfootward/io/loop"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // metrics counts what one node does. Each node has a map of its own, so that
@@ -17,9 +20,14 @@
 	all *expvar.Map
 	// refusals counts refusals to callers by kind, peerRefusals those to peers.
 	refusals, peerRefusals *expvar.Map
-	// entries holds the calls that callers have in hand here. Only the loop's
+	// entries holds since when callers have calls in hand here. Only the loop's
 	// goroutine uses it.
-	entries map[node.CallID]bool
+	entries map[node.CallID]time.Time
+	// gauges reads the machine's gauges; nil before the node runs.
+	gauges func() gauges
+
+	mu        sync.Mutex
+	latencies latencies
 }
 
 func newMetrics() *metrics {
@@ -27,7 +35,8 @@
 		all:          new(expvar.Map),
 		refusals:     new(expvar.Map),
 		peerRefusals: new(expvar.Map),
-		entries:      make(map[node.CallID]bool),
+		entries:      make(map[node.CallID]time.Time),
+		latencies:    newLatencies(),
 	}
 	for _, name := range counterNames {
 		m.all.Add(name, 0)
@@ -90,10 +99,10 @@
 func (m *metrics) event(event node.Event) {
 	switch e := event.(type) {
 	case node.RequestArrived:
-		m.entries[e.Call] = true
+		m.entries[e.Call] = time.Now()
 		m.all.Add(countRequests, 1)
 	case node.CallerLeft:
-		if m.entries[e.Call] {
+		if _, ok := m.entries[e.Call]; ok {
 			m.all.Add(countCallersLeft, 1)
 		}
 		delete(m.entries, e.Call)
@@ -119,6 +128,7 @@
 }
 
 func (m *metrics) done(e node.CallDone) {
+	m.waited(e.Call, m.latencies.answered)
 	delete(m.entries, e.Call)
 	if e.Whole {
 		m.all.Add(countAnswersWhole, 1)
@@ -143,7 +153,8 @@
 }
 
 func (m *metrics) refused(a node.Refuse) {
-	if m.entries[a.Call] {
+	if _, ok := m.entries[a.Call]; ok {
+		m.waited(a.Call, m.latencies.refused)
 		m.refusals.Add(string(a.Refusal.Kind), 1)
 		delete(m.entries, a.Call)
 		return
@@ -151,6 +162,17 @@
 	m.peerRefusals.Add(string(a.Refusal.Kind), 1)
 }
 
+// waited records how long a caller waited.
+func (m *metrics) waited(call node.CallID, h *hdrhistogram.Histogram) {
+	since, ok := m.entries[call]
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recordLatency(h, time.Since(since))
+}
+
 // gauges are what the machine says of itself when it is asked.
 type gauges struct {
 	Instance          coltsfootward.InstanceID    `json:"instance"`
@@ -169,11 +191,12 @@
 
 // inspect adds the gauges, read from the machine whenever someone asks.
 func (m *metrics) inspect(l *loop.Loop) {
-	m.all.Set("node", expvar.Func(func() any {
+	m.gauges = func() gauges {
 		var g gauges
 		l.Inspect(func(n *node.Node) { g = read(n) })
 		return g
-	}))
+	}
+	m.all.Set("node", expvar.Func(func() any { return m.gauges() }))
 }
 
 func read(n *node.Node) gauges {
