--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -30,12 +30,18 @@
 	// it says that it is ready alone. Ready sooner it would refuse what others
 	// could serve.
 	joinWait = 3 * time.Second
-	// healthWait is the time between two looks at a backend server that has not
+	// documentWait is the time between two looks whether a configuration is known,
+	// healthWait that between two health checks of a backend server that has not
 	// been heard since the node started.
-	healthWait = 250 * time.Millisecond
+	documentWait = 20 * time.Millisecond
+	healthWait   = 250 * time.Millisecond
 	// healthPatience is how long the node looks. A backend server sends its
 	// heartbeats more often than that.
 	healthPatience = 4 * time.Second
+	// backendNotice is how long before the node lets callers go it takes no new
+	// work for its backend server. The news of that spreads within three rounds
+	// of gossip, and whoever has not heard it is refused and goes elsewhere.
+	backendNotice = 800 * time.Millisecond
 	// finishMargin is how much of the time for a stop is left for closing.
 	finishMargin = 400 * time.Millisecond
 )
@@ -152,14 +158,16 @@
 // waits for a heartbeat, or for a health check that says that the server takes
 // work, whichever comes first.
 func (h *hosted) findBackend() {
-	ticker := time.NewTicker(healthWait)
-	defer ticker.Stop()
 	for time.Since(h.started) < healthPatience {
-		if h.recoverBackend() {
-			return
+		wait := documentWait
+		if h.current.Load().Revision() > 0 {
+			if h.recoverBackend() {
+				return
+			}
+			wait = healthWait
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-h.done:
 			return
 		}
@@ -168,11 +176,7 @@
 
 // recoverBackend reports whether the backend server is known.
 func (h *hosted) recoverBackend() bool {
-	c := h.current.Load()
-	if c.Revision() == 0 {
-		return false
-	}
-	service, _ := c.Service(coltsfootward.ServiceName(h.parts.settings.Backend.Service))
+	service, _ := h.current.Load().Service(coltsfootward.ServiceName(h.parts.settings.Backend.Service))
 	h.mu.Lock()
 	_, known := h.machine.Current()
 	h.mu.Unlock()
@@ -225,14 +229,19 @@
 
 // stop lets callers go and finishes what runs. Callers go on coming until the
 // platform has asked twice and told them; cut off before, they would lose
-// requests that had arrived whole.
+// requests that had arrived whole. The backend server works on until shortly
+// before: a service of three servers whose nodes are replaced one after the other
+// would else be a third short for all of that time.
 func (h *hosted) stop(ctx context.Context) error {
 	began := time.Now()
 	h.leaving.Store(true)
-	h.parts.loop.Post(node.DrainRequested{})
 	ctx, cancel := context.WithDeadline(ctx, began.Add(h.parts.settings.Stop.Grace-finishMargin))
 	defer cancel()
-	sleep(ctx, h.parts.settings.Stop.Notice)
+	notice := h.parts.settings.Stop.Notice
+	last := min(notice, backendNotice)
+	sleep(ctx, notice-last)
+	h.parts.loop.Post(node.DrainRequested{})
+	sleep(ctx, last)
 	err := h.server.Shutdown(ctx)
 	h.parts.loop.Post(node.FinishRequested{})
 	select {
--- a/core/membership/query.go
+++ b/core/membership/query.go
@@ -85,6 +85,20 @@
 	return found
 }
 
+// Serving returns the members of a failure domain that have not said that they
+// have stopped, this node included if it is one, in an order that is the same at
+// every node. Those that are about to leave are among them, since they serve on
+// for seconds, and those that are gone, with that state.
+func (m *Machine) Serving(domain coltsfootward.FailureDomain) []Member {
+	var found []Member
+	for _, line := range m.roster.domains[domain] {
+		if line.news.State != message.MemberLeft {
+			found = append(found, line.export())
+		}
+	}
+	return found
+}
+
 // First returns the first count running members of a failure domain in the
 // order that is the same at every node, and so mostly the same members at each.
 // Those that leave or are suspected are passed over.
--- a/core/node/assigned_slots.go
+++ b/core/node/assigned_slots.go
@@ -100,7 +100,7 @@
 func (s *assignedSlots) present() []coltsfootward.Instance {
 	now := s.node.now.Monotonic
 	var present []coltsfootward.Instance
-	for _, member := range s.node.membership.roster(s.node.options.Self.Domain) {
+	for _, member := range s.node.membership.machine.Serving(s.node.options.Self.Domain) {
 		instance := member.Announcement.Instance
 		if member.State != message.MemberGone {
 			delete(s.away, instance.ID)
@@ -171,7 +171,7 @@
 // running lists the members of another domain that are not known to be gone.
 func (s *assignedSlots) running(domain coltsfootward.FailureDomain) []coltsfootward.Instance {
 	var members []coltsfootward.Instance
-	for _, member := range s.node.membership.roster(domain) {
+	for _, member := range s.node.membership.machine.Serving(domain) {
 		if member.State != message.MemberGone {
 			members = append(members, member.Announcement.Instance)
 		}
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -81,3 +81,28 @@
 		t.Errorf("got %v, want an answer", o.Refusal)
 	}
 }
+
+// A node that leaves still serves its callers for seconds. It gave up its slots of
+// the rate at once, while the others, not told yet, still named it as the holder:
+// every part looked silent for a second, and requests far inside the rate were
+// refused as over it.
+func TestLeavingNodeKeepsItsSlots(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newRouted(seed, 3, routedDocument(1, coltsfootward.Rate{PerSecond: 300, Burst: 300}, "quotes"), "north")
+		for _, leaving := range members[:2] {
+			leaving.Drain()
+			for range 60 {
+				var sent []*nodetest.Outcome
+				for _, m := range members {
+					sent = append(sent, get(m))
+				}
+				r.Run(20 * time.Millisecond)
+				for _, o := range sent {
+					if o.Refusal != nil && o.Refusal.Kind == coltsfootward.RefusalOverRate {
+						t.Fatalf("seed %d: at %v: %v", seed, r.Now(), o.Refusal)
+					}
+				}
+			}
+		}
+	}
+}
