A hosted node's stop ends within its grace: goodbyes to peers and unused connections bounded

Two causes: goodbyes to peers that are cut off, and http.Server, which waits 5 s for a connection that was opened and never used (TestHostedStopCutsNobodyOff failed on it once the stop had a bound).

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -43,7 +43,7 @@
 	// of gossip, and whoever has not heard it is refused and goes elsewhere.
 	backendNotice = 800 * time.Millisecond
 	// finishMargin is how much of the time for a stop is left for closing.
-	finishMargin = 400 * time.Millisecond
+	finishMargin = 300 * time.Millisecond
 )
 
 // hosted is what a node has besides on the users' hosting platform.
@@ -233,10 +233,14 @@
 // before: a service of three servers whose nodes are replaced one after the other
 // would else be a third short for all of that time.
 func (h *hosted) stop(ctx context.Context) error {
-	began := time.Now()
 	h.leaving.Store(true)
-	ctx, cancel := context.WithDeadline(ctx, began.Add(h.parts.settings.Stop.Grace-finishMargin))
-	defer cancel()
+	// What is still in hand shortly before the end is cut, so that the goodbyes to
+	// the peers are in time.
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-goodbyeWait))
+		defer cancel()
+	}
 	notice := h.parts.settings.Stop.Notice
 	last := min(notice, backendNotice)
 	sleep(ctx, notice-last)
--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -100,6 +100,31 @@
 	return nil
 }
 
+// close ends a face. On the hosting platform callers have been let go by then, and
+// what remains is asked of the node alone: a connection that was opened and never
+// used holds up a graceful end for 5 s, which is longer than the node has.
+func (p *parts) close(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	if err == nil || p.hosted == nil {
+		return err
+	}
+	return server.Close()
+}
+
+// leaveContext bounds how long the node waits for its peers' goodbyes. On the
+// hosting platform it has only its grace: a peer that is cut off never answers, and
+// a node that waited for it was ended by the platform with its last words unsaid.
+func (p *parts) leaveContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if p.hosted == nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, goodbyeWait)
+}
+
+// goodbyeWait is how long a hosted node waits for its peers' goodbyes: a few round
+// trips between failure domains.
+const goodbyeWait = 500 * time.Millisecond
+
 func (p *parts) upstreamOptions() upstream.Options {
 	if !p.settings.Hosted() {
 		return upstream.Options{}
@@ -128,6 +153,9 @@
 func (p *parts) stop(ctx context.Context) error {
 	var all []error
 	if p.hosted != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.settings.Stop.Grace-finishMargin)
+		defer cancel()
 		all = append(all, p.hosted.stop(ctx))
 	} else {
 		p.loop.Post(node.DrainRequested{})
@@ -136,10 +164,12 @@
 		case <-ctx.Done():
 		}
 	}
+	leave, cancel := p.leaveContext(ctx)
+	defer cancel()
 	for _, server := range p.servers {
-		all = append(all, server.Shutdown(ctx))
+		all = append(all, p.close(leave, server))
 	}
-	p.transport.Shutdown(ctx)
+	p.transport.Shutdown(leave)
 	p.transport.Close()
 	p.loop.Close()
 	p.wait.Wait()
