--- a/io/caller/server_conn.go
+++ b/io/caller/server_conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/io/wire"
 )
 
 const (
@@ -39,7 +40,7 @@
 type serverConn struct {
 	server *Server
 	net    net.Conn
-	limit  *limitedReader
+	limit  *wire.LimitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
 	ctx    context.Context
@@ -57,35 +58,13 @@
 
 func newServerConn(s *Server, n net.Conn) *serverConn {
 	c := &serverConn{server: s, net: n, slots: make(chan struct{}, maximumPipelined)}
-	c.limit = &limitedReader{source: n}
+	c.limit = &wire.LimitedReader{Source: n}
 	c.reader = bufio.NewReaderSize(c.limit, connBuffer)
 	c.writer = bufio.NewWriterSize(n, connBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
-// limitedReader fails once more than remaining bytes were read.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-	bounded   bool
-}
-
-var errHeaderTooLarge = errors.New("caller: header too large")
-
-// Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.bounded {
-		return r.source.Read(p)
-	}
-	if r.remaining <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
-	r.remaining -= int64(n)
-	return n, err
-}
-
 // read reads requests until the caller leaves or the connection is closed.
 func (c *serverConn) read() {
 	defer c.server.forget(c)
@@ -118,7 +97,7 @@
 // awaitRequest waits for the first byte of a request. The idle limit counts only
 // while nothing is in hand.
 func (c *serverConn) awaitRequest() bool {
-	c.limit.bounded = false
+	c.limit.Unbound()
 	for {
 		c.armIdle()
 		_, err := c.reader.Peek(1)
@@ -205,10 +184,9 @@
 func (c *serverConn) readRequest() (*http.Request, []byte, *coltsfootward.Refusal) {
 	limits := c.server.limits()
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // a closed connection shows at the read
-	c.limit.bounded = true
-	c.limit.remaining = limits.HeaderBytes + headerSlop
+	c.limit.Bound(limits.HeaderBytes + headerSlop)
 	request, err := http.ReadRequest(c.reader)
-	c.limit.bounded = false
+	c.limit.Unbound()
 	if err != nil {
 		return nil, nil, headerRefusal(err)
 	}
@@ -218,7 +196,7 @@
 
 func headerRefusal(err error) *coltsfootward.Refusal {
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, wire.ErrTooLarge):
 		return refuse(coltsfootward.RefusalHeaderTooLarge, "the header is larger than allowed")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(coltsfootward.RefusalSlowRequest, "the request did not arrive in time")
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -112,25 +112,13 @@
 	return nil
 }
 
-// do sends one request. Whatever is no clear answer counts as none, since the
-// operation may have taken effect.
+// do sends one request and maps its status.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	status, data, err := Exchange(ctx, c.http, method, c.base+path, body)
 	if err != nil {
-		return nil, fmt.Errorf("platform: build request: %w", err)
+		return nil, err
 	}
-	// A write must not be sent twice by net/http itself; the caller decides.
-	request.GetBody = nil
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", coltsfootward.ErrUnavailable, err)
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswer))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", coltsfootward.ErrUnavailable, err)
-	}
-	switch response.StatusCode {
+	switch status {
 	case http.StatusOK, http.StatusNoContent:
 		return data, nil
 	case http.StatusConflict:
@@ -138,6 +126,31 @@
 	case http.StatusNotFound:
 		return nil, coltsfootward.ErrNotFound
 	default:
-		return nil, fmt.Errorf("%w: status %d", coltsfootward.ErrUnavailable, response.StatusCode)
+		return nil, fmt.Errorf("%w: status %d", coltsfootward.ErrUnavailable, status)
+	}
+}
+
+// Exchange sends one request to a platform and returns the answer's status and
+// whole body. Whatever is no whole answer is coltsfootward.ErrUnavailable, since
+// the operation may have taken effect.
+func Exchange(ctx context.Context, client *http.Client, method, address string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("platform: build request: %w", err)
+	}
+	// A write must not be sent twice by net/http itself; the caller decides.
+	request.GetBody = nil
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", coltsfootward.ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", coltsfootward.ErrUnavailable, err)
 	}
+	return response.StatusCode, data, nil
 }
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 
+	"coltsfootward"
 	"coltsfootward/core/node"
 
 	"github.com/gorilla/mux"
@@ -17,6 +18,19 @@
 // maximumAnnouncement bounds an announcement in bytes.
 const maximumAnnouncement = 16 << 10
 
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	Service coltsfootward.ServiceName `json:"service"`
+	// Address is the IP number and port that it serves HTTP on.
+	Address string `json:"address"`
+	// Slots is how many requests it serves at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections it accepts.
+	Connections int `json:"connections"`
+	// Draining is set when it takes no new work.
+	Draining bool `json:"draining"`
+}
+
 // Register adds the route for announcements to the router.
 func (s *Server) Register(router *mux.Router) {
 	router.HandleFunc(AnnouncePath, s.announce).Methods(http.MethodPost)
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -5,13 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"coltsfootward/io/wire"
 )
 
 const (
@@ -39,7 +40,7 @@
 // link is a connection to the backend server. It carries one request at a time.
 type link struct {
 	conn    *gatedConn
-	limit   *limitedReader
+	limit   *wire.LimitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	idle    time.Time
@@ -48,24 +49,6 @@
 	reused bool
 }
 
-// limitedReader fails once more than remaining bytes were read.
-type limitedReader struct {
-	source    net.Conn
-	remaining int64
-}
-
-var errAnswerHeaderTooLarge = errors.New("upstream: the answer's header is larger than 256 KiB: have the backend server send less")
-
-// Read implements io.Reader.
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, errAnswerHeaderTooLarge
-	}
-	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
-	r.remaining -= int64(n)
-	return n, err
-}
-
 // pool keeps idle connections to one backend server.
 type pool struct {
 	address string
@@ -112,7 +95,7 @@
 		return nil, fmt.Errorf("upstream: connect: %w", err)
 	}
 	gated := conn.(*gatedConn)
-	l := &link{conn: gated, limit: &limitedReader{source: gated}}
+	l := &link{conn: gated, limit: &wire.LimitedReader{Source: gated}}
 	l.reader = bufio.NewReaderSize(l.limit, linkBuffer)
 	l.writer = bufio.NewWriterSize(gated, linkBuffer)
 	return l, nil
@@ -209,22 +192,19 @@
 		return nil, fmt.Errorf("upstream: send: %w", err)
 	}
 	for range maximumInterim {
-		l.limit.remaining = maximumAnswerHeader
+		l.limit.Bound(maximumAnswerHeader)
 		response, err := http.ReadResponse(l.reader, r)
 		if err != nil {
 			return nil, fmt.Errorf("upstream: receive: %w", err)
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			l.limit.remaining = unlimited
+			l.limit.Unbound()
 			return response, nil
 		}
 	}
 	return nil, errors.New("upstream: receive: nothing but interim answers")
 }
 
-// unlimited is more than any body.
-const unlimited = 1 << 62
-
 // lives returns how long a connection may stay idle after an answer.
 func lives(response *http.Response) time.Duration {
 	for parameter := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
