A corrected wall clock ends nothing: only a true suspension counts as time unseen

A step of the time of day by 3 s was taken for a suspension and ended every request in hand as late (TestCorrectedClockEndsNothing failed first). The clock that counts suspensions is asked when the wall clock has jumped ahead.

--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -20,6 +20,12 @@
 // no time has passed, though its lease has long gone to another. The wall
 // clock shows it as a jump, and Instant.Expiry counts the jump as passed.
 type Clock struct {
+	// Suspended, if not nil, returns for how long in all the machine has been
+	// suspended, if the system tells. It is asked when the wall clock has jumped
+	// ahead: a corrected clock jumps too, and taken for a suspension it would end
+	// every request in hand as if its caller's time had run out.
+	Suspended func() (time.Duration, bool)
+
 	started bool
 	// base is the smallest difference of wall and monotonic clock since the last jump.
 	base time.Duration
@@ -38,8 +44,19 @@
 	case difference < c.base:
 		c.base = difference
 	case difference > c.base+jumpThreshold:
-		c.unseen += difference - c.base
+		c.jumped(difference - c.base)
 		c.base = difference
 	}
 	return coltsfootward.Instant{Monotonic: monotonic, Expiry: monotonic + c.unseen, Wall: wall}
 }
+
+// jumped takes in that the wall clock ran ahead by d.
+func (c *Clock) jumped(d time.Duration) {
+	if c.Suspended != nil {
+		if suspended, ok := c.Suspended(); ok {
+			c.unseen = max(c.unseen, suspended)
+			return
+		}
+	}
+	c.unseen += d
+}
--- a/io/loop/clock.go
+++ b/io/loop/clock.go
@@ -6,6 +6,8 @@
 
 	"coltsfootward"
 	"coltsfootward/core/clock"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock reads this machine's clocks. Create it with NewClock. It is safe for
@@ -18,7 +20,23 @@
 
 // NewClock returns a clock whose durations count from now.
 func NewClock() *Clock {
-	return &Clock{start: time.Now()}
+	c := &Clock{start: time.Now()}
+	atStart, ok := sleptFor()
+	c.clocks.Suspended = func() (time.Duration, bool) {
+		now, told := sleptFor()
+		return now - atStart, ok && told
+	}
+	return c
+}
+
+// sleptFor returns for how long the machine has been suspended since it started:
+// the clock that counts suspensions less the one that does not.
+func sleptFor() (time.Duration, bool) {
+	var boot, monotonic unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
+		return 0, false
+	}
+	return time.Duration(boot.Nano() - monotonic.Nano()), true
 }
 
 // Now returns the present instant.
