--- a/cmd/coltsfootward/main.go
+++ b/cmd/coltsfootward/main.go
@@ -8,10 +8,10 @@
 	"os"
 
 	"coltsfootward/cmd/daemon"
+	"coltsfootward/cmd/logging"
 	"coltsfootward/cmd/settings"
 
 	"github.com/jessevdk/go-flags"
-	"go.uber.org/zap"
 )
 
 type runCommand struct {
@@ -26,11 +26,9 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger()
-	if err != nil {
-		return err
-	}
-	d := daemon.New(s, logger)
+	lines := logging.NewWriter(os.Stdout)
+	defer lines.Close()
+	d := daemon.New(s, logging.New(lines))
 	reloads := watchSettings(c.Args.Settings, d)
 	defer reloads.close()
 	if err := d.Start(context.Background()); err != nil {
@@ -60,17 +58,6 @@
 	return nil
 }
 
-// newLogger returns a logger to standard output that passes every level; the
-// daemon holds it to the one of the settings.
-func newLogger() (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.OutputPaths = []string{"stdout"}
-	return config.Build()
-}
-
 func main() {
 	tuneMemory()
 	os.Exit(run(os.Args[1:]))
--- a/cmd/daemon/report.go
+++ b/cmd/daemon/report.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"strconv"
+	"sync"
 	"time"
 
 	"coltsfootward/cmd/settings"
@@ -15,8 +17,20 @@
 type reporter struct {
 	logger   *zap.Logger
 	timeline *record.Ring
+
+	mu sync.Mutex
+	// second is the second that logged and dropped count in, by code.
+	second  time.Time
+	logged  map[record.Code]int
+	dropped map[record.Code]int
 }
 
+// linesPerSecond is how many lines of one kind are logged each second. Under
+// overload a node refuses hundreds of requests a second; at 20 µs a line, all of
+// them would cost more than the refusals do. The time line and the metrics have
+// all.
+const linesPerSecond = 20
+
 func newReporter(s settings.Settings, logger *zap.Logger) *reporter {
 	return &reporter{logger: logger.With(zap.String("node", s.Instance.ID)), timeline: record.NewRing(s.Log.Timeline)}
 }
@@ -28,6 +42,35 @@
 
 func (r *reporter) report(found record.Record) {
 	r.timeline.Add(found)
+	dropped, ok := r.admit(found.Code)
+	for code, count := range dropped {
+		r.log(record.New(record.RecordsDropped, time.Now(),
+			record.Field{Name: "of", Value: strconv.Itoa(int(code))}, record.Field{Name: "count", Value: strconv.Itoa(count)}))
+	}
+	if ok {
+		r.log(found)
+	}
+}
+
+// admit reports whether one more line of that kind is logged in this second, and
+// how many were left out in the last one, if that has just ended.
+func (r *reporter) admit(code record.Code) (map[record.Code]int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var dropped map[record.Code]int
+	if now := time.Now(); now.Sub(r.second) >= time.Second || r.logged == nil {
+		dropped = r.dropped
+		r.second, r.logged, r.dropped = now, make(map[record.Code]int), make(map[record.Code]int)
+	}
+	if r.logged[code] >= linesPerSecond {
+		r.dropped[code]++
+		return dropped, false
+	}
+	r.logged[code]++
+	return dropped, true
+}
+
+func (r *reporter) log(found record.Record) {
 	fields := []zap.Field{zap.Int("code", int(found.Code))}
 	for _, f := range found.Fields {
 		fields = append(fields, zap.String(f.Name, f.Value))
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -107,7 +107,7 @@
 func (p *entryPart) arrived(e RequestArrived) {
 	call, refusal := p.open(e)
 	if refusal != nil {
-		p.refuseUnopened(e.Call, *refusal)
+		p.refuse(e.Call, e.Request, *refusal)
 		return
 	}
 	p.calls[call.id] = call
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -101,7 +101,8 @@
 	refused := refusalOf(e)
 	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
-		field("instance", string(call.target)), field("kind", string(refused.Kind)))
+		field("instance", string(call.target)), field("kind", string(refused.Kind)),
+		field("execution", string(refused.Execution)), field("detail", refused.Detail))
 	call.last = refused
 	call.tried[call.target] = true
 	if !unseen {
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -51,13 +51,10 @@
 	p.node.act(Replay{Call: call.id, Answer: *answer})
 }
 
-func (p *entryPart) refuseUnopened(id CallID, r coltsfootward.Refusal) {
-	p.refuse(id, "", r)
-}
-
 func (p *entryPart) refuse(id CallID, request coltsfootward.RequestID, r coltsfootward.Refusal) {
 	p.node.report(record.RequestRefused, field("request", string(request)),
-		field("kind", string(r.Kind)), field("execution", string(r.Execution)))
+		field("kind", string(r.Kind)), field("execution", string(r.Execution)), field("detail", r.Detail),
+		field("retry_after", r.RetryAfter.String()))
 	p.node.act(Refuse{Call: id, Refusal: r})
 }
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -16,6 +16,7 @@
 	NodeStopped         Code = 103
 	SettingsRead        Code = 104
 	SettingsRefused     Code = 105
+	RecordsDropped      Code = 106
 	RequestRefused      Code = 201
 	AttemptFailed       Code = 202
 	BackendAnnounced    Code = 301
@@ -69,8 +70,9 @@
 		{NodeStopped, "node_stopped", "info", "The node has finished all work and exits."},
 		{SettingsRead, "settings_read", "info", "The settings file was read anew. The log level is in force; other changes wait for the next start."},
 		{SettingsRefused, "settings_refused", "error", "The settings file could not be read or is wrong; the settings in force stay. Correct the file."},
-		{RequestRefused, "request_refused", "debug", "A request was answered with a refusal; kind and execution say which."},
-		{AttemptFailed, "attempt_failed", "debug", "An attempt ended without an answer; the request may be attempted again."},
+		{RecordsDropped, "records_dropped", "info", "Events of one kind came faster than they are logged; of and count say which and how many were left out since the last such line."},
+		{RequestRefused, "request_refused", "info", "A request was answered with a refusal; kind, execution and detail say which, retry_after when its caller may come back."},
+		{AttemptFailed, "attempt_failed", "info", "An attempt ended without an answer; the request may be attempted again."},
 		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
 		{LimitChanged, "limit_changed", "info", "The number of requests that the backend server is given at once moved, at most one report a second. Below its slots it slows down with more; check what it announces and its machine."},
