--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -57,7 +57,9 @@
 	wait     sync.WaitGroup
 	leaving  atomic.Bool
 	joined   atomic.Bool
-	current  atomic.Pointer[coltsfootward.Configuration]
+	// away is set while the platform does not answer the document's watcher.
+	away    atomic.Bool
+	current atomic.Pointer[coltsfootward.Configuration]
 
 	mu      sync.Mutex
 	machine backend.Machine
@@ -100,11 +102,24 @@
 	return watches
 }
 
+// platformFailed reports a document that can't be used, and the first call that the
+// platform did not answer.
 func (h *hosted) platformFailed(err error) {
-	h.parts.reporter.event(record.DocumentUnread, "error", err.Error())
+	if !errors.Is(err, coltsfootward.ErrUnavailable) {
+		h.parts.reporter.event(record.DocumentUnread, "error", err.Error())
+		return
+	}
+	if !h.away.Swap(true) {
+		h.parts.reporter.event(record.PlatformUnavailable, "error", err.Error())
+	}
 }
 
-func (h *hosted) platformAnswered() {}
+// platformAnswered reports that the platform answers again.
+func (h *hosted) platformAnswered() {
+	if h.away.Swap(false) {
+		h.parts.reporter.event(record.PlatformAvailable, "by", "document")
+	}
+}
 
 // inForce notes the configuration that the machine has put in force, for the
 // faces, which read it on every request.
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -139,7 +139,12 @@
 	if call.ownAttempts && len(call.seenBy) >= call.budget {
 		return p.node.placement.again(call)
 	}
-	return p.node.placement.choose(call)
+	target, ok := p.node.placement.choose(call)
+	if !ok && len(call.seenBy) > 0 && call.last.Execution == coltsfootward.ExecutionNotRun {
+		// A service of one server has no other to ask.
+		return p.node.placement.again(call)
+	}
+	return target, ok
 }
 
 // noteSeen notes that a backend server has seen the call.
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -163,6 +163,9 @@
 
 // start dispatches waiting calls while the backend server has room.
 func (p *upstreamPart) start() {
+	if p.node.options.Routed && p.node.membership.local.Draining {
+		p.turnAway()
+	}
 	p.admission.SetSlots(p.node.membership.local.Slots)
 	for {
 		next, ok := p.admission.Next(p.node.now.Expiry)
@@ -183,6 +186,18 @@
 	}
 }
 
+// turnAway refuses what waits for a backend server that leaves. Dispatched as its
+// turn comes, it could reach the server long after its leaving was acknowledged;
+// refused now, it goes to another one.
+func (p *upstreamPart) turnAway() {
+	for _, id := range sortedCalls(p.calls) {
+		call := p.calls[id]
+		if call.token == "" && p.admission.Withdraw(admissioncontrol.RequestID(id)) {
+			p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, "the backend server takes no new work"))
+		}
+	}
+}
+
 func (p *upstreamPart) dispatch(call *upstreamCall) {
 	call.token = p.node.newCallToken()
 	p.node.ledger.open(call)
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -43,6 +43,8 @@
 	Parallel bool
 	// Fail, if set, makes requests end without an answer after their time.
 	Fail func(message.Call) bool
+	// Reject, if set, makes the server answer that it does not run a request.
+	Reject func(message.Call) bool
 	// Runs holds every request that reached it, in order.
 	Runs []*Run
 
@@ -85,6 +87,10 @@
 	if !ok {
 		return
 	}
+	if b.Reject != nil && b.Reject(s.head.Head) {
+		b.member.event(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchRejected} })
+		return
+	}
 	run := &Run{Head: s.head.Head, Token: a.Token, Began: b.member.rig.Now()}
 	b.Runs = append(b.Runs, run)
 	j := &job{call: a.Call, run: run}
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
 	"coltsfootward/core/node"
 	"coltsfootward/core/nodetest"
 )
@@ -37,7 +38,7 @@
 		for i := range nodes {
 			id := coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i))
 			members = append(members, r.Add(node.Options{
-				Self: nodetest.Instance(id, domain), Domains: domains, Routed: true, ConfigurationSpread: 2 * time.Second,
+				Self: nodetest.Instance(id, domain), Domains: domains, Routed: true, ConfigurationSpread: 2 * time.Second, RetryShare: 0.2,
 			}))
 		}
 	}
@@ -106,3 +107,54 @@
 		}
 	}
 }
+
+// A backend server says that it leaves while requests wait for it. Its last word
+// is acknowledged and it ends two seconds later; a request dispatched when its turn
+// comes would reach it then. What waits goes to another server at once.
+func TestDrainEmptiesTheQueue(t *testing.T) {
+	document := routedDocument(1, coltsfootward.Rate{PerSecond: 10000, Burst: 10000}, "quotes")
+	r, members := newRouted(1, 2, document, "north")
+	leaving, other := members[0], members[1]
+	slow := func(message.Call) time.Duration { return 700 * time.Millisecond }
+	leaving.Backend.ServiceTime, other.Backend.ServiceTime = slow, slow
+	var sent []*nodetest.Outcome
+	for range 16 {
+		sent = append(sent, get(leaving))
+	}
+	r.Run(50 * time.Millisecond)
+	leaving.DrainBackend()
+	r.Run(5 * time.Millisecond)
+	before := len(leaving.Backend.Runs)
+	r.Run(4 * time.Second)
+	if got := len(leaving.Backend.Runs); got != before {
+		t.Errorf("%d requests reached the backend server after it had said that it leaves", got-before)
+	}
+	for i, o := range sent {
+		if !o.Done {
+			t.Errorf("request %d has no final answer", i)
+		}
+	}
+}
+
+// The only server of a service rejects one request in ten, whatever the load. A
+// rejection says that nothing ran, so the request is sent to it again.
+func TestOnlyServerIsAskedAgain(t *testing.T) {
+	r, members := newRouted(1, 1, routedDocument(1, coltsfootward.Rate{PerSecond: 1000, Burst: 1000}, "quotes"), "north")
+	m := members[0]
+	rejected := 0
+	m.Backend.Reject = func(message.Call) bool {
+		rejected++
+		return rejected%10 == 0
+	}
+	answered := 0
+	for range 80 {
+		o := get(m)
+		r.Run(30 * time.Millisecond)
+		if o.Answered {
+			answered++
+		}
+	}
+	if rejected < 87 || answered < 79 {
+		t.Errorf("%d of 80 answered with %d tries, want nearly all", answered, rejected)
+	}
+}
