Only routed requests are sent again to a server that has seen them

TestDoubtOfEarlierAttemptIsTold failed on the commit before, 3 attempts for 2: the second try at the only server of a service applied to own deployments too. Hosted ones behave as on the commit before: there every request is a routed one.

--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -136,7 +136,10 @@
 
 // target returns where the next attempt goes.
 func (p *entryPart) target(call *entryCall) (coltsfootward.Instance, bool) {
-	if call.ownAttempts && len(call.seenBy) >= call.budget {
+	if !call.ownAttempts {
+		return p.node.placement.choose(call)
+	}
+	if len(call.seenBy) >= call.budget {
 		return p.node.placement.again(call)
 	}
 	target, ok := p.node.placement.choose(call)
