Read once more: no field that nobody reads, one walk over a domain's members

Call.Objective was sent with every routed call and read by nobody; a class's name was kept beside its index; Roster is Serving without those that leave.

--- a/core/membership/query.go
+++ b/core/membership/query.go
@@ -76,13 +76,7 @@
 // they are remembered: whoever needs a majority of the domain has to count
 // them, because both sides of a cut call each other gone.
 func (m *Machine) Roster(domain coltsfootward.FailureDomain) []Member {
-	var found []Member
-	for _, line := range m.roster.domains[domain] {
-		if line.news.State != message.MemberLeft && !line.news.Announcement.Leaving {
-			found = append(found, line.export())
-		}
-	}
-	return found
+	return slices.DeleteFunc(m.Serving(domain), func(member Member) bool { return member.Announcement.Leaving })
 }
 
 // Serving returns the members of a failure domain that have not said that they
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -125,9 +125,6 @@
 	Host string `msgpack:"host,omitempty"`
 	// Caller is the service beside the node that a routed request entered at.
 	Caller coltsfootward.ServiceName `msgpack:"caller,omitempty"`
-	// Objective is what is left of the time within which an answer has its full
-	// worth; zero means that there is no such time.
-	Objective time.Duration `msgpack:"objective,omitempty"`
 }
 
 // Load is what an upstream's node says about itself with every answer.
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -51,7 +51,6 @@
 	call.carried = p.node.ledger.carry(call)
 	head.Budget = call.carried
 	head.Timeout = call.deadline - now
-	head.Objective = call.objectiveLeft(now)
 	// A routed request is charged when it is admitted, and may queue for longer
 	// than its token lives: the deployment's bound on the rate leaves room for
 	// what is spent late.
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -142,15 +142,6 @@
 	return true
 }
 
-// leftOf returns what is left of an objective that began with the call; zero
-// means that there is none or it has passed.
-func (c *entryCall) objectiveLeft(now time.Duration) time.Duration {
-	if c.objective == 0 {
-		return 0
-	}
-	return max(c.objective-(now-c.arrived), time.Millisecond)
-}
-
 // refusedAtGate refuses a caller's request that a service which it needs, here
 // or further down the chain, has no room for, before any work is done for it. A
 // further call of a request that has begun is never refused so: the work above it
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -70,7 +70,6 @@
 
 // calls is what is known of one class.
 type calls struct {
-	name    coltsfootward.RouteName
 	running int
 	runs    float64
 	// window is the time in service in the present window, total that of all
@@ -101,7 +100,7 @@
 	if len(c.list) >= maximumClasses {
 		return &calls{}
 	}
-	k := &calls{name: name}
+	k := &calls{}
 	c.index[name] = len(c.list)
 	c.list = append(c.list, k)
 	for i := range c.products {
