Repeats are held against the requests of ten seconds; delays tell which classes need a full service

Cause, repeats: with tokens earned request by request the calls of a service got 5 in 100 repeats. Now each node counts requests and repeats over ten seconds; calls made by a repeat are counted with them, estimated from what is in hand; callers' own requests go first.

--- a/core/emulation/load_test.go
+++ b/core/emulation/load_test.go
@@ -10,7 +10,7 @@
 
 const (
 	length = 20 * time.Second
-	seeds  = 3
+	seeds  = 4
 )
 
 func span(from, to time.Duration) emulation.Span { return emulation.Span{From: from, To: to} }
@@ -74,3 +74,49 @@
 		}
 	}
 }
+
+// The deepest service loses a quarter of its answers for four seconds. Requests
+// need up to ten of them; made again only one time in four, nearly all of those
+// failed: 0.82 and 0.83 of the most important ones' worth over the day.
+func TestLostAnswersAreMadeUpFor(t *testing.T) {
+	for _, test := range []struct {
+		deployment emulation.Deployment
+		deep       coltsfootward.ServiceName
+		important  coltsfootward.RouteName
+	}{
+		{emulation.Consortium(), "sections", "certificate"},
+		{emulation.Publisher(), "quotes", "order"},
+	} {
+		got := worths(t, test.deployment, emulation.Trouble{Service: test.deep, Fails: 0.24, FailSpan: span(8*time.Second, 12*time.Second)})
+		if got[test.important] < 0.89 {
+			t.Errorf("%s: %s got %.3f of its worth, want at least 0.89", test.deployment.Name, test.important, got[test.important])
+		}
+	}
+}
+
+// For six seconds the deepest service rejects 55 in 100 of what it gets, whatever
+// its load, while callers ask for 1.7 times the usual. Callers' own requests there
+// need one answer and are worth repeating first: they got 0.85 and 0.78 of their
+// worth over the day, and all requests together 0.62 and 0.56.
+func TestRejectingServersServeCallersFirst(t *testing.T) {
+	for _, test := range []struct {
+		deployment emulation.Deployment
+		deep       coltsfootward.ServiceName
+		own        coltsfootward.RouteName
+		least      float64
+	}{
+		{emulation.Consortium(), "sections", "status", 0.64},
+		{emulation.Publisher(), "quotes", "quote", 0.60},
+	} {
+		got := worths(t, test.deployment, emulation.Trouble{
+			Burst: 1.7, BurstSpan: span(300*time.Millisecond, 16*time.Second),
+			Service: test.deep, Rejects: 0.55, RejectSpan: span(8*time.Second, 14*time.Second),
+		})
+		if got[test.own] < 0.87 {
+			t.Errorf("%s: %s got %.3f of its worth, want at least 0.87", test.deployment.Name, test.own, got[test.own])
+		}
+		if got[""] < test.least {
+			t.Errorf("%s: got %.3f of the worth, want at least %.2f", test.deployment.Name, got[""], test.least)
+		}
+	}
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -118,6 +118,9 @@
 	IdempotencyKey string `msgpack:"idempotency_key"`
 	// Depth counts the calls above this one; the entry call has depth zero.
 	Depth int `msgpack:"depth"`
+	// Repeat is set if another backend server may have seen a routed request
+	// before, or if it is a call that such a request makes.
+	Repeat bool `msgpack:"repeat,omitempty"`
 	// Route is set if the request was routed by host and path. It is the class
 	// that the request's work belongs to.
 	Route coltsfootward.RouteName `msgpack:"route,omitempty"`
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -105,6 +105,7 @@
 	call.last = refused
 	call.tried[call.target] = true
 	if !unseen {
+		call.head.Repeat = true
 		call.sends++
 		call.noteSeen(call.target)
 	}
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -92,6 +92,7 @@
 	}
 	if organisation.Name == "" {
 		call.head.Depth = 1
+		call.head.Repeat = p.node.source.Float64() < p.node.upstream.repeatedPart()
 		p.node.callees.Called(p.node.now.Monotonic, route.Name)
 	}
 	return call
@@ -178,7 +179,7 @@
 // callEnded notes how a further call of the local backend server ended.
 func (p *entryPart) callEnded(call *entryCall, failed bool) {
 	if call.ownAttempts && call.head.Depth > 0 {
-		p.node.callees.CallEnded(failed)
+		p.node.callees.CallEnded(call.head.Route, p.node.now.Expiry-call.arrived, failed)
 	}
 }
 
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -156,13 +156,13 @@
 	s := p.service(call.head.Service)
 	s.budget.Share = p.node.options.RetryShare
 	s.budget.Saved = p.node.options.RetryCapacity / float64(max(p.node.membership.machine.Size(), 1))
-	s.budget.Requested(p.node.now.Monotonic, p.retryKind(call))
+	s.budget.Requested(p.node.now.Monotonic, call.head.Repeat)
 }
 
 // mayRepeat reports whether a routed request may be sent once more, and counts
 // that if so.
 func (p *placementPart) mayRepeat(call *entryCall) bool {
-	return p.service(call.head.Service).budget.Take(p.retryKind(call))
+	return p.service(call.head.Service).budget.Take(p.node.now.Monotonic, p.retryKind(call))
 }
 
 func (p *placementPart) retryKind(call *entryCall) retry.Kind {
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -43,6 +43,9 @@
 	node      *Node
 	calls     map[CallID]*upstreamCall
 	admission *admissioncontrol.Controller
+	// dispatched counts the routed requests that the backend server has in hand,
+	// repeated those of them that are repeats.
+	dispatched, repeated int
 	// overloaded and reportedLimit are what was reported last, nextReport is
 	// when the limit may be reported again.
 	overloaded    bool
@@ -204,6 +207,7 @@
 	call.token = p.node.newCallToken()
 	p.node.ledger.open(call)
 	call.began = p.node.now.Monotonic
+	p.countDispatched(call, 1)
 	p.node.act(Dispatch{
 		Call:         call.id,
 		Token:        call.token,
@@ -213,6 +217,23 @@
 	})
 }
 
+func (p *upstreamPart) countDispatched(call *upstreamCall, change int) {
+	p.dispatched += change
+	if call.head.Repeat {
+		p.repeated += change
+	}
+}
+
+// repeatedPart is the part of what the backend server has in hand that are
+// repeats. Its further calls do not name the request that they are made for, so as
+// many of them are taken for calls of repeats.
+func (p *upstreamPart) repeatedPart() float64 {
+	if p.dispatched == 0 {
+		return 0
+	}
+	return float64(p.repeated) / float64(p.dispatched)
+}
+
 // refuseShed answers what admission has refused since the last time.
 func (p *upstreamPart) refuseShed() {
 	for _, shed := range p.admission.Refused() {
@@ -238,6 +259,7 @@
 		return
 	}
 	p.node.ledger.close(call)
+	p.countDispatched(call, -1)
 	if call.head.Route != "" {
 		p.node.callees.Ended(p.node.now.Monotonic, call.began, call.head.Route, e.Failed)
 	}
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -158,3 +158,44 @@
 		t.Errorf("%d of 80 answered with %d tries, want nearly all", answered, rejected)
 	}
 }
+
+// A backend server breaks off and its request is sent to another one, where it
+// makes its further calls again. These are repeats for the service called, which
+// nobody can refuse there: uncounted, each layer of a chain adds a share of its own
+// and the deepest service gets a multiple of it.
+func TestCallsOfARepeatAreRepeats(t *testing.T) {
+	document := routedDocument(1, coltsfootward.Rate{PerSecond: 1000, Burst: 1000}, "quotes", "feeds")
+	routes := document.Routes()
+	routes[1].Public = true
+	r, members := newRouted(1, 3, document.WithRoutes(routes), "north")
+	members[2].Announce("feeds", 4)
+	r.Run(time.Second)
+	failed := false
+	for _, m := range members[:2] {
+		m.Backend.Children = func(message.Call) []nodetest.Request {
+			return []nodetest.Request{{Host: routedHost, Path: "/feeds/urea"}}
+		}
+		m.Backend.Fail = func(message.Call) bool {
+			first := !failed
+			failed = true
+			return first
+		}
+	}
+	for range 40 { // earn a repeat
+		failed = true
+		get(members[0])
+		r.Run(20 * time.Millisecond)
+	}
+	r.Run(time.Second)
+	failed = false
+	o := get(members[0])
+	r.Run(time.Second)
+	if !o.Answered || o.Attempts != 2 {
+		t.Fatalf("got %+v, want an answer of the second attempt", o)
+	}
+	runs := members[2].Backend.Runs
+	first, second := runs[len(runs)-2], runs[len(runs)-1]
+	if first.Head.Repeat || !second.Head.Repeat {
+		t.Errorf("calls marked as repeats: %v and %v, want the second one alone", first.Head.Repeat, second.Head.Repeat)
+	}
+}
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -42,6 +42,17 @@
 	evidenceFade = 0.998
 	// failedWeight is the weight of the newest call in the part that fails.
 	failedWeight = 0.02
+	// A time counts as grown when its present mean lies slowedPart of its base, and
+	// slowedLeast seconds, above it: less may be chance. A request that makes such a
+	// call takes longer by that much at least; delayedPart of it is asked for.
+	slowedPart  = 0.5
+	slowedLeast = 0.02
+	delayedPart = 0.6
+	// timeWeight is the weight of the newest time in the present mean, timeRuns how
+	// many times make a base, and baseDrift how fast a base follows a mean above it.
+	timeWeight = 0.1
+	timeRuns   = 8
+	baseDrift  = 0.0005
 	// maximumClasses bounds the classes that are told apart; the sums grow with
 	// their square. Later ones are taken to make no calls.
 	maximumClasses = 32
@@ -59,10 +70,14 @@
 // no calls and takes as long as ever seemed to make some, and was refused for
 // want of room at a service that it does not need.
 //
-// With much in service at once the fit is uncertain. Where further calls fail it
-// does not matter, and there a second look decides: a request of a class that
-// makes such calls fails as often as they do. The zero value is ready. It is not
-// safe for concurrent use.
+// With much in service at once the fit is uncertain for minutes, but it matters
+// only once a service below is full, and then the requests show it themselves. If
+// calls to a route take longer than in calm, a request that makes one takes longer
+// by as much, and one that makes none does not. Nodes that went by the fit alone
+// took one class for another: entry nodes then let the least important requests
+// pass, which seemed not to need the full service, and refused the most important.
+// In the same way a request that makes calls fails as often as they do. The zero
+// value is ready. It is not safe for concurrent use.
 type Callees struct {
 	index map[coltsfootward.RouteName]int
 	list  []*calls
@@ -76,9 +91,43 @@
 	failing float64
 }
 
+// times are how long something takes, in seconds: in calm, and at present.
+type times struct {
+	base, current float64
+	seen          int
+}
+
+func (t *times) observe(took time.Duration) {
+	t.seen++
+	t.current += max(timeWeight, 1/float64(t.seen)) * (took.Seconds() - t.current)
+	switch {
+	case t.seen < timeRuns:
+	case t.seen == timeRuns || t.current < t.base:
+		t.base = t.current
+	default:
+		t.base += baseDrift * (t.current - t.base)
+	}
+}
+
+// grown returns by how much it takes longer than in calm; zero if nothing is known.
+func (t *times) grown() float64 {
+	if t.seen < timeRuns {
+		return 0
+	}
+	return t.current - t.base
+}
+
+// slowed reports whether it takes longer beyond chance.
+func (t *times) slowed() bool { return t.grown() > max(slowedPart*t.base, slowedLeast) }
+
 // calls is what is known of one class.
 type calls struct {
 	runs float64
+	// took is how long its requests that did not fail were in service.
+	took times
+	// delayed says for each route whether its requests take longer when calls to
+	// the route do; a route that never did is missing.
+	delayed map[coltsfootward.RouteName]bool
 	// windows holds the requests in each open window, by the window's number
 	// modulo calleeWindows; total counts those of closed ones.
 	windows [calleeWindows]float64
@@ -90,6 +139,8 @@
 
 // callee is what is known of the calls to one route.
 type callee struct {
+	// took is how long those took that did not fail.
+	took    times
 	windows [calleeWindows]float64
 	// sums holds, for each class, the weighted sum of its requests times the calls.
 	sums []float64
@@ -107,7 +158,7 @@
 	if len(c.list) >= maximumClasses {
 		return &calls{}
 	}
-	k := &calls{}
+	k := &calls{delayed: make(map[coltsfootward.RouteName]bool)}
 	c.index[name] = len(c.list)
 	c.list = append(c.list, k)
 	for i := range c.products {
@@ -170,6 +221,10 @@
 	k := c.class(class)
 	k.runs++
 	k.spread(began, now)
+	if !failed {
+		k.took.observe(now - began)
+	}
+	c.compare(k)
 	if c.failing < evidenceFrom {
 		return
 	}
@@ -180,6 +235,19 @@
 	}
 }
 
+// compare looks which routes' calls take longer than in calm, and whether requests
+// of the class do so too.
+func (c *Callees) compare(k *calls) {
+	if k.took.seen < timeRuns {
+		return
+	}
+	for route, m := range c.made {
+		if m.took.slowed() {
+			k.delayed[route] = k.took.grown() >= delayedPart*m.took.grown()
+		}
+	}
+}
+
 // spread counts one request in the windows that its service fell into.
 func (k *calls) spread(began, ended time.Duration) {
 	whole := max(ended-began, 1)
@@ -190,11 +258,16 @@
 	}
 }
 
-// CallEnded counts the end of a further call, and whether it failed.
-func (c *Callees) CallEnded(failed bool) {
+// CallEnded counts the end of a further call, how long it took, and whether it
+// failed.
+func (c *Callees) CallEnded(route coltsfootward.RouteName, took time.Duration, failed bool) {
 	c.failing -= failedWeight * c.failing
 	if failed {
 		c.failing += failedWeight
+		return
+	}
+	if m, ok := c.made[route]; ok {
+		m.took.observe(took)
 	}
 }
 
@@ -237,14 +310,22 @@
 	}
 	var found []coltsfootward.RouteName
 	for _, route := range slices.Sorted(maps.Keys(c.made)) {
-		own := c.made[route].rates[i]
-		if own >= calleeLeast && own*k.total >= calleeShare*c.all(c.made[route]) {
+		if c.makes(i, route) {
 			found = append(found, route)
 		}
 	}
 	return found
 }
 
+// makes reports whether requests of a class make calls to a route.
+func (c *Callees) makes(i int, route coltsfootward.RouteName) bool {
+	k, m := c.list[i], c.made[route]
+	if delayed, known := k.delayed[route]; known {
+		return delayed
+	}
+	return m.rates[i] >= calleeLeast && m.rates[i]*k.total >= calleeShare*c.all(m)
+}
+
 // all returns how many calls to a route the fit gives to all classes.
 func (c *Callees) all(m *callee) float64 {
 	sum := 0.0
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -73,7 +73,7 @@
 		began := now
 		c.Called(now, "deep")
 		now += 50 * time.Millisecond
-		c.CallEnded(failing)
+		c.CallEnded("deep", 50*time.Millisecond, failing)
 		c.Ended(now, began, "calls", failing)
 		c.Ended(now, began, "files", false)
 	}
@@ -85,6 +85,34 @@
 	}
 }
 
+// Two classes always run side by side, so that nothing but chance tells which of
+// them makes the calls. Then the deep service fills up: its calls take four times
+// as long, and so do the requests that make them. Nodes that took one class for the
+// other had the most important requests refused in place of the least important.
+func TestDelaysTellWhoNeedsTheDeepService(t *testing.T) {
+	var c pressure.Callees
+	now := time.Duration(0)
+	for i := range 400 {
+		delay := time.Duration(0)
+		if i >= 200 {
+			delay = 75 * time.Millisecond
+		}
+		began := now
+		c.Called(now, "deep")
+		now += 25*time.Millisecond + delay
+		c.CallEnded("deep", 25*time.Millisecond+delay, false)
+		now += 25 * time.Millisecond
+		c.Ended(now, began, "calls", false)
+		c.Ended(now, now-50*time.Millisecond, "files", false)
+	}
+	if got := c.Of(now, "calls"); len(got) != 1 {
+		t.Errorf("calls: got %v, want deep", got)
+	}
+	if got := c.Of(now, "files"); len(got) != 0 {
+		t.Errorf("files: got %v, want nothing", got)
+	}
+}
+
 // In the middle of the run the services below become five times slower, so that a
 // class takes as much longer for the same calls. Another one that makes none takes
 // as long as ever. Fitted to their time in service, it seemed to make some of the
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Kind says for whom a request is attempted again.
 type Kind string
@@ -20,64 +17,119 @@
 	KindCallAbove Kind = "call_above"
 )
 
-// The parts of the share that each kind earns. A repeat of a request that needs
-// further services repeats their work too, and counts there as well: with a
-// chain of four services that all fail, 1.05·1.02·1.02·1.17 is 1.28 times the
-// first attempts, and each of them alone stays within the share of 0.2.
+// The part of a service's share that all its repeats together may have reached
+// for a request of the kind to be repeated. A repeat of a request that needs
+// further services has their work repeated too, and counts at each of them, so
+// those above stop sooner: with a chain of four services that all fail, a tenth
+// of the requests at the top is repeated, and what that brings to the deepest one
+// leaves it something of its own. The last tenth of the share is left for requests
+// whose first attempt is still under way.
 const (
-	callerPart      = 0.60
-	callPart        = 0.25
-	callerAbovePart = 0.25
-	callAbovePart   = 0.10
-	// mostPerRequest bounds what one caller's request earns where callers'
-	// requests are few among calls.
-	mostPerRequest = 0.6
+	callerPart      = 0.90
+	callPart        = 0.80
+	callAbovePart   = 0.60
+	callerAbovePart = 0.45
 	// capacityPart is the part of the fleet's saved repeats that may be spent
-	// beside what is earned, divided among the nodes and the kinds.
+	// beside the share, divided among the nodes.
 	capacityPart = 0.4
-	// mixTime is the time constant in which the mix of requests is counted.
-	mixTime = 2 * time.Second
+	// budgetStep is how finely time is counted, and budgetSteps the time in which
+	// repeats are held against requests: at least ten seconds with the newest step
+	// only begun.
+	budgetStep  = 500 * time.Millisecond
+	budgetSteps = 21
 )
 
 // Budget bounds the repeats of one service's requests from one node, as a share
-// of the requests that the node has for it, so that the bound holds for all nodes
-// together without any agreement. The zero value allows nothing. It is not safe
-// for concurrent use.
+// of the requests that the node has for it in any ten seconds, so that the bound
+// holds for all nodes together without any agreement. What one second does not
+// need another may spend: servers that lose a quarter of their answers for four
+// seconds are made up for whole, where an even stream of repeats would cover a
+// third. The zero value allows nothing. It is not safe for concurrent use.
 //
-// It is made for backend servers that reject a part of what they get, whatever
-// the load: repeats then decide how many requests are served, and callers' own go
-// before the calls of requests that need several of them.
+// Calls that a repeated request makes are repeats at the services called, and
+// nobody can refuse them there; they are counted first. Callers' own requests go
+// before calls, several of which one request needs: for what callers have lately
+// wanted repeated, calls leave room.
 type Budget struct {
 	// Share is what repeats may be of the requests.
 	Share float64
 	// Saved is how many repeats this node may save up.
 	Saved float64
 
-	tokens map[Kind]float64
-	counts map[Kind]float64
-	at     time.Duration
+	steps [budgetSteps]budgetCounts
+	total budgetCounts
+	// step numbers the newest step, counted from time zero.
+	step int64
+}
+
+// budgetCounts is what was counted in one step, or in all.
+type budgetCounts struct {
+	// requests counts first attempts, inherited those of them that a repeated
+	// request above made.
+	requests, inherited int
+	// wanted counts the repeats of callers' own requests that were asked for,
+	// callers those that were allowed, calls the other repeats.
+	wanted, callers, calls int
 }
 
-// Requested counts a request's first attempt.
-func (b *Budget) Requested(now time.Duration, kind Kind) {
-	if b.tokens == nil {
-		b.tokens = make(map[Kind]float64)
-		b.counts = make(map[Kind]float64)
+func (s *budgetCounts) add(o budgetCounts, times int) {
+	s.requests += times * o.requests
+	s.inherited += times * o.inherited
+	s.wanted += times * o.wanted
+	s.callers += times * o.callers
+	s.calls += times * o.calls
+}
+
+// advance forgets what is too old.
+func (b *Budget) advance(now time.Duration) *budgetCounts {
+	number := int64(now / budgetStep)
+	for b.step = max(b.step, number-budgetSteps); b.step < number; {
+		b.step++
+		old := &b.steps[b.step%budgetSteps]
+		b.total.add(*old, -1)
+		*old = budgetCounts{}
 	}
-	fade := math.Exp(-(now - b.at).Seconds() / mixTime.Seconds())
-	b.at = now
-	total := 0.0
-	for k, n := range b.counts {
-		b.counts[k] = n * fade
-		total += n * fade
+	return &b.steps[b.step%budgetSteps]
+}
+
+// Requested counts a request's first attempt; inherited is set if it is a call
+// that a repeated request makes.
+func (b *Budget) Requested(now time.Duration, inherited bool) {
+	counted := budgetCounts{requests: 1}
+	if inherited {
+		counted.inherited = 1
 	}
-	b.counts[kind]++
-	total++
-	earned := b.Share * partOf(kind)
+	b.count(now, counted)
+}
+
+func (b *Budget) count(now time.Duration, counted budgetCounts) {
+	b.advance(now).add(counted, 1)
+	b.total.add(counted, 1)
+}
+
+// Take reports whether one more repeat is allowed, and counts it if so.
+func (b *Budget) Take(now time.Duration, kind Kind) bool {
 	if kind == KindCaller {
-		earned = min(earned*total/b.counts[kind], mostPerRequest)
+		b.count(now, budgetCounts{wanted: 1})
+	} else {
+		b.advance(now)
 	}
-	b.tokens[kind] = min(b.tokens[kind]+earned, 1+capacityPart*b.Saved)
+	spent := b.total.inherited + b.total.calls
+	if kind == KindCaller {
+		spent += b.total.callers
+	} else {
+		spent += b.total.wanted
+	}
+	most := b.Share*partOf(kind)*float64(b.total.requests) + capacityPart*b.Saved
+	if float64(spent+1) > most {
+		return false
+	}
+	if kind == KindCaller {
+		b.count(now, budgetCounts{callers: 1})
+	} else {
+		b.count(now, budgetCounts{calls: 1})
+	}
+	return true
 }
 
 func partOf(kind Kind) float64 {
@@ -92,12 +144,3 @@
 		return callAbovePart
 	}
 }
-
-// Take reports whether one more repeat is allowed, and counts it if so.
-func (b *Budget) Take(kind Kind) bool {
-	if b.tokens[kind] < 1 {
-		return false
-	}
-	b.tokens[kind]--
-	return true
-}
