--- a/core/node/shed_rank.go
+++ b/core/node/shed_rank.go
@@ -14,8 +14,12 @@
 // every depth of the chain sheds the same requests and work already done for
 // the others is not lost.
 func ShedRank(priority coltsfootward.Priority, organisation coltsfootward.OrganisationName, request coltsfootward.RequestID) uint32 {
-	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
-	return uint32(priority.Rank())<<shedHashBits | uint32(hash>>(64-shedHashBits))
+	return uint32(priority.Rank())<<shedHashBits | requestHash(organisation, request, shedHashBits)
+}
+
+// requestHash returns a hash of so many bits.
+func requestHash(organisation coltsfootward.OrganisationName, request coltsfootward.RequestID, bits int) uint32 {
+	return uint32(xxhash.Sum64String(string(organisation)+"\x00"+string(request)) >> (64 - bits))
 }
 
 // secondShift is where the second priority stands in a routed request's rank.
@@ -25,8 +29,7 @@
 // priority, where it has one, then by the route's, then by a hash. With the same
 // priority for all organisations the route's decides.
 func RoutedRank(priority, second coltsfootward.Priority, organisation coltsfootward.OrganisationName, request coltsfootward.RequestID) uint32 {
-	hash := xxhash.Sum64String(string(organisation) + "\x00" + string(request))
-	return uint32(priority.Rank())<<shedHashBits | uint32(second.Rank())<<secondShift | uint32(hash>>(64-secondShift))
+	return uint32(priority.Rank())<<shedHashBits | uint32(second.Rank())<<secondShift | requestHash(organisation, request, secondShift)
 }
 
 // agingLimit bounds how many repeats move a request up.
--- a/io/caller/routed.go
+++ b/io/caller/routed.go
@@ -122,12 +122,3 @@
 		return status
 	}
 }
-
-// RoutedAnswer reports whether an answer in hand is a backend server's own, with
-// the fields that it must have, for the request of that name.
-func RoutedAnswer(fields wire.Fields, status int, h http.Header, request coltsfootward.RequestID) bool {
-	if id := h.Get(fields.Request); id != "" && id != string(request) {
-		return false
-	}
-	return status < http.StatusOK || status >= http.StatusMultipleChoices || h.Get(fields.Stamp) != ""
-}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -194,7 +194,7 @@
 		if d.rejected(response) {
 			return d.ended(node.DispatchRejected)
 		}
-		if !caller.RoutedAnswer(*d.server.options.Routed, response.StatusCode, response.Header, d.head.Request) {
+		if !d.server.options.Routed.Answers(string(d.head.Request), response.StatusCode, response.Header) {
 			return d.ended(node.DispatchFailed)
 		}
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -32,6 +32,16 @@
 	Caller string
 }
 
+// Answers reports whether an answer is a backend server's own to the request of
+// that name. An extra answer on a kept connection bears another name, and a success
+// without the stamp was made by something else.
+func (f Fields) Answers(request string, status int, h http.Header) bool {
+	if id := h.Get(f.Request); id != "" && id != request {
+		return false
+	}
+	return status < http.StatusOK || status >= http.StatusMultipleChoices || h.Get(f.Stamp) != ""
+}
+
 // hopFields belong to one connection by RFC 9110 and are not passed on. Expect
 // is answered by the node that reads the body.
 var hopFields = map[string]bool{
