--- /dev/null
+++ b/cmd/coltsload/emulate.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"coltsfootward/core/emulation"
+)
+
+// troubleFrom is when the trouble of an emulated day begins: nodes have learnt by
+// then which services each class of requests needs.
+const troubleFrom = 4 * time.Second
+
+// emulate plays a routed deployment under a virtual clock.
+type emulate struct {
+	Deployment string        `long:"deployment" choice:"publisher" choice:"consortium" default:"consortium" description:"the deployment"`
+	Duration   time.Duration `long:"duration" default:"20s" description:"how long callers send requests"`
+	Seed       uint64        `long:"seed" default:"1" description:"seed of every random choice"`
+	Service    string        `long:"service" description:"the service that has the trouble; the deepest one without it"`
+	For        time.Duration `long:"for" default:"10s" description:"how long the trouble lasts, from 4 s on"`
+	Burst      float64       `long:"burst" default:"1" description:"what callers' requests are multiplied by meanwhile"`
+	Lost       int           `long:"lost" description:"how many of the service's backend servers are lost for good"`
+	Rejects    float64       `long:"rejects" description:"part of what the service's backend servers get that they reject meanwhile"`
+	Fails      float64       `long:"fails" description:"part of the service's runs that end without an answer meanwhile"`
+}
+
+// Execute implements flags.Commander.
+func (c *emulate) Execute([]string) error {
+	d := emulation.Consortium()
+	if c.Deployment == "publisher" {
+		d = emulation.Publisher()
+	}
+	trouble, err := c.trouble(d)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	o := emulation.Run(d, trouble, c.Duration, c.Seed)
+	fmt.Printf("%s, seed %d, trouble at %s from %s on for %s\n\n%s\n", d.Name, c.Seed, trouble.Service, troubleFrom, c.For, o)
+	for _, s := range d.Services {
+		fmt.Printf("%-13s %6d arrivals at backend servers\n", s.Name, o.Arrivals(s.Name))
+	}
+	fmt.Printf("took %s\n", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// trouble checks the flags, of which the library knows only the types.
+func (c *emulate) trouble(d emulation.Deployment) (emulation.Trouble, error) {
+	service := d.Services[len(d.Services)-1]
+	found := c.Service == ""
+	for _, s := range d.Services {
+		if string(s.Name) == c.Service {
+			service, found = s, true
+		}
+	}
+	switch {
+	case !found:
+		return emulation.Trouble{}, fmt.Errorf("coltsload: deployment %s has no service %q: leave --service out for %s", d.Name, c.Service, service.Name)
+	case c.Duration < time.Second || c.Duration > time.Hour:
+		return emulation.Trouble{}, errors.New("coltsload: --duration must be from 1s to 1h")
+	case c.Burst < 0 || c.Burst > 100:
+		return emulation.Trouble{}, errors.New("coltsload: --burst must be from 0 to 100")
+	case c.Lost < 0 || c.Lost > service.Upstreams:
+		return emulation.Trouble{}, fmt.Errorf("coltsload: --lost must be from 0 to the service's %d backend servers", service.Upstreams)
+	case c.Rejects < 0 || c.Rejects > 1 || c.Fails < 0 || c.Fails > 1:
+		return emulation.Trouble{}, errors.New("coltsload: --rejects and --fails are parts, from 0 to 1")
+	}
+	span := emulation.Span{From: troubleFrom, To: troubleFrom + c.For}
+	return emulation.Trouble{
+		Burst: c.Burst, BurstSpan: span, Service: service.Name, Lost: c.Lost, LostAt: troubleFrom,
+		Rejects: c.Rejects, RejectSpan: span, Fails: c.Fails, FailSpan: span,
+	}, nil
+}
--- /dev/null
+++ b/cmd/coltsload/emulate_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootward/core/emulation"
+)
+
+// An operator mistypes a flag. Played all the same, the day would have no trouble
+// and its figures would say that nothing is wrong.
+func TestEmulateRefusesWhatItCannotPlay(t *testing.T) {
+	for name, c := range map[string]emulate{
+		"has no service":  {Service: "nobody", Duration: time.Second},
+		"--duration":      {Duration: time.Millisecond},
+		"--burst":         {Duration: time.Second, Burst: -1},
+		"--lost":          {Duration: time.Second, Lost: 4},
+		"are parts, from": {Duration: time.Second, Rejects: 1.5},
+	} {
+		if _, err := c.trouble(emulation.Consortium()); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%+v: got %v, want an error that names %q", c, err, name)
+		}
+	}
+	got, err := (&emulate{Duration: time.Second, Burst: 2, Lost: 1}).trouble(emulation.Consortium())
+	if err != nil || got.Service != "sections" || got.Lost != 1 {
+		t.Errorf("got %+v and %v, want the loss of one server of the deepest service", got, err)
+	}
+}
