--- /dev/null
+++ b/cmd/coltssoak/main.go
@@ -0,0 +1,91 @@
+// Command coltssoak runs nodes as separate processes on this machine, injects
+// faults from outside them, and checks what the system promises.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"coltsfootward/cmd/soak"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Program   string        `long:"program" required:"yes" description:"the node's executable, coltsfootward"`
+	Directory string        `long:"directory" description:"where settings and logs go; a new temporary one without it"`
+	From      uint64        `long:"from" default:"1" description:"the first seed"`
+	Seeds     uint64        `long:"seeds" default:"1" description:"how many seeds are played, one after the other"`
+	Nodes     int           `long:"nodes" default:"4" description:"node processes"`
+	Callers   int           `long:"callers" default:"12" description:"callers that send requests all the time"`
+	Duration  time.Duration `long:"duration" default:"15s" description:"how long faults come with each seed"`
+}
+
+// The exit codes.
+const (
+	exitKept   = 0
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var flagged *flags.Error
+	if errors.As(err, &flagged) && flagged.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return exitKept
+	}
+	if err == nil {
+		o.Directory, err = directory(o.Directory)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "coltssoak: %v: see coltssoak --help\n", err)
+		return exitUsage
+	}
+	return play(o)
+}
+
+func directory(named string) (string, error) {
+	if named == "" {
+		return os.MkdirTemp("", "coltssoak")
+	}
+	return named, os.MkdirAll(named, 0o755)
+}
+
+// play plays the seeds and prints a line for each.
+func play(o options) int {
+	code := exitKept
+	fmt.Printf("%-6s %-8s %8s %12s  %s\n", "SEED", "FAULTS", "REQUESTS", "SERVED AFTER", "FINDINGS")
+	for seed := o.From; seed < o.From+o.Seeds; seed++ {
+		place := filepath.Join(o.Directory, fmt.Sprintf("seed-%d", seed))
+		err := os.MkdirAll(place, 0o755)
+		var report soak.Report
+		if err == nil {
+			report, err = soak.Run(soak.Options{
+				Program: o.Program, Directory: place, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, Duration: o.Duration,
+			})
+		}
+		if err != nil {
+			fmt.Printf("%-6d not played: %v\n", seed, err)
+			code = exitBroken
+			continue
+		}
+		faults := 0
+		for _, n := range report.Faults {
+			faults += n
+		}
+		fmt.Printf("%-6d %-8d %8d %5d of %-5d %d %v\n", seed, faults, report.Requests, report.CalmServed, report.CalmRequests, len(report.Findings), report.Faults)
+		for _, finding := range report.Findings {
+			fmt.Println("       " + finding)
+			code = exitBroken
+		}
+	}
+	fmt.Println("logs and settings: " + o.Directory)
+	return code
+}
--- /dev/null
+++ b/cmd/soak/ledger_test.go
@@ -0,0 +1,61 @@
+package soak
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A check that never fires lets every run pass. Each promise is broken once here,
+// and each must be found.
+func TestLedgerFindsEachBrokenPromise(t *testing.T) {
+	run := func(id, path, organisation, key string) func(*ledger) {
+		return func(l *ledger) {
+			r := httptest.NewRequest(http.MethodGet, path, nil)
+			r.Header.Set("Coltsfootward-Request-Id", id)
+			r.Header.Set("Coltsfootward-Tenant-Id", organisation)
+			if key != "" {
+				r.Header.Set("Authorization", "Bearer "+key)
+			}
+			l.ran(r)
+		}
+	}
+	tell := func(id string, answer told) func(*ledger) {
+		return func(l *ledger) { l.tell(id, answer) }
+	}
+	const order, quote = "farm-order-1-1", "farm-urea-1-1"
+	orderRuns := run(order, "/order/"+order, "farm", "")
+	quoteRuns := run(quote, "/urea/"+quote, "farm", "")
+	flood := func(l *ledger) {
+		for range 200 {
+			run("poor-urea-1-1", "/urea/poor-urea-1-1", "poor", "")(l)
+		}
+	}
+	for _, test := range []struct {
+		name, want string
+		steps      []func(*ledger)
+	}{
+		{"all kept", "", []func(*ledger){orderRuns, tell(order, told{order: true, status: 200, whole: true}), quoteRuns, quoteRuns, tell(quote, told{status: 502})}},
+		{"order runs twice", "ran 2 times", []func(*ledger){orderRuns, orderRuns, tell(order, told{order: true, status: 502})}},
+		{"refused order has run", "answered 503 and has run", []func(*ledger){orderRuns, tell(order, told{order: true, status: 503})}},
+		{"answer not whole", "whole: false", []func(*ledger){quoteRuns, tell(quote, told{status: 200})}},
+		{"answer without a run", "runs: 0", []func(*ledger){tell(quote, told{status: 200, whole: true})}},
+		{"allowed request denied", "was answered 404", []func(*ledger){tell(quote, told{status: 404})}},
+		{"cut off by a planned stop", "cut off", []func(*ledger){quoteRuns, tell(quote, told{node: 2, sent: 3 * time.Second})}},
+		{"key passed on", "with its key", []func(*ledger){run(quote, "/urea/"+quote, "farm", "farm-key")}},
+		{"other organisation", `organisation "poor"`, []func(*ledger){run(quote, "/urea/"+quote, "poor", "")}},
+		{"path changed", "ran with path", []func(*ledger){run(quote, "/urea/other", "farm", "")}},
+		{"above the rate", "limited organisation", []func(*ledger){flood}},
+	} {
+		l := newLedger()
+		for _, step := range test.steps {
+			step(l)
+		}
+		findings := strings.Join(l.check([]window{{node: 2, from: 2 * time.Second, to: 4 * time.Second}}), "; ")
+		if (findings == "") != (test.want == "") || !strings.Contains(findings, test.want) {
+			t.Errorf("%s: got %q, want %q", test.name, findings, test.want)
+		}
+	}
+}
