Forget routes that are gone: classes make room for new ones

Configurations name routes anew; a node that has run for long would know of no present class which services it needs. Found by the new tests, which failed before: generation 32 learnt nothing, 30 classes known for one.

--- a/core/node/document.go
+++ b/core/node/document.go
@@ -21,6 +21,7 @@
 	p.current = c
 	p.node.rate.refresh()
 	p.node.report(record.RevisionInForce, field("revision", c.Revision().String()))
+	p.node.entry.forgetRoutes(c)
 	p.node.act(ConfigurationInForce{Configuration: c})
 	for _, to := range p.pushTargets() {
 		p.node.act(Send{To: to, Message: message.NewConfigurationWhole(c)})
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strconv"
 	"time"
 
@@ -143,6 +144,19 @@
 	return true
 }
 
+// forgetRoutes drops what is known of routes that a configuration no longer has.
+func (p *entryPart) forgetRoutes(c coltsfootward.Configuration) {
+	names := make(map[coltsfootward.RouteName]bool)
+	for _, route := range c.Routes() {
+		names[route.Name] = true
+	}
+	maps.DeleteFunc(p.splits, func(name coltsfootward.RouteName, _ *splitState) bool { return !names[name] })
+	p.node.gates.Forget(func(name coltsfootward.RouteName) bool { return names[name] })
+}
+
+// KnownClasses returns how many classes of requests the node knows the needs of.
+func (n *Node) KnownClasses() int { return n.gates.Classes() }
+
 // refusedAtGate refuses a caller's request that a service which it needs, here
 // or further down the chain, has no room for, before any work is done for it. A
 // further call of a request that has begun is never refused so: the work above it
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -199,3 +199,24 @@
 		t.Errorf("calls marked as repeats: %v and %v, want the second one alone", first.Head.Repeat, second.Head.Repeat)
 	}
 }
+
+// Every configuration names its routes anew. What a node had learnt of old names
+// stayed for good, a little more with each of thousands of changes a day.
+func TestNodeForgetsRoutesThatAreGone(t *testing.T) {
+	r, members := newRouted(1, 2, routedDocument(1, coltsfootward.Rate{PerSecond: 1000, Burst: 1000}, "quotes"), "north")
+	for revision := range coltsfootward.Revision(30) {
+		document := routedDocument(revision+2, coltsfootward.Rate{PerSecond: 1000, Burst: 1000}, "quotes")
+		routes := document.Routes()
+		routes[0].Name = coltsfootward.RouteName(fmt.Sprintf("quotes-%d", revision))
+		for _, m := range members {
+			m.Read(document.WithRoutes(routes))
+		}
+		if o := get(members[0]); o == nil {
+			t.Fatal("no request")
+		}
+		r.Run(100 * time.Millisecond)
+	}
+	if got := members[0].Node().KnownClasses(); got != 1 {
+		t.Errorf("got %d classes of requests known, want the present one", got)
+	}
+}
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -53,8 +53,9 @@
 	timeWeight = 0.1
 	timeRuns   = 8
 	baseDrift  = 0.0005
-	// maximumClasses bounds the classes that are told apart; the sums grow with
-	// their square. Later ones are taken to make no calls.
+	// maximumClasses bounds the classes that are told apart, and the routes that
+	// they call; the sums grow with their square. A further one takes the place of
+	// the one that has been seen least of late.
 	maximumClasses = 32
 )
 
@@ -122,6 +123,7 @@
 
 // calls is what is known of one class.
 type calls struct {
+	name coltsfootward.RouteName
 	runs float64
 	// took is how long its requests that did not fail were in service.
 	took times
@@ -139,8 +141,9 @@
 
 // callee is what is known of the calls to one route.
 type callee struct {
-	// took is how long those took that did not fail.
+	// took is how long those took that did not fail, calls how many there were.
 	took    times
+	calls   float64
 	windows [calleeWindows]float64
 	// sums holds, for each class, the weighted sum of its requests times the calls.
 	sums []float64
@@ -155,10 +158,11 @@
 	if i, ok := c.index[name]; ok {
 		return c.list[i]
 	}
+	k := &calls{name: name, delayed: make(map[coltsfootward.RouteName]bool)}
 	if len(c.list) >= maximumClasses {
-		return &calls{}
+		c.replace(k)
+		return k
 	}
-	k := &calls{delayed: make(map[coltsfootward.RouteName]bool)}
 	c.index[name] = len(c.list)
 	c.list = append(c.list, k)
 	for i := range c.products {
@@ -172,6 +176,56 @@
 	return k
 }
 
+// replace puts a class in the place of the one that has been seen least of late.
+//
+// Routes get new names with new configurations. Without it the first 32 names
+// ever seen, probes of single requests among them, would keep the places for good,
+// and a node that has run for weeks would know nothing of the present ones.
+func (c *Callees) replace(k *calls) {
+	place := 0
+	for i, old := range c.list {
+		if old.runs < c.list[place].runs {
+			place = i
+		}
+	}
+	delete(c.index, c.list[place].name)
+	c.index[k.name] = place
+	c.list[place] = k
+	for i := range c.products {
+		c.products[i][place] = 0
+		c.products[place][i] = 0
+	}
+	for _, m := range c.made {
+		m.sums[place] = 0
+		m.rates[place] = 0
+	}
+}
+
+// callee returns what is known of the calls to a route.
+func (c *Callees) callee(route coltsfootward.RouteName) *callee {
+	if c.made == nil {
+		c.made = make(map[coltsfootward.RouteName]*callee)
+	}
+	if m, ok := c.made[route]; ok {
+		return m
+	}
+	if len(c.made) >= maximumClasses {
+		least := route
+		for _, name := range slices.Sorted(maps.Keys(c.made)) {
+			if least == route || c.made[name].calls < c.made[least].calls {
+				least = name
+			}
+		}
+		delete(c.made, least)
+		for _, k := range c.list {
+			delete(k.delayed, least)
+		}
+	}
+	m := &callee{sums: make([]float64, len(c.list)), rates: make([]float64, len(c.list))}
+	c.made[route] = m
+	return m
+}
+
 // advance closes the windows that are too old for the time now.
 func (c *Callees) advance(now time.Duration) {
 	number := int64(now / calleeWindow)
@@ -199,6 +253,7 @@
 		k.windows[place] = 0
 	}
 	for _, m := range c.made {
+		m.calls = m.calls*calleeFade + m.windows[place]
 		m.windows[place] = 0
 	}
 }
@@ -280,18 +335,7 @@
 // Called counts a further call.
 func (c *Callees) Called(now time.Duration, route coltsfootward.RouteName) {
 	c.advance(now)
-	m, ok := c.made[route]
-	if !ok {
-		if len(c.made) >= maximumClasses {
-			return
-		}
-		if c.made == nil {
-			c.made = make(map[coltsfootward.RouteName]*callee)
-		}
-		m = &callee{sums: make([]float64, len(c.list)), rates: make([]float64, len(c.list))}
-		c.made[route] = m
-	}
-	m.windows[c.newest%calleeWindows]++
+	c.callee(route).windows[c.newest%calleeWindows]++
 }
 
 // Of returns the routes that requests of a class call, sorted.
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -139,6 +139,17 @@
 	g.excess += excessWeight * (excess - g.excess)
 }
 
+// Forget drops the classes that keep does not hold. A configuration that names its
+// routes anew would else leave a class behind with each change.
+func (g *Gates) Forget(keep func(coltsfootward.RouteName) bool) {
+	maps.DeleteFunc(g.reach, func(class coltsfootward.RouteName, _ map[coltsfootward.ServiceName]float64) bool {
+		return !keep(class)
+	})
+}
+
+// Classes returns how many classes of requests are known.
+func (g *Gates) Classes() int { return len(g.reach) }
+
 // Reported is what part of the demand for a service is to be refused.
 type Reported struct {
 	Service coltsfootward.ServiceName
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -1,6 +1,7 @@
 package pressure_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -85,6 +86,28 @@
 	}
 }
 
+// Configurations give routes new names again and again. The names of old ones kept
+// all places for classes, and a node that had run for long knew of no present class
+// which services it needs: under overload the least important requests passed.
+func TestCalleesForgetOldNames(t *testing.T) {
+	var c pressure.Callees
+	now := time.Duration(0)
+	for generation := range 40 {
+		calls := coltsfootward.RouteName(fmt.Sprintf("calls-%d", generation))
+		deep := coltsfootward.RouteName(fmt.Sprintf("deep-%d", generation))
+		for range 200 {
+			began := now
+			c.Called(now, deep)
+			now += 50 * time.Millisecond
+			c.CallEnded(deep, 25*time.Millisecond, false)
+			c.Ended(now, began, calls, false)
+		}
+		if got := c.Of(now, calls); len(got) != 1 || got[0] != deep {
+			t.Fatalf("generation %d: got %v, want %s", generation, got, deep)
+		}
+	}
+}
+
 // Two classes always run side by side, so that nothing but chance tells which of
 // them makes the calls. Then the deep service fills up: its calls take four times
 // as long, and so do the requests that make them. Nodes that took one class for the
