--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -135,19 +136,30 @@
 	return n, err
 }
 
-// freePorts returns addresses that nothing listens at. Another program may take
-// one before the node does; the node then does not start, which is told.
+// The ports of nodes lie below those that the machine hands out by itself: a node's
+// own port would else be taken by some connection while the node is down.
+const (
+	lowestPort  = 12000
+	highestPort = 32000
+	portTries   = 1000
+)
+
+// freePorts returns addresses that nothing listens at.
 func freePorts(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue // taken; there are others
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
+		if len(addresses) == count {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("no %d free ports between %d and %d", count, lowestPort, highestPort)
 }
 
 // start starts the process unless it runs.
