--- a/core/emulation/load_test.go
+++ b/core/emulation/load_test.go
@@ -1,6 +1,7 @@
 package emulation_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -19,10 +20,15 @@
 // under the empty name that of all requests.
 func worths(t *testing.T, d emulation.Deployment, trouble emulation.Trouble) map[coltsfootward.RouteName]float64 {
 	t.Helper()
+	outcomes := make([]*emulation.Outcome, seeds)
+	var wait sync.WaitGroup
+	for i := range outcomes {
+		wait.Go(func() { outcomes[i] = emulation.Run(d, trouble, length, uint64(i)+1) })
+	}
+	wait.Wait()
 	sums := make(map[coltsfootward.RouteName]float64)
-	for seed := range uint64(seeds) {
-		o := emulation.Run(d, trouble, length, seed+1)
-		t.Logf("%s, seed %d\n%s", d.Name, seed+1, o)
+	for i, o := range outcomes {
+		t.Logf("%s, seed %d\n%s", d.Name, i+1, o)
 		sums[""] += o.Total().Worth() / seeds
 		for name, n := range o.Classes {
 			sums[name] += n.Worth() / seeds
