--- a/core/pressure/doc.go
+++ b/core/pressure/doc.go
@@ -1,11 +1,11 @@
 // Package pressure has entry nodes refuse what a service further down a chain of
 // calls could not serve, before anything has begun to work for it.
 //
-// Three parts work together. A Meter at each backend server's node measures how
-// much is offered to the server. Callees at the same node learn which further
-// calls each class of requests makes, so that an answer can tell how full the
-// services below are. A Gate at each entry node turns that into the share of the
-// demand to refuse, least important first.
+// Four parts work together. A Meter at each backend server's node measures how
+// much is offered to the server, and a Throttle beside it decides which part of the
+// demand is to be refused. Callees at the same node learn which further calls each
+// class of requests makes, so that an answer can tell the same of the services
+// below. Gates at each entry node refuse that part, least important first.
 //
 // The load that it is made for: a deep service has half the capacity that a burst
 // asks of it, and every request holds slots of all services above it. Refused at
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -106,8 +106,8 @@
 }
 
 // Answered takes in what an answer to a request of the class told: what is to be
-// refused for the services that such requests need. The nodes of a service learn by themselves
-// what is needed, and not all at once; what most answers name counts.
+// refused for the services that such requests need. The nodes of a service learn
+// by themselves what is needed, and not all at once; what most answers name counts.
 func (g *Gates) Answered(now time.Duration, class coltsfootward.RouteName, told []Reported) {
 	if g.reach == nil {
 		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]float64)
