Read once more: one stop and one readiness check in the soak, no field that nobody reads

The two stops by SIGTERM differed in their bound alone, the limited organisation's rate stood as a number beside its constant, and the keys, two times and the emulator's busy time and hasty callers were read by nobody.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -73,10 +73,7 @@
 func ask(client *http.Client, n *node, l *ledger, id string) {
 	organisation, _, _ := strings.Cut(id, "-")
 	t := told{order: kindOf(id) == "order", node: n.number, sent: l.now()}
-	defer func() {
-		t.ended = l.now()
-		l.tell(id, t)
-	}()
+	defer func() { l.tell(id, t) }()
 	method, body := http.MethodGet, io.Reader(nil)
 	if t.order {
 		// A reader of no known kind keeps the library from sending the order twice.
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -18,18 +18,17 @@
 
 const (
 	host = "soak.example"
-	// farmKey and poorKey are the keys of an organisation without a limit that
-	// matters and of one with a small one.
-	farmKey, poorKey = "key-of-farm", "key-of-poor"
-	poorRate         = 20
-	poorBurst        = 20
-	slots            = 8
-	grace            = 4 * time.Second
+	// poorRate and poorBurst are the limit of the organisation poor; that of farm
+	// is never reached.
+	poorRate  = 20
+	poorBurst = 20
+	slots     = 8
+	grace     = 4 * time.Second
 )
 
 // document is the operators' configuration.
 const document = `{"version":"r%d","services":[{"name":"quotes","health_path":"/health","max_connections":64}],
-"tenants":[{"name":"farm","api_keys":["key-of-farm"],"rate_per_s":5000,"burst":5000},{"name":"poor","api_keys":["key-of-poor"],"rate_per_s":20,"burst":20}],
+"tenants":[{"name":"farm","api_keys":["key-of-farm"],"rate_per_s":5000,"burst":5000},{"name":"poor","api_keys":["key-of-poor"],"rate_per_s":%d,"burst":%d}],
 "virtual_hosts":[{"host":"soak.example","paths":[
 {"name":"urea","prefix":"/urea/","kind":"idempotent","timeout":"2s","target_latency":"500ms","priority":1,"max_attempts":2,"service":"quotes"},
 {"name":"order","prefix":"/order/","kind":"non_idempotent","timeout":"2s","target_latency":"500ms","priority":0,"max_attempts":2,"service":"quotes"}]}]}`
@@ -39,8 +38,6 @@
 	store    *hosting.Store
 	platform *httptest.Server
 	nodes    []*node
-	// began is when the first node started; what stand-ins see is timed from it.
-	began time.Time
 }
 
 // node is one node process, its backend server and the proxies around it.
@@ -60,7 +57,7 @@
 // newFleet starts count nodes of the program, in two failure domains, with their
 // files in directory. seen is told of every run at a backend server.
 func newFleet(program, directory string, count int, seen func(*http.Request)) (*fleet, error) {
-	f := &fleet{store: hosting.NewStore(), began: time.Now()}
+	f := &fleet{store: hosting.NewStore()}
 	f.platform = httptest.NewServer(f.store)
 	f.configure(3)
 	for i := range count {
@@ -80,7 +77,7 @@
 }
 
 func (f *fleet) configure(version int) {
-	f.store.Write("op", "config", fmt.Appendf(nil, document, version))
+	f.store.Write("op", "config", fmt.Appendf(nil, document, version, poorRate, poorBurst))
 }
 
 func (f *fleet) newNode(program, directory string, i int, seen func(*http.Request)) (*node, error) {
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -30,8 +30,8 @@
 	refused bool
 	whole   bool
 	node    int
-	// sent and ended are times since the ledger began.
-	sent, ended time.Duration
+	// sent is the time since the ledger began.
+	sent time.Duration
 }
 
 func newLedger() *ledger {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +32,8 @@
 	Planned bool
 	// Faults counts the faults by what they were.
 	Faults map[string]int
-	// Requests and Served count callers' requests in all and after the faults.
+	// Requests counts callers' requests in all, CalmRequests those after the
+	// faults and CalmServed how many of these were served.
 	Requests, CalmRequests, CalmServed int
 	// Findings are the promises that were broken.
 	Findings []string
@@ -122,26 +124,23 @@
 func (r *run) awaitReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		ready := true
-		for i, n := range r.fleet.nodes {
-			id := fmt.Sprintf("farm-urea-first%d-%d", i, time.Now().UnixNano())
-			if !n.isReady() {
-				ready = false
-				break
-			}
-			ask(client, n, r.ledger, id)
-			if !r.ledger.served(id) {
-				ready = false
-				break
-			}
-		}
-		if ready {
+		if !slices.ContainsFunc(r.fleet.nodes, func(n *node) bool { return !r.serves(client, n) }) {
 			return true
 		}
 	}
 	return false
 }
 
+// serves reports whether a node is ready and a request through it is served.
+func (r *run) serves(client *http.Client, n *node) bool {
+	if !n.isReady() {
+		return false
+	}
+	id := fmt.Sprintf("farm-urea-first%d-%d", n.number, time.Now().UnixNano())
+	ask(client, n, r.ledger, id)
+	return r.ledger.served(id)
+}
+
 func (r *run) find(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,7 +173,9 @@
 		return
 	}
 	from := r.ledger.now()
-	r.stop(n)
+	if !r.stop(n, grace+time.Second) {
+		r.find("node %d still ran %v after SIGTERM", n.number, grace+time.Second)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.planned = append(r.planned, window{node: n.number, from: from, to: r.ledger.now()})
@@ -186,21 +187,24 @@
 	r.fleet.configure(r.version)
 }
 
-// stop ends a node by SIGTERM and starts it anew.
-func (r *run) stop(n *node) {
+// stop ends a node by SIGTERM and starts it anew. It reports whether the node ended
+// by itself within that time; one that did not is killed.
+func (r *run) stop(n *node, within time.Duration) bool {
 	ended := n.signal(syscall.SIGTERM)
 	if ended == nil {
-		return
+		return true
 	}
 	r.count("term")
+	inTime := true
 	select {
 	case <-ended:
-	case <-time.After(grace + time.Second):
-		r.find("node %d still runs %v after SIGTERM", n.number, grace+time.Second)
+	case <-time.After(within):
+		inTime = false
 		n.signal(syscall.SIGKILL)
 		<-ended
 	}
 	r.restart(n)
+	return inTime
 }
 
 func (r *run) restart(n *node) {
@@ -236,7 +240,8 @@
 			later(func() { n.signal(syscall.SIGCONT) })
 		}
 	case 3:
-		r.wait.Go(func() { r.stopAmongFaults(n) })
+		// It may be paused meanwhile, so only that it comes back is asked.
+		r.wait.Go(func() { r.stop(n, 2*grace) })
 	case 4, 5:
 		r.count("backend server: " + string(harm))
 		n.toBackend.set(harm)
@@ -257,20 +262,3 @@
 		}
 	}
 }
-
-// stopAmongFaults ends a node by SIGTERM while other faults go on: it may be
-// paused or killed meanwhile, so only that it comes back is asked.
-func (r *run) stopAmongFaults(n *node) {
-	ended := n.signal(syscall.SIGTERM)
-	if ended == nil {
-		return
-	}
-	r.count("term")
-	select {
-	case <-ended:
-	case <-time.After(2 * grace):
-		n.signal(syscall.SIGKILL)
-		<-ended
-	}
-	r.restart(n)
-}
--- a/core/emulation/caller.go
+++ b/core/emulation/caller.go
@@ -22,10 +22,8 @@
 	class   Class
 	entry   int
 	arrived time.Duration
-	// repeats is how often it may still ask again, and hasty whether it does so
-	// at once.
+	// repeats is how often it may still ask again.
 	repeats int
-	hasty   bool
 }
 
 // schedule draws the next arrival of a class by thinning: candidates come at the
@@ -52,9 +50,6 @@
 
 func (w *world) arrive(c Class, now time.Duration) {
 	a := &wanted{class: c, entry: w.source.IntN(len(w.members)), arrived: now, repeats: callerRepeats}
-	if w.trouble.RepeatSpan.holds(now) && w.source.Float64() < w.trouble.Repeaters {
-		a.repeats, a.hasty = w.trouble.RepeatTimes, true
-	}
 	w.outcome.asked(c, now)
 	w.ask(a)
 }
@@ -92,9 +87,6 @@
 		}
 	}
 	wait = min(wait, left/returnPart)
-	if a.hasty {
-		wait = time.Millisecond
-	}
 	if a.repeats == 0 || left <= 0 || a.class.Unrepeatable && !notRun {
 		w.outcome.lost(a.class, a.arrived, notRun)
 		return
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -31,7 +31,6 @@
 	Seconds []Counts
 
 	arrivals map[coltsfootward.ServiceName]int
-	busy     map[coltsfootward.ServiceName]time.Duration
 }
 
 func newOutcome(d Deployment, length time.Duration) *Outcome {
@@ -40,7 +39,6 @@
 		Classes:    make(map[coltsfootward.RouteName]*Counts),
 		Seconds:    make([]Counts, int(length.Seconds())+1),
 		arrivals:   make(map[coltsfootward.ServiceName]int),
-		busy:       make(map[coltsfootward.ServiceName]time.Duration),
 	}
 	for _, c := range d.Classes {
 		o.Classes[c.Name] = &Counts{}
@@ -98,9 +96,6 @@
 // Total adds up the counts of all requests.
 func (o *Outcome) Total() Counts { return o.Between(0, len(o.Seconds)) }
 
-// Busy returns the completed slot time at a service's backend servers.
-func (o *Outcome) Busy(service coltsfootward.ServiceName) time.Duration { return o.busy[service] }
-
 // Arrivals returns how many requests reached a service's backend servers.
 func (o *Outcome) Arrivals(service coltsfootward.ServiceName) int { return o.arrivals[service] }
 
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -41,11 +41,6 @@
 	// Burst multiplies the callers' requests during BurstSpan; zero means 1.
 	Burst     float64
 	BurstSpan Span
-	// Repeaters is the part of callers that repeat RepeatTimes at once, whatever
-	// they were told, during RepeatSpan.
-	Repeaters   float64
-	RepeatTimes int
-	RepeatSpan  Span
 	// Service is the service that the following concerns.
 	Service coltsfootward.ServiceName
 	// Lost is how many of its backend servers are gone for good from LostAt on.
@@ -187,11 +182,6 @@
 func (w *world) count() {
 	for _, m := range w.members {
 		service := w.services[m].Name
-		for _, r := range m.Backend.Runs {
-			w.outcome.arrivals[service]++
-			if r.Completed && r.Ended > r.Began {
-				w.outcome.busy[service] += r.Ended - r.Began
-			}
-		}
+		w.outcome.arrivals[service] += len(m.Backend.Runs)
 	}
 }
