An announced end stays after a node has recovered its backend server

The server announces its end and the node acknowledges; a held-up "ready" then passed for that of a new start, since the machine still counted as recovered. Four requests reached the leaving server 2.4 s after the acknowledgement.

Ruled out: the order drain, late ready (held before). Found by the new property test besides: the end of a later start than the known one left the earlier start's time in place, so a late "ready" of the ended start was taken; the end of another name's later start was acknowledged without effect.

The machine now remembers the latest start that has announced its end.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -45,6 +45,8 @@
 	// recovered is set while all that is known came from a health check, which
 	// does not say when the backend server started.
 	recovered bool
+	// ended names the latest start that has announced its end.
+	ended coltsfootward.Heartbeat
 }
 
 // Current returns what is in force; false if nothing is known.
@@ -58,6 +60,9 @@
 	if !m.fits(h) {
 		return VerdictForeign
 	}
+	if m.over(h) {
+		return VerdictOld
+	}
 	if m.recovered {
 		m.recovered = false
 		m.known = false
@@ -102,21 +107,44 @@
 	return VerdictTaken
 }
 
+// over reports whether a heartbeat is of a start that has announced its end, or
+// of one long before it. Such a word was held up on its way. The current state
+// alone does not tell: a health check says nothing of starts, so after one any
+// heartbeat would pass for that of a new start, and requests would go to a server
+// whose end has been acknowledged.
+func (m *Machine) over(h coltsfootward.Heartbeat) bool {
+	if h.Started.IsZero() || m.ended.Started.IsZero() {
+		return false
+	}
+	if h.ID == m.ended.ID {
+		return !h.Started.After(m.ended.Started)
+	}
+	return h.Started.Before(m.ended.Started.Add(-startSkew))
+}
+
 // takeEnd takes in that a backend server has announced its end. The end of
-// another one than the current one changes nothing here.
+// another one than the current one changes nothing here, unless it is known to
+// have started later: then the current one is gone, too.
 func (m *Machine) takeEnd(h coltsfootward.Heartbeat) Verdict {
-	if m.known && h.ID != m.current.ID {
-		return VerdictOld
-	}
-	if m.known && !h.Started.IsZero() && h.Started.Before(m.current.Started) {
-		return VerdictOld
+	if !h.Started.Before(m.ended.Started) {
+		m.ended = h
 	}
 	if !m.known {
 		m.current = h
 		m.known = true
 		return VerdictTaken
 	}
+	current := m.current.Started
+	newer := !h.Started.IsZero() && !current.IsZero() && h.Started.After(current)
+	if !newer && (h.ID != m.current.ID || !h.Started.IsZero() && h.Started.Before(current)) {
+		return VerdictOld
+	}
+	m.recovered = false
+	m.current.ID = h.ID
 	m.current.State = coltsfootward.BackendGone
+	if !h.Started.IsZero() {
+		m.current.Started = h.Started
+	}
 	return VerdictTaken
 }
 
--- a/core/backend/backend_test.go
+++ b/core/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -108,3 +109,99 @@
 		t.Fatal("a foreign heartbeat was believed")
 	}
 }
+
+// A node is restarted and finds its backend server by a health check. The server
+// says that it ends, without having drained, and the node acknowledges. A "ready"
+// that was held up on its way comes in after that: believed, requests reached a
+// server that had long been acknowledged as leaving. The health check had not told
+// when the server started, so the late word passed for that of a new start.
+func TestEndAfterRecoveryStays(t *testing.T) {
+	for _, late := range []coltsfootward.Heartbeat{
+		beat("a", 0, 9, ready), beat("a", 0, 7, ready), beat("a", -time.Minute, 9, ready), beat("a", 0, 10, draining),
+	} {
+		m := newMachine()
+		if !m.Recover(coltsfootward.Heartbeat{ID: "a", Service: "quotes", Address: "10.0.0.1:80", Slots: 4, State: ready}) {
+			t.Fatal("health check not taken")
+		}
+		expect(t, m, beat("a", 0, 8, gone), backend.VerdictTaken)
+		if got := m.Take(late); got == backend.VerdictTaken {
+			t.Errorf("late %+v: got %s", late, got)
+		}
+		expect(t, m, beat("a", time.Minute, 1, ready), backend.VerdictTaken)
+		if h, _ := m.Current(); h.State != ready {
+			t.Errorf("after a new start: state is %s, want ready", h.State)
+		}
+	}
+}
+
+// A late "ready" of a server's earlier start comes in after a recovery and is
+// believed for want of anything better. Then the present start ends. A "ready" of
+// that start, held up as well, was taken for a third one.
+func TestEndOfLaterStartThanKnown(t *testing.T) {
+	m := newMachine()
+	if !m.Recover(coltsfootward.Heartbeat{ID: "a", Service: "quotes", Address: "10.0.0.1:80", Slots: 4, State: ready}) {
+		t.Fatal("health check not taken")
+	}
+	expect(t, m, beat("a", 0, 9, ready), backend.VerdictTaken)
+	expect(t, m, beat("a", time.Minute, 4, gone), backend.VerdictTaken)
+	expect(t, m, beat("a", time.Minute, 3, ready), backend.VerdictOld)
+	expect(t, m, beat("a", 2*time.Minute, 1, ready), backend.VerdictTaken)
+}
+
+// Words of several starts of a server come in any order, beside a node that has
+// recovered or not. Two things hold in all orders: a start whose leaving has been
+// acknowledged is not believed to be ready again, and the first word of the newest
+// start is taken.
+func TestNoOrderOfWordsUndoesAnEnd(t *testing.T) {
+	const starts, words = 3, 5
+	for seed := range uint64(3000) {
+		source := rand.New(rand.NewPCG(seed, 17))
+		sameName := source.IntN(2) == 0
+		var all []coltsfootward.Heartbeat
+		for start := range starts {
+			id := "a"
+			if !sameName {
+				id = string(rune('a' + start))
+			}
+			leaves := source.IntN(words)
+			for sequence := range words {
+				state := ready
+				if sequence >= leaves {
+					state = []coltsfootward.BackendState{draining, gone}[source.IntN(2)]
+				}
+				all = append(all, beat(id, time.Duration(start)*time.Minute, uint64(sequence+1), state))
+			}
+		}
+		source.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		m := newMachine()
+		if source.IntN(2) == 0 {
+			m.Recover(coltsfootward.Heartbeat{ID: all[0].ID, Service: "quotes", Address: "10.0.0.1:80", Slots: 4, State: ready})
+		}
+		var left, newest time.Time
+		for i, h := range all {
+			_, before := m.Current()
+			verdict := m.Take(h)
+			if h.State == ready && h.Started.After(newest) && verdict != backend.VerdictTaken {
+				t.Fatalf("seed %d, word %d: the newest start's %+v got %s", seed, i, h, verdict)
+			}
+			newest = later(newest, h.Started)
+			if verdict != backend.VerdictForeign && h.State != ready {
+				left = later(left, h.Started)
+			}
+			current, known := m.Current()
+			if before && !known {
+				t.Fatalf("seed %d, word %d: the server is no longer known", seed, i)
+			}
+			if current.State == ready && !current.Started.IsZero() && !current.Started.After(left) {
+				t.Fatalf("seed %d, word %d: %+v made a server ready that had said that it leaves", seed, i, h)
+			}
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
