A part of the rate that nobody holds yet is asked for again after 50 ms

A part whose holder is not known yet counted as one whose holder does not answer and was left alone for a second, every part at once. Ruled out: empty buckets, which refill at the full rate from the first moment.

--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -20,6 +20,10 @@
 	// domain costs the others one stalled draw in a few seconds.
 	silentWait      = time.Second
 	silentDoublings = 3
+	// unheldWait is how long a part is left alone that nobody holds yet. Nodes that
+	// have all just started agree on the holders within a few rounds of gossip, and
+	// to look again costs next to nothing.
+	unheldWait = 50 * time.Millisecond
 	// emptyWait is the longest that an empty part is left alone: its rate may be
 	// raised, or its slot have a new holder.
 	emptyWait = time.Second
@@ -135,13 +139,13 @@
 func (p *ratePart) draw(a *account, id slotID, need, ahead int64, redirects int) *pendingDraw {
 	holder, ok := p.node.slots.holder(id)
 	if !ok {
-		p.silent(a, id)
+		p.unheld(a, id)
 		return nil
 	}
 	if holder.ID == p.node.options.Self.ID {
 		grant := p.grant(message.Draw{Organisation: a.name, Domain: id.domain, Slot: id.index, Need: need, Ahead: ahead})
 		if !grant.Held {
-			p.silent(a, id)
+			p.unheld(a, id)
 			return nil
 		}
 		p.granted(a, id, grant, p.node.now.Expiry)
@@ -184,7 +188,7 @@
 		a.drawing = p.draw(a, d.slot, d.need, d.ahead, d.redirects+1)
 	default:
 		p.node.slots.elsewhere(d.slot, coltsfootward.Instance{})
-		p.silent(a, d.slot)
+		p.unheld(a, d.slot)
 	}
 	p.pump(a)
 }
@@ -215,7 +219,20 @@
 	}
 }
 
-// silent leaves a part alone whose holder is unknown or does not answer.
+// unheld leaves a part alone for a moment that nobody holds, as far as is known.
+// After a loss of power of all nodes that is every part: left alone for as long as
+// one whose holder does not answer, they would have all callers refused for a
+// second after their holders are there.
+func (p *ratePart) unheld(a *account, id slotID) {
+	view := p.view(a, id)
+	if view == nil {
+		return
+	}
+	view.blockedUntil = p.node.now.Monotonic + unheldWait
+	view.emptyUntil = view.blockedUntil
+}
+
+// silent leaves a part alone whose holder does not answer.
 func (p *ratePart) silent(a *account, id slotID) {
 	view := p.view(a, id)
 	if view == nil {
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -220,3 +220,43 @@
 		t.Errorf("got %d classes of requests known, want the present one", got)
 	}
 }
+
+// All nodes lose power and start again together. Callers come back at once, while
+// nobody knows yet who holds the parts of the rate. Each part then counted as one
+// whose holder does not answer and was left alone for a second, so that callers far
+// inside the rate were refused as over it long after the holders were there.
+func TestRateIsThereSoonAfterLossOfPower(t *testing.T) {
+	document := routedDocument(1, coltsfootward.Rate{PerSecond: 200, Burst: 200}, "quotes")
+	r, members := newRouted(1, 2, document, "north", "south")
+	for _, m := range members {
+		m.Kill()
+	}
+	r.Run(time.Second)
+	for _, m := range members {
+		m.Restart()
+		m.Read(document)
+		m.Announce("quotes", 4)
+	}
+	const step, formation = 20 * time.Millisecond, 600 * time.Millisecond
+	restarted := r.Now()
+	var late []*nodetest.Outcome
+	for r.Now() < restarted+2*time.Second {
+		for _, m := range members {
+			o := get(m)
+			if r.Now() > restarted+formation {
+				late = append(late, o)
+			}
+		}
+		r.Run(step)
+	}
+	r.Run(time.Second)
+	overRate := 0
+	for _, o := range late {
+		if o.Refusal != nil && o.Refusal.Kind == coltsfootward.RefusalOverRate {
+			overRate++
+		}
+	}
+	if overRate > len(late)/20 {
+		t.Errorf("%d of %d requests inside the rate were refused as over it", overRate, len(late))
+	}
+}
