Of equally important requests the dear ones make room first

Cause: the deepest service takes 120 ms of slot time for a lookup and 480 ms for a fitting, of equal rank; refused by a hash alone, both lost the same part although each fitting that is refused makes room for four lookups. Answers now tell what a request of the class takes of each service that it needs (own measured slot time, times the calls below), the demand of a gate is counted in slot time, and of the dear requests of a rank 0.4 times the others' part is let pass.

No effect expected where no two classes of a rank differ by twice.

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -143,17 +143,22 @@
 	// Excess is the part of the demand for the upstream's service that entry nodes
 	// are to refuse, in a routed deployment.
 	Excess float64 `msgpack:"excess,omitempty"`
+	// Cost is the slot time in seconds that one request of this class takes at the
+	// upstream, zero if that is not known.
+	Cost float64 `msgpack:"cost,omitempty"`
 	// Below says the same of the services that requests of this class need
 	// further down.
 	Below []Pressure `msgpack:"below,omitempty"`
 }
 
-// Pressure is the part of the demand for a service that entry nodes are to refuse.
+// Pressure is the part of the demand for a service that entry nodes are to refuse,
+// and the slot time in seconds that one request of a class takes there.
 type Pressure struct {
 	//lint:ignore U1000 msgpack reads the tag of this field
 	_msgpack struct{}                  `msgpack:",as_array"`
 	Service  coltsfootward.ServiceName `msgpack:"service"`
 	Excess   float64                   `msgpack:"excess"`
+	Cost     float64                   `msgpack:"cost"`
 }
 
 // Answer is the head of what comes back for a Call: a backend server's status
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -134,9 +134,9 @@
 	if call.head.Route == "" {
 		return
 	}
-	told := []pressure.Reported{{Service: call.head.Service, Excess: load.Excess}}
+	told := []pressure.Reported{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost}}
 	for _, below := range load.Below {
-		told = append(told, pressure.Reported{Service: below.Service, Excess: below.Excess})
+		told = append(told, pressure.Reported{Service: below.Service, Excess: below.Excess, Cost: below.Cost})
 	}
 	p.node.gates.Answered(p.node.now.Monotonic, call.head.Route, told)
 }
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -409,9 +409,10 @@
 		Queued:  p.admission.Queued(),
 		Limit:   p.admission.Limit(),
 		Excess:  p.node.throttle.Excess(),
+		Cost:    p.admission.Estimate(classOf(head)).Seconds(),
 	}
 	for _, r := range p.node.gates.Below(p.node.now.Monotonic, p.node.callees.Of(p.node.now.Monotonic, head.Route)) {
-		load.Below = append(load.Below, message.Pressure{Service: r.Service, Excess: r.Excess})
+		load.Below = append(load.Below, message.Pressure{Service: r.Service, Excess: r.Excess, Cost: r.Cost})
 	}
 	return load
 }
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -338,8 +338,15 @@
 	c.callee(route).windows[c.newest%calleeWindows]++
 }
 
+// Callee is a route that requests of a class call.
+type Callee struct {
+	Route coltsfootward.RouteName
+	// PerRequest is how many calls a request makes on average.
+	PerRequest float64
+}
+
 // Of returns the routes that requests of a class call, sorted.
-func (c *Callees) Of(now time.Duration, class coltsfootward.RouteName) []coltsfootward.RouteName {
+func (c *Callees) Of(now time.Duration, class coltsfootward.RouteName) []Callee {
 	i, ok := c.index[class]
 	if !ok || c.list[i].runs < calleeRuns {
 		return nil
@@ -352,10 +359,10 @@
 	if k.spared() {
 		return nil
 	}
-	var found []coltsfootward.RouteName
+	var found []Callee
 	for _, route := range slices.Sorted(maps.Keys(c.made)) {
 		if c.makes(i, route) {
-			found = append(found, route)
+			found = append(found, Callee{Route: route, PerRequest: max(c.made[route].rates[i], calleeLeast)})
 		}
 	}
 	return found
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -31,10 +31,12 @@
 	reachLeast  = 0.5
 	reachForget = 0.05
 	reachFirst  = 0.3
+	// costWeight is the weight of the newest answer in what a request costs.
+	costWeight = 0.1
 	// rankBits is how many bits a shed rank has, bucketBits how many of them
 	// choose a bucket of the demand.
 	rankBits   = 30
-	bucketBits = 7
+	bucketBits = 9
 	buckets    = 1 << bucketBits
 )
 
@@ -42,12 +44,33 @@
 // is not safe for concurrent use.
 type Gates struct {
 	gates map[coltsfootward.ServiceName]*gate
-	// reach says which part of the answers to requests of a class name a service
-	// as needed.
-	reach map[coltsfootward.RouteName]map[coltsfootward.ServiceName]float64
+	// reach says how much requests of a class need a service.
+	reach map[coltsfootward.RouteName]map[coltsfootward.ServiceName]need
 	next  time.Duration
 }
 
+// need is what answers told of a class and a service.
+type need struct {
+	// share is the part of the answers that name the service as needed.
+	share float64
+	// cost is the slot time in seconds that one request takes there; zero if that
+	// is not known.
+	cost float64
+}
+
+// told returns the need after an answer that named the service.
+func (n need) told(cost float64) need {
+	n.share += reachWeight
+	if cost <= 0 {
+		return n
+	}
+	if n.cost == 0 {
+		n.cost = cost
+	}
+	n.cost += costWeight * (cost - n.cost)
+	return n
+}
+
 // gate is what is known of one service.
 type gate struct {
 	// excess is the part of the demand to refuse, as the service's servers say.
@@ -56,7 +79,9 @@
 	known  bool
 	// passed is the part that is let pass.
 	passed float64
+	// demand is the slot time that requests of each rank have asked for of late.
 	demand [buckets]float64
+	prices prices
 	// limit is the rank above which requests are refused.
 	limit uint32
 	// told is the part that was let pass when the gate was last told of.
@@ -110,24 +135,25 @@
 // by themselves what is needed, and not all at once; what most answers name counts.
 func (g *Gates) Answered(now time.Duration, class coltsfootward.RouteName, told []Reported) {
 	if g.reach == nil {
-		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]float64)
+		g.reach = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]need)
 	}
 	needs, ok := g.reach[class]
 	if !ok {
-		needs = make(map[coltsfootward.ServiceName]float64)
+		needs = make(map[coltsfootward.ServiceName]need)
 		g.reach[class] = needs
 	}
-	for service, share := range needs {
-		needs[service] = share * (1 - reachWeight)
+	for service, known := range needs {
+		known.share *= 1 - reachWeight
+		needs[service] = known
 	}
 	for _, r := range told {
 		if _, known := needs[r.Service]; !known {
-			needs[r.Service] = reachFirst
+			needs[r.Service] = need{share: reachFirst}
 		}
-		needs[r.Service] += reachWeight
+		needs[r.Service] = needs[r.Service].told(r.Cost)
 		g.gate(r.Service).report(now, r.Excess)
 	}
-	maps.DeleteFunc(needs, func(_ coltsfootward.ServiceName, share float64) bool { return share < reachForget })
+	maps.DeleteFunc(needs, func(_ coltsfootward.ServiceName, known need) bool { return known.share < reachForget })
 }
 
 func (g *gate) report(now time.Duration, excess float64) {
@@ -142,7 +168,7 @@
 // Forget drops the classes that keep does not hold. A configuration that names its
 // routes anew would else leave a class behind with each change.
 func (g *Gates) Forget(keep func(coltsfootward.RouteName) bool) {
-	maps.DeleteFunc(g.reach, func(class coltsfootward.RouteName, _ map[coltsfootward.ServiceName]float64) bool {
+	maps.DeleteFunc(g.reach, func(class coltsfootward.RouteName, _ map[coltsfootward.ServiceName]need) bool {
 		return !keep(class)
 	})
 }
@@ -154,21 +180,29 @@
 type Reported struct {
 	Service coltsfootward.ServiceName
 	Excess  float64
+	// Cost is the slot time in seconds that one request of the class takes there;
+	// zero if that is not known.
+	Cost float64
 }
 
 // Below returns what is to be refused of the demand for the services that
-// requests of the classes need, for an answer to tell.
-func (g *Gates) Below(now time.Duration, classes []coltsfootward.RouteName) []Reported {
+// the calls need, for an answer to tell.
+func (g *Gates) Below(now time.Duration, calls []Callee) []Reported {
 	var found []Reported
-	seen := make(map[coltsfootward.ServiceName]bool)
-	for _, class := range classes {
-		needs := g.reach[class]
+	place := make(map[coltsfootward.ServiceName]int)
+	for _, call := range calls {
+		needs := g.reach[call.Route]
 		for _, service := range slices.Sorted(maps.Keys(needs)) {
-			if seen[service] || needs[service] < reachLeast {
+			if needs[service].share < reachLeast {
 				continue
 			}
-			seen[service] = true
-			found = append(found, Reported{Service: service, Excess: g.gate(service).current(now)})
+			i, seen := place[service]
+			if !seen {
+				i = len(found)
+				place[service] = i
+				found = append(found, Reported{Service: service, Excess: g.gate(service).current(now)})
+			}
+			found[i].Cost += call.PerRequest * needs[service].cost
 		}
 	}
 	return found
@@ -185,8 +219,8 @@
 // to included, as far as answers have told.
 func (g *Gates) Needs(class coltsfootward.RouteName) int {
 	needed := 0
-	for _, share := range g.reach[class] {
-		if share >= reachLeast {
+	for _, known := range g.reach[class] {
+		if known.share >= reachLeast {
 			needed++
 		}
 	}
@@ -197,13 +231,16 @@
 // names the service that has no room for it.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
 	var full coltsfootward.ServiceName
-	for service, share := range g.reach[class] {
-		if share < reachLeast {
+	for service, needed := range g.reach[class] {
+		if needed.share < reachLeast {
 			continue
 		}
 		known := g.gate(service)
-		known.demand[bucketOf(rank)]++
-		if rank > known.limit {
+		cost := known.prices.cost(needed.cost)
+		place := known.prices.place(rank, cost)
+		known.prices.count(rank, cost)
+		known.demand[bucketOf(place)] += cost
+		if place > known.limit {
 			full = service
 		}
 	}
@@ -237,6 +274,7 @@
 	for i := range g.demand {
 		g.demand[i] *= demandFade
 	}
+	g.prices.fade()
 }
 
 // rankAt returns the rank below which the given part of the demand lies.
--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -102,7 +102,7 @@
 			c.CallEnded(deep, 25*time.Millisecond, false)
 			c.Ended(now, began, calls, false)
 		}
-		if got := c.Of(now, calls); len(got) != 1 || got[0] != deep {
+		if got := c.Of(now, calls); len(got) != 1 || got[0].Route != deep {
 			t.Fatalf("generation %d: got %v, want %s", generation, got, deep)
 		}
 	}
@@ -339,3 +339,46 @@
 		t.Errorf("with refused work: got %.2f, without %.2f, want more", got, without)
 	}
 }
+
+// A service is asked for twice what it has. Two kinds of request are equally
+// important; one takes four times the other's slot time. Refused by chance alone,
+// half of all callers went away. The cheap ones are to be served nearly whole, and
+// of the dear ones a part that is in proportion to what is served of the others, so
+// that a longer overload starves nobody.
+func TestDearRequestsMakeRoom(t *testing.T) {
+	for _, test := range []struct {
+		excess            float64
+		leastCheap, least float64
+		mostDear          float64
+	}{
+		{excess: 0.3, leastCheap: 0.95, least: 0.3, mostDear: 0.7},
+		{excess: 0.8, leastCheap: 0.2, least: 0.05, mostDear: 0.25},
+	} {
+		source := rand.New(rand.NewPCG(19, 20))
+		var g pressure.Gates
+		served := make(map[coltsfootward.RouteName]float64)
+		const steps, kinds = 2000, 4
+		for step := range steps {
+			now := time.Duration(step) * plantStep
+			for kind := range kinds {
+				class, cost := coltsfootward.RouteName("cheap"), 0.12
+				if kind == 0 {
+					class, cost = "dear", 0.48
+				}
+				rank := uint32(6)<<26 | source.Uint32N(1<<26)
+				if _, ok := g.Admit(class, rank); ok && step >= steps/2 {
+					served[class]++
+				}
+				g.Answered(now, class, []pressure.Reported{{Service: "fittings", Excess: test.excess, Cost: cost}})
+			}
+			g.Tick(now)
+		}
+		cheap, dear := served["cheap"]/(steps/2*(kinds-1)), served["dear"]/(steps/2)
+		if cheap < test.leastCheap || dear < test.least || dear > test.mostDear {
+			t.Errorf("%.1f to refuse: served %.2f of the cheap and %.2f of the dear requests", test.excess, cheap, dear)
+		}
+		if work := (cheap*0.12*(kinds-1) + dear*0.48) / (0.12*(kinds-1) + 0.48); math.Abs(work-(1-test.excess)) > 0.1 {
+			t.Errorf("%.1f to refuse: %.2f of the work was let pass", test.excess, work)
+		}
+	}
+}
