Deep calls by age in a short queue, newest first in a long one; the demand measured by slot time

Cause (logs and the emulator): of a request's four calls, each with a rank of its own, the one that draws the worst waits until it is refused; a fifth of the begun most important requests failed so. The demand was measured by what runs and waits, so that three times the slots looked like twice; now it is the slot time of what arrives, less what a server rejects, and of what waits over 100 ms. The target is 0.2 over the root of the slots below them in place of 0.6.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -62,8 +62,9 @@
 type Controller struct {
 	limiter *Limiter
 	shedder *Shedder
-	// patient lets deep requests wait like fresh ones.
+	// patient lets deep requests wait like fresh ones, in the order of turns.
 	patient bool
+	turns   turns
 	queue   Queue
 	running map[RequestID]service
 	refused []Refused
@@ -97,10 +98,11 @@
 // do not help those.
 func (c *Controller) FixLimit() { c.limiter.fixed = true }
 
-// LetDeepWait lets deep requests wait as long as fresh ones. It is for
-// deployments that refuse at the entry what a deep service has no room for: what
-// comes all the same is a swing that passes, and a request of ten calls of which
-// one in twenty is refused fails four times in ten, with all its work lost.
+// LetDeepWait lets deep requests wait as long as fresh ones, and take turns by
+// their age. It is for deployments that refuse at the entry what a deep service has
+// no room for: what comes all the same is a swing that passes, and a request of ten
+// calls of which one in twenty is refused fails four times in ten, with all its work
+// lost.
 func (c *Controller) LetDeepWait() { c.patient = true }
 
 // SetSlots changes the number of slots that the server announces.
@@ -112,6 +114,11 @@
 // Queued returns the number of requests that wait.
 func (c *Controller) Queued() int { return c.queue.Len() }
 
+// Backlog returns the slot time of the requests that wait.
+func (c *Controller) Backlog() time.Duration {
+	return time.Duration(c.queue.cost() * float64(time.Second))
+}
+
 // Limit returns how many requests are served at once.
 func (c *Controller) Limit() int { return c.limiter.Limit() }
 
@@ -141,7 +148,8 @@
 	if c.queue.Len() == 0 {
 		c.emptied = now
 	}
-	wait := c.wait(r)
+	first := c.takeTurn(&r)
+	wait := c.wait(r, first)
 	if now+wait+estimate > r.Deadline && !c.trial(now, r) {
 		c.refuse(now, r, ReasonDeadline)
 		return
@@ -168,12 +176,25 @@
 	return queueFactor*c.Limit() + free
 }
 
-// wait predicts how long a request would wait behind what leaves before it.
-func (c *Controller) wait(r Request) time.Duration {
+// takeTurn gives a deep request its place, if deep requests take turns. It reports
+// whether the place is before all others of its lane.
+func (c *Controller) takeTurn(r *Request) bool {
+	if !c.patient || !r.Deep {
+		return false
+	}
+	length := c.Backlog() / time.Duration(max(c.Limit(), 1))
+	var first bool
+	r.ShedRank, first = c.turns.next(length, c.queue.Len() == 0)
+	return first
+}
+
+// wait predicts how long a request would wait behind what leaves before it: its own
+// lane too, unless it is the first there.
+func (c *Controller) wait(r Request, first bool) time.Duration {
 	if len(c.running) < c.Limit() && c.queue.Len() == 0 {
 		return 0
 	}
-	return time.Duration(c.queue.ahead(r) / float64(max(c.Limit(), 1)) * float64(time.Second))
+	return time.Duration(c.queue.ahead(r, first) / float64(max(c.Limit(), 1)) * float64(time.Second))
 }
 
 // trial reports whether a request that seems too slow is tried all the same.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -225,10 +225,23 @@
 	return removed
 }
 
-// ahead returns the expected slot time of everything that leaves before r.
-func (q *Queue) ahead(r Request) float64 {
+// cost returns the expected slot time of all waiting requests, in seconds.
+func (q *Queue) cost() float64 { return q.costOf(len(q.lanes)) }
+
+// ahead returns the expected slot time of everything that leaves before r, which may
+// be the first of its lane.
+func (q *Queue) ahead(r Request, first bool) float64 {
+	lanes := laneOf(r) + 1
+	if first {
+		lanes--
+	}
+	return q.costOf(lanes)
+}
+
+// costOf returns the expected slot time of what waits in so many of the first lanes.
+func (q *Queue) costOf(lanes int) float64 {
 	total := 0.0
-	for i := 0; i <= laneOf(r); i++ {
+	for i := range lanes {
 		for _, t := range q.lanes[i].turns {
 			total += t.cost
 		}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -81,6 +81,7 @@
 		p.refuse(call, *r)
 		return
 	}
+	p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
 	p.admission.Offer(now, p.request(call))
 	p.start()
 	p.refuseShed()
@@ -237,7 +238,6 @@
 // refuseShed answers what admission has refused since the last time.
 func (p *upstreamPart) refuseShed() {
 	for _, shed := range p.admission.Refused() {
-		p.node.meter.Refused(p.admission.Estimate(shed.Request.Class))
 		text := "more important requests fill the backend server's queue"
 		switch shed.Reason {
 		case admissioncontrol.ReasonWaited:
@@ -272,6 +272,7 @@
 	case DispatchUnsent:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
 	case DispatchRejected:
+		p.node.meter.Rejected(p.admission.Estimate(classOf(call.head)))
 		p.rejected(call)
 	case DispatchFailed:
 		p.refuse(call, p.failed(call))
@@ -341,7 +342,7 @@
 // tick refuses calls that have waited too long.
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
-	p.node.meter.Observe(p.node.now.Monotonic, p.admission.Running(), p.admission.Queued())
+	p.node.meter.Observe(p.node.now.Monotonic, p.admission.Running(), p.admission.Backlog())
 	p.node.throttle.Observe(p.node.now.Monotonic, p.node.meter.Ratio(p.admission.Limit()))
 	p.refuseShed()
 	p.reportOverload()
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -368,11 +368,15 @@
 	return found
 }
 
-// makes reports whether requests of a class make calls to a route.
+// makes reports whether requests of a class make calls to a route: if the fit says
+// so, and the class takes longer when such calls do. A class whose own work has
+// become slower for another reason, on a server that is nearly full, seems delayed
+// by calls that it doesn't make; taken for a caller, it would be refused for a
+// service that it doesn't need.
 func (c *Callees) makes(i int, route coltsfootward.RouteName) bool {
 	k, m := c.list[i], c.made[route]
-	if delayed, known := k.delayed[route]; known {
-		return delayed
+	if delayed, known := k.delayed[route]; known && !delayed {
+		return false
 	}
 	return m.rates[i] >= calleeLeast && m.rates[i]*k.total >= calleeShare*c.all(m)
 }
--- a/core/pressure/meter.go
+++ b/core/pressure/meter.go
@@ -9,65 +9,76 @@
 	// meterTime is the time constant of a Meter: long against the few
 	// milliseconds in which a queue swings, short against a burst of seconds.
 	meterTime = 300 * time.Millisecond
-	// queueWeight is what a waiting request counts against one in service. A
-	// queue shows that more is offered than served, but it is drained within one
-	// service time; counted in full, it would shut the entry for that long. Of 0.5
-	// and 0.25 the latter earned 0.004 more of the worth over the emulated days.
-	queueWeight = 0.25
 	// targetMargin and lowestTarget: a server with s slots is full, for requests
 	// that come at random, when margin/√s of them are free on average. With 12
-	// slots that is 0.83 of them, with 133 it is 0.95.
-	targetMargin = 0.6
+	// slots that is 0.94 of them, with 133 it is 0.98.
+	targetMargin = 0.2
 	lowestTarget = 0.6
-	// highestRatio bounds the ratio. A queue that is fed by requests which have
-	// begun above says more than there is: with a bound of 4 entry nodes refused
-	// nearly everything a second later, and the server stood a third empty.
-	highestRatio = 2.0
+	// drainTime is the time in which what waits should have been served. A request
+	// waits once for each of its calls, and holds slots of the services above for as
+	// long: with a second, requests that don't need the full service found those
+	// slots taken.
+	drainTime = 100 * time.Millisecond
+	// highestRatio bounds the ratio, and so how much one look closes the entries.
+	highestRatio = 4.0
 )
 
-// Meter measures how much is offered to one backend server, in proportion to
-// what it serves well. The zero value is ready. It is not safe for concurrent use.
+// Meter measures how much is offered to a backend server. The zero value is
+// ready. It is not safe for concurrent use.
+//
+// Offered is the slot time of what arrives, whether it is served, waits or is
+// refused: what runs and waits says nothing of how far the demand lies above the
+// slots, and entry nodes would find that out in steps of a second each.
 type Meter struct {
-	occupied float64
-	refused  float64
-	at       time.Duration
-	started  bool
+	// running and offered are in slots, backlog in slot seconds.
+	running float64
+	offered float64
+	backlog float64
+	at      time.Duration
+	started bool
 }
 
-// Observe takes in how many requests are in service and waiting. It is called at
-// each tick.
-func (m *Meter) Observe(now time.Duration, running, waiting int) {
+// Observe takes in how many requests are in service, and the slot time of those
+// that wait.
+func (m *Meter) Observe(now time.Duration, running int, backlog time.Duration) {
 	if !m.started {
 		m.started = true
 		m.at = now
 		return
 	}
 	weight := m.advance(now)
-	occupied := float64(running) + queueWeight*float64(waiting)
-	m.occupied += weight * (occupied - m.occupied)
-	m.refused -= weight * m.refused
+	m.running += weight * (float64(running) - m.running)
+	m.backlog += weight * (backlog.Seconds() - m.backlog)
+	m.offered -= weight * m.offered
 }
 
+// advance returns the weight of what is observed now.
 func (m *Meter) advance(now time.Duration) float64 {
 	passed := now - m.at
 	m.at = now
 	return 1 - math.Exp(-passed.Seconds()/meterTime.Seconds())
 }
 
-// Refused counts a request that was refused for want of room and would have
-// taken that long: it is offered load that occupancy does not show.
-func (m *Meter) Refused(slotTime time.Duration) {
-	m.refused += slotTime.Seconds() / meterTime.Seconds()
+// Arrived takes in a request that takes so much slot time.
+func (m *Meter) Arrived(slotTime time.Duration) {
+	m.offered += slotTime.Seconds() / meterTime.Seconds()
 }
 
-// Ratio returns the offered load in proportion to what a server of that many
-// slots serves well: above 1 it is overloaded.
+// Rejected takes back a request that the server has rejected without running it. A
+// server that rejects half of what it gets has the slots for the rest, however
+// often that is sent to it.
+func (m *Meter) Rejected(slotTime time.Duration) {
+	m.offered = max(m.offered-slotTime.Seconds()/meterTime.Seconds(), 0)
+}
+
+// Ratio returns how much is offered, as a multiple of what a server with so many
+// slots serves well.
 func (m *Meter) Ratio(slots int) float64 {
 	if slots < 1 {
 		return 0
 	}
 	capacity := float64(slots) * target(slots)
-	return min((m.occupied+m.refused)/capacity, highestRatio)
+	return min((max(m.running, m.offered)+m.backlog/drainTime.Seconds())/capacity, highestRatio)
 }
 
 // target is the proportion of its slots up to which a server serves well.
