--- a/core/pressure/pressure_test.go
+++ b/core/pressure/pressure_test.go
@@ -426,10 +426,6 @@
 func TestSlowServerDoesNotMakeACaller(t *testing.T) {
 	source := rand.New(rand.NewPCG(21, 22))
 	var c pressure.Callees
-	type run struct {
-		class        coltsfootward.RouteName
-		began, ended time.Duration
-	}
 	at := make(map[int][]func(time.Duration))
 	for step := range 6000 {
 		now := time.Duration(step) * 10 * time.Millisecond
@@ -447,12 +443,10 @@
 				took := time.Duration(4+slow) * 10 * time.Millisecond
 				at[step+1+(call+1)*(4+slow)] = append(at[step+1+(call+1)*(4+slow)], func(time.Duration) { c.CallEnded("deep", took, false) })
 			}
-			r := run{class: "calls", began: now}
-			at[step+18+4*slow] = append(at[step+18+4*slow], func(ended time.Duration) { c.Ended(ended, r.began, r.class, false) })
+			at[step+18+4*slow] = append(at[step+18+4*slow], func(ended time.Duration) { c.Ended(ended, now, "calls", false) })
 		}
 		if source.IntN(4) == 0 {
-			r := run{class: "files", began: now}
-			at[step+18+2*slow] = append(at[step+18+2*slow], func(ended time.Duration) { c.Ended(ended, r.began, r.class, false) })
+			at[step+18+2*slow] = append(at[step+18+2*slow], func(ended time.Duration) { c.Ended(ended, now, "files", false) })
 		}
 		if step < 1000 || step%100 > 0 {
 			continue
