--- a/core/pressure/doc.go
+++ b/core/pressure/doc.go
@@ -5,7 +5,8 @@
 // much is offered to the server, and a Throttle beside it decides which part of the
 // demand is to be refused. Callees at the same node learn which further calls each
 // class of requests makes, so that an answer can tell the same of the services
-// below. Gates at each entry node refuse that part, least important first.
+// below, and what a request takes of each. Gates at each entry node refuse that
+// part, least important first, and among equals those that take most.
 //
 // The load that it is made for: a deep service has half the capacity that a burst
 // asks of it, and every request holds slots of all services above it. Refused at
