--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -98,8 +98,8 @@
 // do not help those.
 func (c *Controller) FixLimit() { c.limiter.fixed = true }
 
-// LetDeepWait lets deep requests wait as long as fresh ones, and take turns by
-// their age. It is for deployments that refuse at the entry what a deep service has
+// LetDeepWait lets deep requests wait as long as fresh ones, in the order that turns
+// gives them. It is for deployments that refuse at the entry what a deep service has
 // no room for: what comes all the same is a swing that passes, and a request of ten
 // calls of which one in twenty is refused fails four times in ten, with all its work
 // lost.
