--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -88,7 +88,7 @@
 	p.serve(faces.ready, h.readyRouter())
 	h.watcher = document.New(document.Options{
 		Source:   documents,
-		Watches:  h.watches,
+		Duty:     h.documentDuty,
 		Found:    func(c coltsfootward.Configuration) { p.loop.Post(node.ConfigurationRead{Configuration: c}) },
 		Failed:   h.platformFailed,
 		Answered: h.platformAnswered,
@@ -96,10 +96,10 @@
 	h.wait.Go(h.findBackend)
 }
 
-func (h *hosted) watches() bool {
-	watches := false
-	h.parts.loop.Inspect(func(n *node.Node) { watches = n.WatchesDocument() })
-	return watches
+func (h *hosted) documentDuty() node.DocumentDuty {
+	duty := node.DocumentNone
+	h.parts.loop.Inspect(func(n *node.Node) { duty = n.DocumentDuty() })
+	return duty
 }
 
 // platformFailed reports a document that can't be used, and the first call that the
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"coltsfootward"
@@ -25,7 +24,15 @@
 	contactLimit = 1000
 	// contactInterval is the time between two reads of the contacts by those
 	// who keep them. A stale row stands for at most this long.
-	contactInterval = 10 * time.Second
+	contactInterval = time.Minute
+	// settledRank is how long a node must have had its place in its domain to act
+	// on it: a node that has just started takes many, as it hears of the others.
+	settledRank = 2 * time.Second
+	// firstScan is the time over which nodes that start together spread their
+	// first read of the contacts, and longestScan what the pause between two reads
+	// grows to while the platform does not answer.
+	firstScan   = 500 * time.Millisecond
+	longestScan = 2 * time.Second
 	// contactPatience is how long a node that reaches none of its domain's
 	// contacts waits before it takes their place.
 	contactPatience = 5 * time.Second
@@ -37,14 +44,29 @@
 	machine *membership.Machine
 	// local is this node's own announcement.
 	local message.Announcement
-	scan  time.Duration
-	began time.Duration
+	// scan is when to read the contacts next, scanPause the pause after a read
+	// that brought nothing.
+	scan      time.Duration
+	scanPause time.Duration
+	// scanned is set once the platform has told the contacts, scanning while it is
+	// asked.
+	scanned, scanning bool
+	began             time.Duration
+	// spread is this node's place, 0 to 1, in what nodes that start together
+	// spread over time.
+	spread float64
+	// rank is this node's place among its domain's contacts, ranked since when it
+	// has had it, and kept the place whose row it looks after.
+	rank, kept int
+	ranked     time.Duration
+	// rows holds the contacts by their keys, as they were read last.
+	rows map[string]coltsfootward.Instance
 	// contactDomains are the failure domains that the table names contacts of.
 	contactDomains []coltsfootward.FailureDomain
 }
 
 func newMembershipPart(n *Node) *membershipPart {
-	p := &membershipPart{node: n, began: n.now.Monotonic}
+	p := &membershipPart{node: n, began: n.now.Monotonic, spread: n.source.Float64(), rank: noRank, kept: noRank}
 	p.machine = membership.New(membership.Options{
 		Self:      n.options.Self,
 		Send:      func(to coltsfootward.Instance, m message.Message) { n.act(Send{To: to, Message: m}) },
@@ -53,10 +75,17 @@
 		Reachable: p.reachable,
 	}, n.source, n.now)
 	p.local = p.machine.Local()
-	p.scan = n.now.Monotonic + time.Duration(n.source.Int64N(int64(n.options.PollInterval)))
+	p.scan = n.now.Monotonic + time.Duration(n.source.Int64N(int64(firstScan)))
+	p.scanPause = firstScan
 	return p
 }
 
+// patience returns a time that is spread over the nodes, from shortest to twice
+// as long.
+func (p *membershipPart) patience(shortest time.Duration) time.Duration {
+	return shortest + time.Duration(p.spread*float64(shortest))
+}
+
 // roster returns the members of a failure domain that have not said that they
 // leave, with when each was last heard, in an order that all nodes share. It
 // includes those that are gone, with that state, and this node.
@@ -145,20 +174,55 @@
 
 func (p *membershipPart) tick() {
 	p.machine.Tick(p.node.now)
-	if p.node.now.Monotonic < p.scan {
+	p.noteRank()
+	if p.scanning || p.node.now.Monotonic < p.scan {
 		return
 	}
-	p.scan = p.node.now.Monotonic + p.scanInterval()
 	p.machine.Contact(p.node.now, p.node.options.Contacts...)
-	if p.lonely() || p.machine.Rank(contactRows) >= 0 {
-		p.node.table.scan(ContactPrefix, "", contactLimit, func(rows []coltsfootward.Row, err error) {
-			if err == nil {
-				p.contacts(rows)
-			}
-		})
+	if !p.lonely() && p.kept == noRank {
+		p.scan = p.node.now.Monotonic + contactInterval
+		return
+	}
+	p.readContacts()
+}
+
+// noteRank follows this node's place among its domain's contacts. Whoever has
+// taken one for good makes its row right.
+func (p *membershipPart) noteRank() {
+	if rank := p.machine.Rank(contactRows); rank != p.rank {
+		p.rank, p.ranked = rank, p.node.now.Monotonic
+	}
+	if p.rank == p.kept || p.lonely() || !p.scanned || !p.settled() {
+		return
+	}
+	p.kept = p.rank
+	if p.kept != noRank {
+		p.keepRow()
 	}
 }
 
+// settled reports whether this node has had its place for long enough to act on it.
+func (p *membershipPart) settled() bool { return p.node.now.Monotonic-p.ranked >= settledRank }
+
+func (p *membershipPart) readContacts() {
+	p.scanning = true
+	p.node.table.scan(ContactPrefix, "", contactLimit, func(rows []coltsfootward.Row, err error) {
+		p.scanning = false
+		if err != nil {
+			p.scan = p.node.now.Monotonic + p.node.spread(p.scanPause)
+			p.scanPause = min(2*p.scanPause, longestScan)
+			return
+		}
+		p.scanned = true
+		p.scanPause = firstScan
+		p.scan = p.node.now.Monotonic + p.scanInterval()
+		p.contacts(rows)
+	})
+}
+
+// noRank is the place of a node that is not among the contacts.
+const noRank = -1
+
 func (p *membershipPart) lonely() bool { return p.machine.Size() == 1 }
 
 func (p *membershipPart) scanInterval() time.Duration {
@@ -174,33 +238,37 @@
 func (p *membershipPart) contacts(rows []coltsfootward.Row) {
 	self := p.node.options.Self
 	p.contactDomains = p.contactDomains[:0]
-	var stored coltsfootward.Instance
+	p.rows = make(map[string]coltsfootward.Instance)
 	domainKnown := false
-	key := p.contactKey()
 	for _, row := range rows {
 		var instance coltsfootward.Instance
 		if json.Unmarshal(row.Value, &instance) != nil {
 			continue
 		}
 		p.noteContact(instance)
-		if row.Key == key {
-			stored = instance
-		}
+		p.rows[row.Key] = instance
 		domainKnown = domainKnown || instance.Domain == self.Domain && instance.ID != self.ID
 	}
-	alone := p.lonely() && domainKnown && p.node.now.Monotonic-p.began < contactPatience
-	if key != "" && stored != self && !alone {
-		p.writeContact(key)
+	if p.lonely() && domainKnown && p.node.now.Monotonic-p.began < contactPatience {
+		return
+	}
+	if p.lonely() || p.kept != noRank {
+		p.keepRow()
 	}
 }
 
-// contactKey returns the row that is this node's to keep; empty if none is.
-func (p *membershipPart) contactKey() string {
-	rank := p.machine.Rank(contactRows)
-	if rank < 0 {
-		return ""
+// keepRow writes this node's row unless it was found right. A row of an earlier run
+// leads here as well.
+func (p *membershipPart) keepRow() {
+	self := p.node.options.Self
+	key := ContactPrefix + string(self.Domain) + "/" + strconv.Itoa(max(p.kept, 0))
+	found := p.rows[key]
+	found.Incarnation = self.Incarnation
+	if found == self {
+		return
 	}
-	return strings.Join([]string{ContactPrefix + string(p.node.options.Self.Domain), strconv.Itoa(rank)}, "/")
+	p.rows[key] = self
+	p.writeContact(key)
 }
 
 func (p *membershipPart) noteContact(instance coltsfootward.Instance) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -137,6 +137,7 @@
 	if from, ok := n.membership.instance(e.From); ok {
 		n.assigned.heardFrom(from)
 	}
+	n.configuration.askFirst(e.From)
 	switch m := e.Message.(type) {
 	case *message.Gossip:
 		n.configuration.digest(e, m.Digest)
--- /dev/null
+++ b/core/nodetest/start_test.go
@@ -0,0 +1,161 @@
+package nodetest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/node"
+	"coltsfootward/core/nodetest"
+)
+
+// startDomains are the failure domains of a fleet that starts.
+var startDomains = []coltsfootward.FailureDomain{"east", "north", "south", "west"}
+
+// startsPerDomain is how many nodes each of them has.
+const startsPerDomain = 12
+
+// documentStore stands for the part of the platform that holds the operators'
+// document: it serves each node as its duty says, and counts.
+type documentStore struct {
+	document       coltsfootward.Configuration
+	reads, follows int
+	// away holds who is turned away; nil turns nobody away.
+	away func(m *nodetest.Member) bool
+}
+
+// serve lets the nodes ask for what their duties say, once.
+func (s *documentStore) serve(members []*nodetest.Member, following map[*nodetest.Member]coltsfootward.Revision) {
+	for _, m := range members {
+		if !m.Alive() || s.away != nil && s.away(m) {
+			continue
+		}
+		switch m.Node().DocumentDuty() {
+		case node.DocumentRead:
+			s.reads++
+			m.Read(s.document)
+		case node.DocumentFollow:
+			if seen, ok := following[m]; !ok || seen < s.document.Revision() {
+				s.follows++
+				following[m] = s.document.Revision()
+				m.Read(s.document)
+			}
+		}
+	}
+}
+
+func newStart(seed uint64) (*nodetest.Rig, []*nodetest.Member) {
+	r := nodetest.New(seed)
+	var members []*nodetest.Member
+	for _, domain := range startDomains {
+		for i := range startsPerDomain {
+			id := coltsfootward.InstanceID(fmt.Sprintf("%s-%02d", domain, i))
+			members = append(members, r.Add(node.Options{Self: nodetest.Instance(id, domain), Domains: startDomains, Routed: true}))
+		}
+	}
+	return r, members
+}
+
+func restartAll(r *nodetest.Rig, members []*nodetest.Member) {
+	for _, m := range members {
+		m.Kill()
+	}
+	r.Run(time.Second)
+	for _, m := range members {
+		m.Restart()
+	}
+}
+
+func withoutDocument(members []*nodetest.Member) int {
+	without := 0
+	for _, m := range members {
+		if m.Node().Configuration().Revision() == 0 {
+			without++
+		}
+	}
+	return without
+}
+
+// Guards against a fleet that restarts as a whole paying for several calls to the
+// platform a node.
+func TestRestartOfAFleetCallsThePlatformOnceANode(t *testing.T) {
+	for seed := range uint64(3) {
+		r, members := newStart(seed)
+		r.Run(10 * time.Second)
+		table := r.Table
+		reads, writes := table.Reads, table.Writes
+		store := &documentStore{document: routedDocument(3, coltsfootward.Rate{PerSecond: 10, Burst: 10}, "quotes")}
+		following := make(map[*nodetest.Member]coltsfootward.Revision)
+		restartAll(r, members)
+		for range 100 {
+			r.Run(100 * time.Millisecond)
+			store.serve(members, following)
+		}
+		if without := withoutDocument(members); without > 0 {
+			t.Errorf("seed %d: %d of %d nodes have no document 10 s after the restart", seed, without, len(members))
+		}
+		calls := table.Reads - reads + table.Writes - writes + store.reads + store.follows
+		if calls > 2*len(members) {
+			t.Errorf("seed %d: %d calls for %d nodes (%d reads of contacts, %d writes, %d reads of the document, %d follow it), want at most two a node",
+				seed, calls, len(members), table.Reads-reads, table.Writes-writes, store.reads, store.follows)
+		}
+	}
+}
+
+// Guards against nodes that call a platform which is away ever again, and against
+// ones that wait long once it is back.
+func TestStartWhileThePlatformIsAway(t *testing.T) {
+	const outage = 5 * time.Second
+	r, members := newStart(1)
+	r.Run(10 * time.Second)
+	store := &documentStore{document: routedDocument(3, coltsfootward.Rate{PerSecond: 10, Burst: 10}, "quotes")}
+	following := make(map[*nodetest.Member]coltsfootward.Revision)
+	r.Table.Outage = true
+	restartAll(r, members)
+	back := r.Now() + outage
+	store.away = func(*nodetest.Member) bool { return r.Now() < back }
+	asked := 0
+	for r.Now() < back {
+		r.Run(100 * time.Millisecond)
+		for _, m := range members {
+			if m.Node().DocumentDuty() != node.DocumentNone {
+				asked++
+			}
+		}
+	}
+	if asked > 0 {
+		t.Errorf("nodes asked for the document %d times though the platform did not even tell the contacts", asked)
+	}
+	r.Table.Outage = false
+	for range 40 {
+		r.Run(100 * time.Millisecond)
+		store.serve(members, following)
+	}
+	if without := withoutDocument(members); without > 0 {
+		t.Errorf("%d of %d nodes have no document 4 s after the platform came back", without, len(members))
+	}
+}
+
+// Guards against a change that a whole failure domain misses, since the platform
+// turns away those of it who follow the document.
+func TestChangeReachesADomainWhoseReadersAreTurnedAway(t *testing.T) {
+	r, members := newStart(2)
+	store := &documentStore{document: routedDocument(3, coltsfootward.Rate{PerSecond: 10, Burst: 10}, "quotes")}
+	following := make(map[*nodetest.Member]coltsfootward.Revision)
+	for range 100 {
+		r.Run(100 * time.Millisecond)
+		store.serve(members, following)
+	}
+	store.away = func(m *nodetest.Member) bool { return m.Instance.Domain == "east" }
+	store.document = routedDocument(4, coltsfootward.Rate{PerSecond: 20, Burst: 20}, "quotes")
+	for range 20 {
+		r.Run(100 * time.Millisecond)
+		store.serve(members, following)
+	}
+	for _, m := range members {
+		if got := m.Node().Configuration().Revision(); got != 4 {
+			t.Errorf("%s has revision %v 2 s after the change, want 4", m.Instance.ID, got)
+		}
+	}
+}
--- a/io/document/watch.go
+++ b/io/document/watch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/node"
 )
 
 const (
@@ -19,9 +20,12 @@
 	// platform serves.
 	firstWait   = 100 * time.Millisecond
 	longestWait = 800 * time.Millisecond
-	// idleWait is the pause of a node that does not watch, before it asks again
-	// whether it is to.
-	idleWait = time.Second
+	// idleWait is the pause of a node that has nothing to do about the document,
+	// before it asks again.
+	idleWait = 200 * time.Millisecond
+	// readWait is the pause after a read that found no document. Whoever follows
+	// the document brings the first one to the others.
+	readWait = 2 * time.Second
 	// readTimeout bounds one read of the whole document.
 	readTimeout = 2 * time.Second
 )
@@ -30,8 +34,8 @@
 type Options struct {
 	// Source is where the document is.
 	Source coltsfootward.Documents
-	// Watches reports whether this node is to watch now.
-	Watches func() bool
+	// Duty says what is to be done now.
+	Duty func() node.DocumentDuty
 	// Found is given each configuration that was read.
 	Found func(coltsfootward.Configuration)
 	// Failed is told of each call that failed, and of documents that can't be used.
@@ -71,24 +75,23 @@
 	var cursor coltsfootward.Cursor
 	pause := firstWait
 	for w.ctx.Err() == nil {
-		if !w.options.Watches() {
+		duty := w.options.Duty()
+		if duty == node.DocumentNone {
 			w.sleep(idleWait)
 			continue
 		}
 		var c coltsfootward.Configuration
 		var next coltsfootward.Cursor
 		var err error
-		if known {
+		if known && duty == node.DocumentFollow {
 			c, next, err = w.options.Source.Changed(w.ctx, cursor)
 		} else {
 			c, next, err = w.read()
 		}
-		var invalid *coltsfootward.DocumentError
-		usable := err == nil || errors.Is(err, coltsfootward.ErrNoDocument) || errors.As(err, &invalid)
 		if err != nil && w.ctx.Err() == nil {
 			w.options.Failed(err)
 		}
-		if !usable {
+		if !usable(err) {
 			known = known && !errors.Is(err, coltsfootward.ErrHistoryLost)
 			w.sleep(pause)
 			pause = min(2*pause, longestWait)
@@ -100,10 +103,19 @@
 		w.options.Answered()
 		if c.Revision() > 0 {
 			w.options.Found(c)
+		} else if duty == node.DocumentRead {
+			w.sleep(readWait)
 		}
 	}
 }
 
+// usable reports whether the platform answered, be it that there is no document or
+// that it can't be used.
+func usable(err error) bool {
+	var invalid *coltsfootward.DocumentError
+	return err == nil || errors.Is(err, coltsfootward.ErrNoDocument) || errors.As(err, &invalid)
+}
+
 func (w *Watcher) read() (coltsfootward.Configuration, coltsfootward.Cursor, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, readTimeout)
 	defer cancel()
