Refusals say what decided them

A refusal over the rate said only that: it now names rate, burst and revision in force and, for each part, its holder, what was left there and how old that is. A refusal at a gate names the full service, what its servers want refused, how old that is, the request's rank and the limit; one without a server how many are known, tried, ejected, suspected and behind a cut; a failed attempt its number and time. The node beside the backend server logs the calls that it refuses (203), with running, queued, limit, backlog and the time left.

--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -40,8 +40,10 @@
 type partView struct {
 	// asked is set once the part's holder has answered.
 	asked bool
-	// level is how many tokens its holder had left.
+	// level is how many tokens its holder had left, told when it said so, by
+	// Instant.Monotonic.
 	level int64
+	told  time.Duration
 	// blockedUntil is when to ask again, by Instant.Monotonic.
 	blockedUntil time.Duration
 	// emptyUntil is when it will have a token, by Instant.Monotonic.
@@ -212,7 +214,7 @@
 		return
 	}
 	now := p.node.now.Monotonic
-	*view = partView{asked: true, level: m.Level}
+	*view = partView{asked: true, level: m.Level, told: now}
 	if m.EmptyFor > 0 {
 		view.emptyUntil = now + m.EmptyFor
 		view.blockedUntil = now + min(m.EmptyFor, emptyWait)
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -36,7 +36,7 @@
 	}
 	target, ok := p.target(call)
 	if !ok {
-		p.giveUp(call, p.noTarget(call))
+		p.giveUp(call, p.noTarget(call), p.targetEvidence(call)...)
 		return
 	}
 	call.target = target.ID
@@ -76,9 +76,9 @@
 }
 
 // overRate ends a call that the organisation's rate does not allow.
-func (p *entryPart) overRate(call *entryCall, retryAfter time.Duration) {
+func (p *entryPart) overRate(call *entryCall, retryAfter time.Duration, evidence []record.Field) {
 	p.giveUp(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverRate, "the organisation is above its rate and burst").
-		WithRetryAfter(retryAfter))
+		WithRetryAfter(retryAfter), evidence...)
 }
 
 func (p *entryPart) attemptEnded(e AttemptEnded) {
@@ -101,7 +101,9 @@
 	call.doubtful = call.doubtful || refused.Execution != coltsfootward.ExecutionNotRun
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)),
-		field("execution", string(refused.Execution)), field("detail", refused.Detail))
+		field("execution", string(refused.Execution)), field("detail", refused.Detail),
+		field("service", string(call.head.Service)), field("route", string(call.head.Route)),
+		field("hop", number(call.hops)), field("took", short(p.node.now.Monotonic-call.sent)))
 	call.last = refused
 	call.tried[call.target] = true
 	if !unseen {
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -13,17 +13,17 @@
 //
 // An admission that no attempt has spent goes back: kept, it would charge the
 // organisation for requests that never ran and refuse later ones inside its rate.
-func (p *entryPart) giveUp(call *entryCall, r coltsfootward.Refusal) {
+func (p *entryPart) giveUp(call *entryCall, r coltsfootward.Refusal, evidence ...record.Field) {
 	if !call.running {
 		p.node.rate.release(call.head.Organisation, call.admission)
 		call.admission = admission{}
 	}
-	p.finish(call, r)
+	p.finish(call, r, evidence...)
 }
 
-// finish answers the call with a refusal and forgets it. Once an attempt may
+// finish answers the call with a refusal and forgets it; evidence is what decided it. Once an attempt may
 // have run, a later one that certainly did not makes nothing undone.
-func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal) {
+func (p *entryPart) finish(call *entryCall, r coltsfootward.Refusal, evidence ...record.Field) {
 	delete(p.calls, call.id)
 	p.callEnded(call, true)
 	if call.doubtful && r.Execution == coltsfootward.ExecutionNotRun {
@@ -39,7 +39,7 @@
 		p.node.ledger.giveBack(call.parent, call.budget-call.attempts)
 		p.node.upstream.childRefused(call.parent, r)
 	}
-	p.refuse(call.id, call.head.Request, r)
+	p.refuse(call.id, call.head.Request, r, append(p.evidence(call), evidence...)...)
 }
 
 // replay answers the call with the first request's answer and forgets it.
@@ -51,10 +51,8 @@
 	p.node.act(Replay{Call: call.id, Answer: *answer})
 }
 
-func (p *entryPart) refuse(id CallID, request coltsfootward.RequestID, r coltsfootward.Refusal) {
-	p.node.report(record.RequestRefused, field("request", string(request)),
-		field("kind", string(r.Kind)), field("execution", string(r.Execution)), field("detail", r.Detail),
-		field("retry_after", r.RetryAfter.String()))
+func (p *entryPart) refuse(id CallID, request coltsfootward.RequestID, r coltsfootward.Refusal, evidence ...record.Field) {
+	p.node.report(record.RequestRefused, append(refusalFields(request, r), evidence...)...)
 	p.node.act(Refuse{Call: id, Refusal: r})
 }
 
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -170,7 +170,7 @@
 		return false
 	}
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", full)).
-		WithRetryAfter(p.node.spread(returnAfter(call.objective))))
+		WithRetryAfter(p.node.spread(returnAfter(call.objective))), p.gateEvidence(call, full)...)
 	return true
 }
 
--- /dev/null
+++ b/core/node/evidence.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/record"
+)
+
+// What decided a refusal is reported with it, so that an operator can tell its
+// cause from the log alone.
+
+func refusalFields(request coltsfootward.RequestID, r coltsfootward.Refusal) []record.Field {
+	return []record.Field{
+		field("request", string(request)), field("kind", string(r.Kind)), field("execution", string(r.Execution)),
+		field("detail", r.Detail), field("retry_after", r.RetryAfter.String()),
+	}
+}
+
+// evidence says what an entry node knows of a call that it ends.
+func (p *entryPart) evidence(call *entryCall) []record.Field {
+	fields := []record.Field{
+		field("service", string(call.head.Service)),
+		field("route", string(call.head.Route)),
+		field("organisation", string(call.head.Organisation)),
+		field("priority", string(call.head.Priority)),
+		field("depth", number(call.head.Depth)),
+		field("waited", short(p.node.now.Expiry-call.arrived)),
+		field("left", short(call.deadline-p.node.now.Expiry)),
+		field("hops", number(call.hops)),
+		field("sends", number(call.sends)),
+	}
+	if call.target != "" {
+		fields = append(fields, field("instance", string(call.target)))
+	}
+	return fields
+}
+
+// evidence says by what an organisation's rate was spent: rate and burst in force
+// and, for each part, who holds it, what was left there, and how old that is.
+func (p *ratePart) evidence(a *account) []record.Field {
+	var parts []string
+	for i, part := range a.share.Current() {
+		parts = append(parts, p.partEvidence(slotID{domain: part.Domain, index: part.Slot}, a.parts[i]))
+	}
+	return []record.Field{
+		field("rate", decimal(a.whole.PerSecond)),
+		field("burst", number(a.whole.Burst)),
+		field("revision", p.revision.String()),
+		field("parts", strings.Join(parts, "; ")),
+	}
+}
+
+func (p *ratePart) partEvidence(id slotID, view partView) string {
+	holder, _ := p.node.slots.holder(id)
+	now := p.node.now.Monotonic
+	text := fmt.Sprintf("%s/%d at %s:", id.domain, id.index, holder.ID)
+	if holder.ID == "" {
+		text = fmt.Sprintf("%s/%d at nobody:", id.domain, id.index)
+	}
+	switch {
+	case view.failures > 0:
+		text += fmt.Sprintf(" %d draws unanswered", view.failures)
+	case !view.asked:
+		text += " not asked"
+	default:
+		text += fmt.Sprintf(" %d left %s ago", view.level, short(now-view.told))
+	}
+	if wait := view.blockedUntil - now; wait > 0 {
+		text += ", asked again in " + short(wait)
+	}
+	return text
+}
+
+// gateEvidence says how far a gate was closed and who wanted it so.
+func (p *entryPart) gateEvidence(call *entryCall, service coltsfootward.ServiceName) []record.Field {
+	state := p.node.gates.State(p.node.now.Monotonic, service)
+	return []record.Field{
+		field("full", string(service)),
+		field("passed", decimal(state.Passed)),
+		field("excess", decimal(state.Excess)),
+		field("age", short(state.Age)),
+		field("rank", number(call.head.ShedRank)),
+		field("limit", number(state.Limit)),
+	}
+}
+
+// targetEvidence says why no backend server of the call's service could be chosen.
+func (p *entryPart) targetEvidence(call *entryCall) []record.Field {
+	census := p.node.placement.service(call.head.Service).pool.Census(p.node.now.Monotonic, call.tried)
+	return []record.Field{
+		field("known", number(census.Known)),
+		field("tried", number(census.Tried)),
+		field("ejected", number(census.Ejected)),
+		field("suspected", number(census.Suspected)),
+		field("unreachable", number(census.Unreachable)),
+	}
+}
+
+// evidence says how full the backend server was when a call for it was refused.
+func (p *upstreamPart) evidence(call *upstreamCall) []record.Field {
+	return []record.Field{
+		field("service", string(call.head.Service)),
+		field("route", string(call.head.Route)),
+		field("organisation", string(call.head.Organisation)),
+		field("priority", string(call.head.Priority)),
+		field("depth", number(call.head.Depth)),
+		field("running", number(p.admission.Running())),
+		field("queued", number(p.admission.Queued())),
+		field("limit", number(p.admission.Limit())),
+		field("backlog", short(p.admission.Backlog())),
+		field("waited", short(p.node.now.Expiry-call.arrived)),
+		field("left", short(call.deadline-p.node.now.Expiry)),
+	}
+}
+
+// shortest is the precision of the times in evidence.
+const shortest = 100 * time.Microsecond
+
+func short(d time.Duration) string { return d.Round(shortest).String() }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -212,6 +212,6 @@
 	return record.Field{Name: name, Value: value}
 }
 
-func number[T ~int | ~uint64 | ~int64](value T) string {
+func number[T ~int | ~uint32 | ~uint64 | ~int64](value T) string {
 	return strconv.FormatInt(int64(value), 10)
 }
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -80,7 +80,7 @@
 	p.refresh()
 	a, ok := p.accounts[w.organisation()]
 	if !ok {
-		w.overRate(0)
+		w.overRate(0, nil)
 		return
 	}
 	a.demand.Note(p.node.now)
@@ -111,9 +111,10 @@
 func (p *ratePart) refuse(a *account) {
 	waiting := a.waiting
 	a.waiting = nil
+	evidence := p.evidence(a)
 	for _, w := range waiting {
 		if w.waits() {
-			w.overRate(p.retryAfter(a))
+			w.overRate(p.retryAfter(a), evidence)
 		}
 	}
 }
--- a/core/node/token_waiter.go
+++ b/core/node/token_waiter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/record"
 )
 
 // tokenWaiter needs a token of an organisation's rate.
@@ -13,7 +14,7 @@
 	// or its time may have run out, since it was asked for.
 	waits() bool
 	admitted(granted admission)
-	overRate(retryAfter time.Duration)
+	overRate(retryAfter time.Duration, evidence []record.Field)
 }
 
 // entryWaiter is a request at its entry node.
@@ -30,7 +31,9 @@
 
 func (w entryWaiter) admitted(granted admission) { w.part.admitted(w.call, granted) }
 
-func (w entryWaiter) overRate(retryAfter time.Duration) { w.part.overRate(w.call, retryAfter) }
+func (w entryWaiter) overRate(retryAfter time.Duration, evidence []record.Field) {
+	w.part.overRate(w.call, retryAfter, evidence)
+}
 
 // upstreamWaiter is a call whose turn has come after its admission had ended.
 //
@@ -51,4 +54,6 @@
 
 func (w upstreamWaiter) admitted(granted admission) { w.part.renewed(w.call, granted) }
 
-func (w upstreamWaiter) overRate(retryAfter time.Duration) { w.part.notRenewed(w.call, retryAfter) }
+func (w upstreamWaiter) overRate(retryAfter time.Duration, _ []record.Field) {
+	w.part.notRenewed(w.call, retryAfter)
+}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -295,7 +295,13 @@
 	delete(p.calls, call.id)
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the backend server rejected the request without running it").
 		WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: 1})
+	p.answerRefused(call, r, 1)
+}
+
+// answerRefused tells the peer and the log that a call is refused.
+func (p *upstreamPart) answerRefused(call *upstreamCall, r coltsfootward.Refusal, attempts int) {
+	p.node.report(record.CallRefused, append(refusalFields(call.head.Request, r), p.evidence(call)...)...)
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: attempts})
 }
 
 // failed is the refusal of a call that the backend server broke off.
@@ -386,7 +392,7 @@
 	if r.Execution != coltsfootward.ExecutionNotRun {
 		used = call.escrow.Used()
 	}
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: used})
+	p.answerRefused(call, r, used)
 }
 
 // load is what goes back with every answer to such a request.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -228,6 +228,29 @@
 	return ids
 }
 
+// Census counts the backend servers by what keeps them from getting a request. One
+// may count under several heads.
+type Census struct {
+	Known, Tried, Ejected, Suspected, Unreachable int
+}
+
+// Census counts the servers for a request that has tried some of them.
+func (p *Pool) Census(now time.Duration, tried map[coltsfootward.InstanceID]bool) Census {
+	c := Census{Known: len(p.upstreams), Tried: len(tried)}
+	for _, u := range p.upstreams {
+		if u.ejected && !u.available(now) {
+			c.Ejected++
+		}
+		if u.suspected {
+			c.Suspected++
+		}
+		if !p.reachable(u.domain) {
+			c.Unreachable++
+		}
+	}
+	return c
+}
+
 // Sent says that an attempt went to a server.
 func (p *Pool) Sent(id coltsfootward.InstanceID) {
 	if u, ok := p.upstreams[id]; ok {
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -88,15 +88,26 @@
 	told float64
 }
 
-// Moved is a gate that has moved.
-type Moved struct {
+// State is how far a gate is closed.
+type State struct {
 	Service coltsfootward.ServiceName
 	// Excess is the part of the demand that the service's servers want refused,
 	// and Age how old that is.
 	Excess float64
 	Age    time.Duration
-	// Passed is the part of the demand that is let pass.
+	// Passed is the part of the demand that is let pass, Limit the rank above
+	// which requests are refused.
 	Passed float64
+	Limit  uint32
+}
+
+func (g *gate) state(now time.Duration, service coltsfootward.ServiceName) State {
+	return State{Service: service, Excess: g.excess, Age: now - g.heard, Passed: g.passed, Limit: g.limit}
+}
+
+// State returns how far the gate of a service is closed.
+func (g *Gates) State(now time.Duration, service coltsfootward.ServiceName) State {
+	return g.gate(service).state(now, service)
 }
 
 // toldStep is by how much a gate must have moved to be told of.
@@ -104,8 +115,8 @@
 
 // Moved returns the gates that have moved much since they were last told of, in
 // the order of their services.
-func (g *Gates) Moved(now time.Duration) []Moved {
-	var moved []Moved
+func (g *Gates) Moved(now time.Duration) []State {
+	var moved []State
 	for _, service := range slices.Sorted(maps.Keys(g.gates)) {
 		known := g.gates[service]
 		step := math.Abs(known.passed - known.told)
@@ -113,7 +124,7 @@
 			continue
 		}
 		known.told = known.passed
-		moved = append(moved, Moved{Service: service, Excess: known.excess, Age: now - known.heard, Passed: known.passed})
+		moved = append(moved, known.state(now, service))
 	}
 	return moved
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -19,6 +19,7 @@
 	RecordsDropped      Code = 106
 	RequestRefused      Code = 201
 	AttemptFailed       Code = 202
+	CallRefused         Code = 203
 	BackendAnnounced    Code = 301
 	BackendDraining     Code = 302
 	LimitChanged        Code = 303
@@ -71,8 +72,9 @@
 		{SettingsRead, "settings_read", "info", "The settings file was read anew. The log level is in force; other changes wait for the next start."},
 		{SettingsRefused, "settings_refused", "error", "The settings file could not be read or is wrong; the settings in force stay. Correct the file."},
 		{RecordsDropped, "records_dropped", "info", "Events of one kind came faster than they are logged; of and count say which and how many were left out since the last such line."},
-		{RequestRefused, "request_refused", "info", "A request was answered with a refusal; kind, execution and detail say which, retry_after when its caller may come back."},
-		{AttemptFailed, "attempt_failed", "info", "An attempt ended without an answer; the request may be attempted again."},
+		{RequestRefused, "request_refused", "info", "A request was answered with a refusal; kind, execution and detail say which, retry_after when its caller may come back. The other fields are what decided it; coltsfootctl explain puts them in words."},
+		{AttemptFailed, "attempt_failed", "info", "An attempt ended without an answer; the request may be attempted again. instance is where it went, hop its number, took how long it lasted."},
+		{CallRefused, "call_refused", "info", "A node refused a call that an entry node sent for the backend server beside it; running, queued, limit, backlog and left say how full the server was and how much of the caller's time was left."},
 		{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
 		{BackendDraining, "backend_draining", "info", "A backend server takes no new work."},
 		{LimitChanged, "limit_changed", "info", "The number of requests that the backend server is given at once moved, at most one report a second. Below its slots it slows down with more; check what it announces and its machine."},
