Slots of lost nodes are taken over as soon as they count as gone

The 12 s guarded against a holder that is only cut off and grants on for 10 s. It now stops after 4 s without a word from its domain, which is before the others hold it for gone, and begins with empty buckets when it may grant again. Holders are looked up again only when the roster has changed; before that each node hashed all members of its domain five times a second.

--- a/core/membership/query.go
+++ b/core/membership/query.go
@@ -26,6 +26,9 @@
 // Size returns the number of members that run, this node included.
 func (m *Machine) Size() int { return m.roster.present }
 
+// Changes returns a number that grows with each change of the roster.
+func (m *Machine) Changes() uint64 { return m.roster.changes }
+
 // Member returns what is known of an instance.
 func (m *Machine) Member(id coltsfootward.InstanceID) (Member, bool) {
 	line, ok := m.roster.members[id]
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -46,6 +46,8 @@
 	hashes   [bucketCount]uint64
 	total    uint64
 	present  int
+	// changes counts what was put or removed.
+	changes uint64
 }
 
 func newRoster() *roster {
@@ -74,6 +76,7 @@
 		m = &member{hash: xxhash.Sum64String(string(id))}
 		r.members[id] = m
 	}
+	r.changes++
 	m.news = news
 	m.digest = digestOf(m)
 	r.index(m)
@@ -81,6 +84,7 @@
 }
 
 func (r *roster) remove(m *member) {
+	r.changes++
 	r.unindex(m)
 	delete(r.members, m.id())
 }
--- a/core/node/assigned_slots.go
+++ b/core/node/assigned_slots.go
@@ -16,14 +16,11 @@
 	// assignInterval is the time between two looks at who holds which slot. A
 	// holder that has stopped is replaced within this time of the news.
 	assignInterval = 200 * time.Millisecond
-	// absentHold is how long a member that is gone keeps its slots. A member
-	// that was only cut off grants on from its part meanwhile, and one that was
-	// killed is mostly back; its part lies unused for as long.
-	absentHold = 12 * time.Second
 	// isolatedHold is how long a node that hears nobody of its domain goes on
-	// granting. It is below absentHold, so the part of a node that is cut off
-	// for longer is granted by one node at a time.
-	isolatedHold = 10 * time.Second
+	// granting. It is below the time after which the others hold a silent member
+	// for gone and take its slots over, so the part of a node that is cut off is
+	// granted by one node at a time.
+	isolatedHold = 4 * time.Second
 	// aloneWait is how long a node that has started waits for the others of its
 	// domain before it takes it that there are none. Nodes that start together
 	// would else each grant the whole domain's part.
@@ -35,8 +32,8 @@
 // the time in which a restarted fleet must serve again.
 //
 // Two nodes may hold a slot while their rosters differ. The guards keep that
-// short: a holder starts with empty buckets, a member that is gone keeps its
-// slots for absentHold, and a node that hears nobody stops before that.
+// short: a holder starts with empty buckets, also after it was cut off, and a node
+// that hears nobody stops before the others take its slots over.
 type assignedSlots struct {
 	node    *Node
 	began   time.Duration
@@ -48,9 +45,11 @@
 	// Instant.Monotonic; met says whether one ever was.
 	heard time.Duration
 	met   bool
-	// away holds since when members of the domain have been gone.
-	away map[coltsfootward.InstanceID]time.Duration
-	// foreign remembers the holders of other domains' slots until the next look.
+	// stopped is set while the node holds slots and may not grant.
+	stopped bool
+	// seen is the state of the roster that the holders follow from.
+	seen uint64
+	// foreign remembers the holders of other domains' slots until the roster changes.
 	foreign map[slotID]coltsfootward.Instance
 }
 
@@ -60,7 +59,6 @@
 		began:   n.now.Monotonic,
 		holders: make([]coltsfootward.Instance, n.options.Slots),
 		terms:   make([]slotTerm, n.options.Slots),
-		away:    make(map[coltsfootward.InstanceID]time.Duration),
 		foreign: make(map[slotID]coltsfootward.Instance),
 	}
 }
@@ -82,12 +80,18 @@
 		return
 	}
 	s.next = now + assignInterval
+	resumed := s.resumed()
+	changes := s.node.membership.machine.Changes()
+	if changes == s.seen && !resumed {
+		return
+	}
+	s.seen = changes
 	clear(s.foreign)
-	roster := s.present()
+	roster := s.running(s.node.options.Self.Domain)
 	for i := range s.holders {
 		holder := firstFor(slotID{domain: s.node.options.Self.Domain, index: i}, roster)
 		mine := holder.ID == s.node.options.Self.ID
-		if mine && s.holders[i].ID != holder.ID {
+		if mine && (resumed || s.holders[i].ID != holder.ID) {
 			s.epoch++
 			s.terms[i] = slotTerm{epoch: s.epoch, began: s.node.now}
 		}
@@ -95,28 +99,13 @@
 	}
 }
 
-// present lists the members of the own domain that may hold slots: those that
-// run, and those that have been gone for less than absentHold.
-func (s *assignedSlots) present() []coltsfootward.Instance {
-	now := s.node.now.Monotonic
-	var present []coltsfootward.Instance
-	for _, member := range s.node.membership.machine.Serving(s.node.options.Self.Domain) {
-		instance := member.Announcement.Instance
-		if member.State != message.MemberGone {
-			delete(s.away, instance.ID)
-			present = append(present, instance)
-			continue
-		}
-		since, known := s.away[instance.ID]
-		if !known {
-			since = now
-			s.away[instance.ID] = now
-		}
-		if now-since < absentHold {
-			present = append(present, instance)
-		}
-	}
-	return present
+// resumed reports whether the node may grant again after it had to stop. Others
+// have granted from its slots meanwhile, so it begins anew.
+func (s *assignedSlots) resumed() bool {
+	stopped := s.met && !s.ready()
+	resumed := s.stopped && !stopped
+	s.stopped = stopped
+	return resumed
 }
 
 // firstFor returns the instance that holds a slot: the first by rendezvous
@@ -139,9 +128,9 @@
 func (s *assignedSlots) ready() bool {
 	now := s.node.now.Monotonic
 	if !s.met {
-		return now-s.began >= aloneWait && len(s.present()) <= 1
+		return now-s.began >= aloneWait && len(s.running(s.node.options.Self.Domain)) <= 1
 	}
-	return now-s.heard < isolatedHold || len(s.present()) <= 1
+	return now-s.heard < isolatedHold || len(s.running(s.node.options.Self.Domain)) <= 1
 }
 
 // term returns this node's term of a slot of its domain, if it holds it now.
@@ -149,7 +138,7 @@
 	if id.domain != s.node.options.Self.Domain || id.index < 0 || id.index >= len(s.holders) {
 		return slotTerm{}, false
 	}
-	if s.holders[id.index].ID != s.node.options.Self.ID || !s.ready() {
+	if s.holders[id.index].ID != s.node.options.Self.ID || s.stopped || !s.ready() {
 		return slotTerm{}, false
 	}
 	return s.terms[id.index], true
@@ -168,7 +157,7 @@
 	return holder, holder.ID != ""
 }
 
-// running lists the members of another domain that are not known to be gone.
+// running lists the members of a domain that are not known to be gone.
 func (s *assignedSlots) running(domain coltsfootward.FailureDomain) []coltsfootward.Instance {
 	var members []coltsfootward.Instance
 	for _, member := range s.node.membership.machine.Serving(domain) {
