--- a/cmd/coltsfootctl/exit.go
+++ b/cmd/coltsfootctl/exit.go
@@ -13,6 +13,7 @@
 	exitFailed     = 1
 	exitUsage      = 2
 	exitConflict   = 3
+	exitIncomplete = 3
 	exitNotInForce = 4
 	exitDoubt      = 5
 )
@@ -48,11 +49,14 @@
 func exitCode(err error) int {
 	var notInForce *notInForceError
 	var usage *usageError
+	var incomplete *incompleteError
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &notInForce):
 		return exitNotInForce
+	case errors.As(err, &incomplete):
+		return exitIncomplete
 	case errors.As(err, &usage), connect.CodeOf(err) == connect.CodeInvalidArgument:
 		return exitUsage
 	case connect.CodeOf(err) == connect.CodeAborted:
--- a/cmd/coltsfootctl/run.go
+++ b/cmd/coltsfootctl/run.go
@@ -93,6 +93,8 @@
 		{"", "status", "show what a node knows of itself and of the deployment", "Example: coltsfootctl --node 10.0.0.1:7004 status", &status{session: s}},
 		{"", "watch", "wait until a revision is in force everywhere", "Says which failure domains and instances it waits for.\n\nExample: coltsfootctl watch 42 --wait 30s", &watch{session: s}},
 		{"", "drain", "make a node leave gracefully", "The node takes no new work, finishes what runs and exits.\n\nExample: coltsfootctl --node 10.0.0.1:7004 drain", &drain{session: s}},
+		{"", "explain", "tell from logs what became of a request",
+			"Reads the logs of nodes, from files or standard input, and tells the one path of a request and what ended it. Logs may have a time and an instance before each line. Exit codes: 0 explained; 1 not found; 2 wrong usage; 3 explained in part, since lines were left out of the logs.\n\nExamples: coltsfootctl explain 9c41d07be2a35f68 node-*.log\n          coltsfootctl explain --first over_rate < all.log\n          coltsfootctl explain --summary node-*.log", &explainCommand{session: s}},
 		{"", "timeline", "show the recent events of all nodes as one time line", "Asks the node and the peers that it knows, and merges their events by hybrid logical clock.\n\nExample: coltsfootctl timeline --limit 200", &timeline{session: s}},
 	}
 }
--- a/cmd/daemon/report.go
+++ b/cmd/daemon/report.go
@@ -32,7 +32,7 @@
 const linesPerSecond = 20
 
 func newReporter(s settings.Settings, logger *zap.Logger) *reporter {
-	return &reporter{logger: logger.With(zap.String("node", s.Instance.ID)), timeline: record.NewRing(s.Log.Timeline)}
+	return &reporter{logger: logger.With(zap.String("node", s.Instance.ID), zap.String("domain", s.Instance.Domain)), timeline: record.NewRing(s.Log.Timeline)}
 }
 
 // event reports one event with one field.
--- /dev/null
+++ b/cmd/explain/explain_test.go
@@ -0,0 +1,95 @@
+package explain_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"coltsfootward/cmd/explain"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// log is what four nodes wrote, some of it with a time and an instance before it and
+// with other programs' lines between.
+const log = `-0.0011 north-1 {"level":"info","ts":1700000000.000,"msg":"node_started","node":"north-1","domain":"north","code":101,"callers":"10.0.0.1:1"}
+panic in some other program {"code": broken
+1.20 north-1 {"level":"info","ts":1700000001.200,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-rate","kind":"over_rate","execution":"not_run","detail":"the organisation is above its rate and burst","retry_after":"115ms","service":"quotes","route":"live","organisation":"traders","waited":"15ms","left":"1s","hops":"0","rate":"5.00","burst":"5","revision":"8","parts":"south/0 at south-2: 0 left 1ms ago, asked again in 80ms"}
+{"level":"info","ts":1700000002.400,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-full","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","running":"19","limit":"19","queued":"7","backlog":"640ms","left":"310ms","service":"quotes"}
+{"level":"info","ts":1700000002.401,"msg":"attempt_failed","node":"north-1","domain":"north","code":202,"request":"r-full","instance":"south-1","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","service":"quotes","hop":"1","took":"2ms"}
+{"level":"info","ts":1700000002.402,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-full","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","retry_after":"1.1s","service":"quotes","waited":"690ms","left":"308ms","hops":"1","instance":"south-1"}
+{"level":"info","ts":1700000003.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-gate","kind":"overloaded","execution":"not_run","detail":"service \"feeds\", which the request needs, has no room for requests of this importance","retry_after":"333ms","service":"quotes","waited":"0s","hops":"0","full":"feeds","passed":"0.55","excess":"0.45","age":"120ms","rank":"900","limit":"500"}
+{"level":"info","ts":1700000004.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-lost","instance":"south-1","kind":"connection_lost","execution":"unknown","detail":"the connection broke while the request was under way","service":"quotes","hop":"1","took":"700ms"}
+{"level":"info","ts":1700000004.001,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-lost","kind":"connection_lost","execution":"unknown","detail":"the connection broke while the request was under way","retry_after":"0s","service":"quotes","waited":"702ms","hops":"1","instance":"south-1"}
+{"level":"info","ts":1700000005.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-none","kind":"no_upstream","execution":"not_run","detail":"no backend server of the service takes work","retry_after":"1s","service":"quotes","waited":"0s","hops":"0","known":"13","tried":"0","ejected":"3","suspected":"0","unreachable":"10"}
+{"level":"info","ts":1700000006.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-slow","instance":"south-1","kind":"draining","execution":"not_run","detail":"the backend server takes no new work","service":"quotes","hop":"1","took":"3ms"}
+{"level":"info","ts":1700000007.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-slow","kind":"timeout","execution":"unknown","detail":"the caller's time ran out","retry_after":"0s","service":"quotes","waited":"1s","hops":"2","instance":"south-2"}
+{"level":"info","ts":1700000008.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-saved","instance":"south-1","kind":"upstream_failed","execution":"unknown","detail":"the backend server broke off","service":"quotes","hop":"1","took":"30ms"}
+{"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"203","count":"17"}
+{"level":"info","ts":1700000108.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"202","count":"4"}
+{"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"north-2","domain":"north","code":106,"of":"901","count":"9"}
+`
+
+func read(t *testing.T, take func(explain.Line)) {
+	t.Helper()
+	if err := explain.Read(strings.NewReader(log), take); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCauses(t *testing.T) {
+	var page strings.Builder
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-slow", "r-saved"} {
+		search := explain.NewSearch(request)
+		read(t, search.Take)
+		found, ok := search.Result()
+		if !ok {
+			t.Fatalf("found nothing of %s", request)
+		}
+		fmt.Fprintf(&page, "%s, %d lines, %d drops\n%s\n\n", request, len(found.Lines), len(found.Dropped), found.Cause)
+	}
+	goldie.New(t).Assert(t, "causes", []byte(page.String()))
+}
+
+// Guards against a search by kind that tells only what came after the refusal.
+func TestFirstOfAKindHasEarlierLines(t *testing.T) {
+	search := explain.NewSearchFirst("connection_lost")
+	read(t, search.Take)
+	found, ok := search.Result()
+	if !ok || found.Request != "r-lost" || len(found.Lines) != 2 {
+		t.Errorf("got %+v, want both lines of r-lost", found)
+	}
+}
+
+func TestUnknownRequestIsNotFound(t *testing.T) {
+	search := explain.NewSearch("r-nobody")
+	read(t, search.Take)
+	if found, ok := search.Result(); ok {
+		t.Errorf("got %+v, want nothing", found)
+	}
+}
+
+func TestSummary(t *testing.T) {
+	summary := explain.NewSummary()
+	read(t, summary.Take)
+	page, err := json.MarshalIndent(map[string]any{
+		"causes": summary.Causes(), "rows": summary.Rows(), "worst": summary.Worst(2), "dropped": summary.Dropped,
+	}, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "summary", page)
+}
+
+// Guards against a line of another program that ends the reading of a log.
+func TestOverlongLineIsSkipped(t *testing.T) {
+	long := strings.Repeat("x", 3<<20) + "\n"
+	count := 0
+	if err := explain.Read(strings.NewReader(long+log), func(explain.Line) { count++ }); err != nil {
+		t.Fatal(err)
+	}
+	if count != strings.Count(log, `"msg"`) {
+		t.Errorf("got %d lines, want %d", count, strings.Count(log, `"msg"`))
+	}
+}
--- /dev/null
+++ b/cmd/explain/line.go
@@ -0,0 +1,96 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+)
+
+// maximumLine bounds a log line in bytes. A longer one is skipped.
+const maximumLine = 1 << 20
+
+// Line is one event of a node's log.
+type Line struct {
+	// Time is when the node wrote it, by its wall clock.
+	Time   time.Time         `json:"time"`
+	Node   string            `json:"node"`
+	Domain string            `json:"domain,omitempty"`
+	Event  string            `json:"event"`
+	Code   int               `json:"code"`
+	Fields map[string]string `json:"fields"`
+}
+
+// Request returns the id of the request that the line is about; empty for none.
+func (l Line) Request() string { return l.Fields["request"] }
+
+// Read calls take with each line of the log that tells of an event. What is no such
+// line is passed over: logs come with other programs' output between.
+func Read(r io.Reader, take func(Line)) error {
+	reader := bufio.NewReaderSize(r, maximumLine)
+	for {
+		text, err := reader.ReadSlice('\n')
+		switch {
+		case err == nil || errors.Is(err, io.EOF):
+			if line, ok := parse(text); ok {
+				take(line)
+			}
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("explain: read log: %w", err)
+		}
+	}
+}
+
+// parse takes the JSON object that ends the line.
+func parse(text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 || !bytes.Contains(text, []byte(`"code"`)) {
+		return Line{}, false
+	}
+	var found map[string]any
+	if json.Unmarshal(text[start:], &found) != nil {
+		return Line{}, false
+	}
+	line := Line{Fields: make(map[string]string)}
+	for name, value := range found {
+		switch name {
+		case "ts":
+			seconds, _ := value.(float64)
+			line.Time = time.UnixMicro(int64(seconds * 1e6)).UTC()
+		case "code":
+			code, _ := value.(float64)
+			line.Code = int(code)
+		case "node":
+			line.Node, _ = value.(string)
+		case "domain":
+			line.Domain, _ = value.(string)
+		case "msg":
+			line.Event, _ = value.(string)
+		case "level":
+		default:
+			line.Fields[name] = asText(value)
+		}
+	}
+	return line, line.Code != 0 && line.Node != ""
+}
+
+func asText(value any) string {
+	switch v := value.(type) {
+	case string:
+		return v
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	default:
+		return fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/cmd/explain/summary.go
@@ -0,0 +1,108 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"coltsfootward/core/record"
+)
+
+// Summary counts refusals to callers and failed attempts by their causes. Create it
+// with NewSummary.
+type Summary struct {
+	counts map[SummaryKey]int
+	nodes  map[string]int
+	// Dropped is how many lines the nodes left out of their logs.
+	Dropped int
+}
+
+// SummaryKey is what is counted together.
+type SummaryKey struct {
+	// Second is when, by the nodes' wall clocks.
+	Second  time.Time `json:"second"`
+	Event   string    `json:"event"`
+	Kind    string    `json:"kind"`
+	Service string    `json:"service"`
+	Domain  string    `json:"domain"`
+	// Cause is the full service for a refusal at a gate, else the detail.
+	Cause string `json:"cause"`
+}
+
+// SummaryRow is one count.
+type SummaryRow struct {
+	SummaryKey
+	Count int `json:"count"`
+}
+
+// NewSummary returns a summary of nothing.
+func NewSummary() *Summary {
+	return &Summary{counts: make(map[SummaryKey]int), nodes: make(map[string]int)}
+}
+
+// Take takes in the next line.
+func (s *Summary) Take(line Line) {
+	if line.Code == int(record.RecordsDropped) {
+		var count int
+		if _, err := fmt.Sscan(line.Fields["count"], &count); err == nil {
+			s.Dropped += count
+		}
+		return
+	}
+	if !aboutRequests(record.Code(line.Code)) {
+		return
+	}
+	key := SummaryKey{
+		Second: line.Time.Truncate(time.Second), Event: line.Event, Kind: line.Fields["kind"],
+		Service: line.Fields["service"], Domain: line.Domain, Cause: line.Fields["detail"],
+	}
+	if full := line.Fields["full"]; full != "" {
+		key.Cause = "no room at " + full
+	}
+	s.counts[key]++
+	s.nodes[line.Node]++
+}
+
+// Rows returns the counts in the order of their times, the greatest of a second first.
+func (s *Summary) Rows() []SummaryRow {
+	rows := make([]SummaryRow, 0, len(s.counts))
+	for key, count := range s.counts {
+		rows = append(rows, SummaryRow{SummaryKey: key, Count: count})
+	}
+	slices.SortFunc(rows, func(a, b SummaryRow) int {
+		return cmp.Or(a.Second.Compare(b.Second), cmp.Compare(b.Count, a.Count), strings.Compare(fmt.Sprint(a.SummaryKey), fmt.Sprint(b.SummaryKey)))
+	})
+	return rows
+}
+
+// Causes returns the counts over all seconds and failure domains, the greatest first.
+func (s *Summary) Causes() []SummaryRow {
+	sums := make(map[SummaryKey]int)
+	for key, count := range s.counts {
+		key.Second, key.Domain = time.Time{}, ""
+		sums[key] += count
+	}
+	rows := make([]SummaryRow, 0, len(sums))
+	for key, count := range sums {
+		rows = append(rows, SummaryRow{SummaryKey: key, Count: count})
+	}
+	slices.SortFunc(rows, func(a, b SummaryRow) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), strings.Compare(fmt.Sprint(a.SummaryKey), fmt.Sprint(b.SummaryKey)))
+	})
+	return rows
+}
+
+// Worst returns up to count nodes with the most lines, the worst first.
+func (s *Summary) Worst(count int) []string {
+	nodes := slices.SortedFunc(maps.Keys(s.nodes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.nodes[b], s.nodes[a]), cmp.Compare(a, b))
+	})
+	nodes = nodes[:min(count, len(nodes))]
+	for i, node := range nodes {
+		nodes[i] = fmt.Sprintf("%s %d", node, s.nodes[node])
+	}
+	return nodes
+}
