Peers: a silent connection costs little memory and no probes

Cause (by reading, and sizes): a node of the large deployment has some 400 connections, each with two buffers of 8 KiB and a ring of 256 entries of 72 bytes (18 KiB), and each one that it accepted was probed every 10 s: at two requests a second most frames were probes. Now the write buffer is lent while there is something to write, the read buffer has 2 KiB, the ring 64 entries, and only those are probed whose clock has been gone by since the last probe.

--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -7,19 +7,25 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coltsfootward"
 )
 
-// outgoingFrames is the size of the ring between those who send and the
-// goroutine that writes.
-const outgoingFrames = 256
-
-// connectionBuffer is the size in bytes of each of a connection's two buffers. It
-// holds a few dozen calls; larger frames pass around it. A node among 70 has a
-// connection to each of the others, so that 64 KiB made 9 MB.
-const connectionBuffer = 8 << 10
+// A node among hundreds has as many connections, and most of them are silent most of
+// the time, so what each one keeps is small.
+const (
+	// outgoingFrames is the size of the ring between those who send and the
+	// goroutine that writes.
+	outgoingFrames = 64
+	// readBuffer is the size of a connection's read buffer in bytes. Larger frames
+	// pass around it.
+	readBuffer = 2 << 10
+	// writeBuffer is the size in bytes of the buffer that a connection has while it
+	// writes.
+	writeBuffer = 16 << 10
+)
 
 // errConnectionClosed says that the connection broke or was closed.
 var errConnectionClosed = errors.New("peer: connection closed: the call may be sent to another instance")
@@ -61,6 +67,8 @@
 	offsets            offsets
 	// lastUsed is when a call or message last passed, by Instant.Monotonic.
 	lastUsed time.Duration
+	// heard is set once a frame whose age matters has come since the last probe.
+	heard atomic.Bool
 }
 
 func newConnection(c net.Conn, remote coltsfootward.Instance, clock func() coltsfootward.Instant) *connection {
@@ -188,22 +196,38 @@
 	return c.send(context.Background(), kind, id, payload)
 }
 
-// write runs until the connection closes. It flushes whenever the ring is empty.
+// write runs until the connection closes.
 func (c *connection) write() {
 	defer c.close()
-	w := bufio.NewWriterSize(c.net, connectionBuffer)
-	frames := newFrameWriter(w)
 	for {
 		select {
 		case o := <-c.outgoing:
-			if c.writeOne(frames, o) != nil {
+			if c.writeAll(o) != nil {
 				return
 			}
 		case <-c.done:
 			return
 		}
-		if len(c.outgoing) == 0 && w.Flush() != nil {
-			return
+	}
+}
+
+// frameWriters keeps writers for the connections that write just now.
+var frameWriters = sync.Pool{New: func() any { return newFrameWriter(bufio.NewWriterSize(nil, writeBuffer)) }}
+
+// writeAll writes the frame and those that wait behind it.
+func (c *connection) writeAll(o outgoing) error {
+	frames := frameWriters.Get().(*frameWriter)
+	defer frameWriters.Put(frames)
+	frames.w.Reset(c.net)
+	defer frames.w.Reset(nil)
+	for {
+		if err := c.writeOne(frames, o); err != nil {
+			return err
+		}
+		select {
+		case o = <-c.outgoing:
+		default:
+			return frames.w.Flush()
 		}
 	}
 }
--- a/io/peer/export_test.go
+++ b/io/peer/export_test.go
@@ -73,3 +73,12 @@
 
 // Decode decodes a payload.
 func Decode(data []byte, into any) error { return decode(data, into) }
+
+// ProbeAll probes the clocks of those who have been heard since the last time.
+func (t *Transport) ProbeAll() { t.probeAll() }
+
+// FrameMessage and FramePing are further kinds of frame.
+const (
+	FrameMessage = frameMessage
+	FramePing    = framePing
+)
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -16,7 +16,7 @@
 	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, nil, err
 	}
-	reader := bufio.NewReaderSize(n, connectionBuffer)
+	reader := bufio.NewReaderSize(n, readBuffer)
 	theirs, err := readHello(reader)
 	if err != nil {
 		return nil, nil, err
@@ -94,7 +94,7 @@
 	if err := t.writeHello(n); err != nil {
 		return nil, nil, err
 	}
-	reader := bufio.NewReaderSize(n, connectionBuffer)
+	reader := bufio.NewReaderSize(n, readBuffer)
 	theirs, err := readHello(reader)
 	if err != nil {
 		return nil, nil, err
--- /dev/null
+++ b/io/peer/probe_test.go
@@ -0,0 +1,54 @@
+package peer_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"coltsfootward/core/message"
+	"coltsfootward/io/peer"
+)
+
+// nextKind returns the kind of the next frame, or "" if none comes within d.
+func nextKind(t *testing.T, c net.Conn, r *bufio.Reader, d time.Duration) string {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		t.Fatal(err)
+	}
+	f, err := peer.ReadFrame(r)
+	if err != nil {
+		return ""
+	}
+	return string(f.Kind)
+}
+
+// Guards against a node among hundreds that spends its time on probing the clocks of
+// silent peers.
+func TestSilentPeerIsNotProbed(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	p := newPair(t, holdOrAnswer)
+	c := dialRaw(t, p)
+	if _, err := c.Write(helloFrame(peer.ProtocolVersion)); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(c)
+	if kind := nextKind(t, c, r, wait); kind != string(peer.FrameHello) {
+		t.Fatalf("got %q, want the hello", kind)
+	}
+	p.server.ProbeAll()
+	if kind := nextKind(t, c, r, silence); kind != "" {
+		t.Fatalf("got %q, want no frame on a silent connection", kind)
+	}
+	payload, err := peer.EncodeMessage(&message.Gossip{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(peer.EncodeFrame(peer.NewFrame(string(peer.FrameMessage), 0, payload))); err != nil {
+		t.Fatal(err)
+	}
+	until(t, func() bool {
+		p.server.ProbeAll()
+		return nextKind(t, c, r, silence) == string(peer.FramePing)
+	})
+}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -228,6 +228,7 @@
 		c.takeNoMoreCalls()
 		return nil
 	case frameMessage:
+		c.heard.Store(true)
 		m, err := decodeMessage(f.Payload)
 		if err != nil {
 			return err
@@ -235,6 +236,7 @@
 		t.handler.ServeMessage(c.remote, m, c.age(f))
 		return nil
 	case frameCall:
+		c.heard.Store(true)
 		return t.takeCall(c, f)
 	case frameAnswer, frameBody, frameCredit, frameEnd, frameReset:
 		return c.streamFrame(f)
@@ -331,6 +333,9 @@
 	}
 }
 
+// probeAll probes those whose clock has been gone by since the last probe. The
+// others' is known well enough for their next frame, and a probe of each of hundreds
+// of silent connections would be most of what a node does.
 func (t *Transport) probeAll() {
 	payload, err := encode(&probe{Probe: int64(t.clock().Expiry)})
 	if err != nil {
@@ -339,7 +344,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.accepted {
-		c.trySend(framePing, payload)
+		if c.heard.Swap(false) {
+			c.trySend(framePing, payload)
+		}
 	}
 }
 
