A fresh node of a fleet of hundreds learns the roster in one page

In a fleet of 24,000 eight parts hold 750 members, in one of 200 six. The peer now says how many members it knows, and a page takes as many parts as hold 400 of them, eight at least.

--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -269,3 +269,15 @@
 		t.Errorf("members do not know each other again after %v", took)
 	}
 }
+
+// Guards against a node that has just started and knows few of a fleet of hundreds for
+// seconds: its requests crowd the few backend servers that it has heard of.
+func TestFreshMemberKnowsHundredsWithinASecond(t *testing.T) {
+	c := started(t, 1, 6, 33)
+	fresh := c.add("fresh", "d00", 1)
+	want := len(c.members)
+	took, ok := c.until(10*time.Second, func() bool { return fresh.machine.Size() >= want })
+	if !ok || took > time.Second {
+		t.Errorf("the fresh member knows %d of %d after %s (%t), want all within 1 s", fresh.machine.Size(), want, took, ok)
+	}
+}
--- a/core/membership/sync.go
+++ b/core/membership/sync.go
@@ -60,7 +60,7 @@
 		return
 	}
 	hashes := slices.Clone(m.roster.hashes[:])
-	m.send(line, &message.RosterBuckets{Self: m.self, Hashes: hashes})
+	m.send(line, &message.RosterBuckets{Self: m.self, Hashes: hashes, Members: len(m.roster.members)})
 }
 
 // compareBuckets sends a page of the buckets that differ and asks for the
@@ -74,13 +74,14 @@
 	}
 	page := &message.RosterPage{Answer: true}
 	m.syncMore = false
+	most := bucketsFor(max(r.Members, len(m.roster.members)))
 	start := m.source.IntN(bucketCount)
 	for i := range bucketCount {
 		b := (start + i) % bucketCount
 		if r.Hashes[b] == m.roster.hashes[b] {
 			continue
 		}
-		if len(page.News) >= pageNews || len(page.Buckets) >= pageBuckets {
+		if len(page.News) >= pageNews || len(page.Buckets) >= most {
 			m.syncMore = true
 			break
 		}
@@ -90,9 +91,15 @@
 	m.send(line, page)
 }
 
-// pageBuckets bounds the buckets of a page by what the other side may hold in
-// them: a node that knows nobody cannot tell how full they are.
-const pageBuckets = 8
+// bucketsFor returns how many buckets of a roster of that many members fill about one
+// page. In a fleet of hundreds all of them do: eight at a time, as in a fleet of
+// thousands, a node that has just started would know few of the others for seconds.
+func bucketsFor(members int) int {
+	return max(min(pageNews*bucketCount/max(members, 1), bucketCount), leastBuckets)
+}
+
+// leastBuckets is how many buckets a page brings at least, however full they are.
+const leastBuckets = 8
 
 func (m *Machine) appendBucket(news []message.News, b int) []message.News {
 	for _, line := range m.roster.buckets[b] {
@@ -128,7 +135,7 @@
 
 func (m *Machine) answerPage(line *member, buckets []int) {
 	page := &message.RosterPage{Buckets: buckets}
-	for _, b := range buckets[:min(len(buckets), pageBuckets)] {
+	for _, b := range buckets[:min(len(buckets), bucketsFor(len(m.roster.members)))] {
 		if b >= 0 && b < bucketCount {
 			page.News = m.appendBucket(page.News, b)
 		}
--- a/core/message/membership.go
+++ b/core/message/membership.go
@@ -141,6 +141,9 @@
 	// Self introduces the sender to a member that does not know it yet.
 	Self   News     `msgpack:"self"`
 	Hashes []uint64 `msgpack:"hashes"`
+	// Members is how many members the sender knows, which tells how full its buckets
+	// are.
+	Members int `msgpack:"members"`
 }
 
 // MessageKind implements Message.
