Connections with peers are counted and told of every ten seconds

They are counted in the metrics, and one line every ten seconds says how many; a lost peer keeps its line.

--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -25,6 +25,8 @@
 	// entries holds since when callers have calls in hand here. Only the loop's
 	// goroutine uses it.
 	entries map[node.CallID]time.Time
+	// connections counts those with peers.
+	connections connections
 	// gauges reads the machine's gauges; nil before the node runs.
 	gauges func() gauges
 
@@ -45,6 +47,7 @@
 		m.counters[name] = new(expvar.Int)
 		m.all.Set(name, m.counters[name])
 	}
+	m.connections.made, m.connections.broken = m.counters[countConnected], m.counters[countLost]
 	for _, kind := range coltsfootward.SortedRefusalKinds() {
 		m.refusals.Add(string(kind), 0)
 		m.peerRefusals.Add(string(kind), 0)
@@ -73,12 +76,14 @@
 	countBusy             = "loop_busy_microseconds"
 	countWaited           = "loop_waited_microseconds"
 	countSlow             = "loop_slow_events"
+	countConnected        = "peers_connected"
+	countLost             = "peers_lost"
 )
 
 var counterNames = []string{
 	countRequests, countAnswersWhole, countAnswersBroken, countCallersLeft, countAttempts, countAttemptsLost,
 	countPeerCalls, countDispatches, countDispatchesFailed, countMessagesSent, countMessagesReceived,
-	countPlatform, countPlatformFailures, countEvents, countBusy, countWaited, countSlow,
+	countPlatform, countPlatformFailures, countEvents, countBusy, countWaited, countSlow, countConnected, countLost,
 }
 
 func (m *metrics) add(name string, delta int64) { m.counters[name].Add(delta) }
--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -66,7 +66,7 @@
 		p.table = platform.New(p.settings.PlatformURL)
 	}
 	p.metrics = newMetrics()
-	handler := &peerHandler{ready: make(chan struct{}), reporter: p.reporter}
+	handler := &peerHandler{ready: make(chan struct{}), reporter: p.reporter, metrics: p.metrics}
 	p.transport = peer.NewTransport(options.Self, clock.Now, handler, faces.peers)
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.loop = loop.New(node.New(options, source, clock.Now()), clock, loop.Outlets{
--- a/cmd/daemon/peer.go
+++ b/cmd/daemon/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"coltsfootward"
@@ -21,6 +22,7 @@
 	reporter *reporter
 	loop     *loop.Loop
 	upstream *upstream.Server
+	metrics  *metrics
 }
 
 // ServeCall implements peer.Handler.
@@ -36,14 +38,20 @@
 	h.loop.Post(node.MessageArrived{From: from.ID, Message: m, Age: age})
 }
 
-// PeerConnected implements peer.Handler.
-func (h *peerHandler) PeerConnected(instance coltsfootward.Instance) {
-	h.reporter.event(record.PeerConnected, "peer", string(instance.ID))
+// PeerConnected implements peer.Handler. Connections come and go by the hundred as
+// callers' requests find their way, so they are counted and told of now and then.
+func (h *peerHandler) PeerConnected(coltsfootward.Instance) {
+	<-h.ready
+	h.metrics.connections.connected()
+	if made, ok := h.metrics.connections.due(time.Now()); ok {
+		h.reporter.event(record.PeersConnected, "count", strconv.Itoa(made))
+	}
 }
 
 // PeerLost implements peer.Handler.
 func (h *peerHandler) PeerLost(instance coltsfootward.Instance) {
 	<-h.ready
+	h.metrics.connections.lost()
 	h.reporter.event(record.PeerLost, "peer", string(instance.ID))
 	h.loop.Post(node.PeerLost{Instance: instance.ID})
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -51,6 +51,7 @@
 	PeerConnected       Code = 901
 	PeerLost            Code = 902
 	PeerFrameRejected   Code = 903
+	PeersConnected      Code = 904
 )
 
 // Entry is one line of the catalogue.
@@ -103,9 +104,10 @@
 		{DomainReachable, "domain_reachable", "info", "A failure domain answers this node again."},
 		{PlatformUnavailable, "platform_unavailable", "warn", "The platform does not answer; the node goes on with what it has. Check the platform."},
 		{PlatformAvailable, "platform_available", "info", "The platform answers again."},
-		{PeerConnected, "peer_connected", "info", "A connection to or from a peer stands."},
+		{PeerConnected, "peer_connected", "info", "A connection to or from a peer stands. Nodes tell of many at once by 904."},
 		{PeerLost, "peer_lost", "warn", "A connection to a peer broke; calls on it end as their state says."},
 		{PeerFrameRejected, "peer_frame_rejected", "warn", "A peer sent bytes that are no valid frame; the connection was closed. Check versions and who connects."},
+		{PeersConnected, "peers_connected", "info", "Connections to and from peers were made; count says how many since the last such line. peers_connected and peers_lost of the metrics have all."},
 	}
 }
 
