Peers: a whole answer goes in one frame, with one visit to the machine less

Cause (profile of 1,000 calls a second through ten nodes): a quarter of the nodes' time goes into msgpack and as much into system calls. An answer that is at hand as a whole went as three frames, its end after one more round through the machine, and so woke the peer twice; its load was asked for in a round of its own. Now head, body and end go together once the machine has ended the call. The protocol's version is 2. The test of bad input from peers names the version by its constant, as it is to pass with any.

--- a/cmd/endtoend/input_test.go
+++ b/cmd/endtoend/input_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"coltsfootward/io/peer"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -145,9 +147,9 @@
 		{"frame that is none", []byte("\x00\x00\x00\x05hello"), "undecodable"},
 		{"other version", hello(t, 99), "protocol version 99"},
 		{"call before hello", frame(t, "call", nil), "first frame is no hello"},
-		{"garbage after hello", append(hello(t, 1), bytes.Repeat([]byte{0xc1}, 64)...), "bytes are more than"},
-		{"unknown message", append(hello(t, 1), frame(t, "message", []byte("\x82\xa4kind\xa4none\xa7message\xc0"))...), "unknown message kind"},
-		{"frame kind of another version", append(hello(t, 1), frame(t, "dance", nil)...), "unexpected frame dance"},
+		{"garbage after hello", append(hello(t, peer.ProtocolVersion), bytes.Repeat([]byte{0xc1}, 64)...), "bytes are more than"},
+		{"unknown message", append(hello(t, peer.ProtocolVersion), frame(t, "message", []byte("\x82\xa4kind\xa4none\xa7message\xc0"))...), "unknown message kind"},
+		{"frame kind of another version", append(hello(t, peer.ProtocolVersion), frame(t, "dance", nil)...), "unexpected frame dance"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -54,11 +54,14 @@
 	Answer claim.Answer
 }
 
-// EndAnswer closes a peer's call whose answer has been passed on whole. The
+// EndAnswer closes a peer's call whose answer is whole: passed on, but for its end, or
+// at hand to go with it. The
 // count is taken in the same step that ends the call's token: a further call
 // that the backend server makes later is refused, so none can escape the count.
 type EndAnswer struct {
 	Call CallID
+	// Load goes to the peer with an answer that was not passed on before.
+	Load message.Load
 	// Attempts is how many attempts the call and all below it used.
 	Attempts int
 	// Needed is how many it would have used if none had failed.
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -121,7 +121,7 @@
 
 // How a dispatch ended.
 const (
-	// DispatchAnswered means that the whole answer was passed on.
+	// DispatchAnswered means that the whole answer was passed on, or is at hand.
 	DispatchAnswered DispatchKind = "answered"
 	// DispatchUnsent means that no byte of the request reached the upstream.
 	DispatchUnsent DispatchKind = "unsent"
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -283,7 +283,7 @@
 			WithExecution(coltsfootward.ExecutionUnknown))
 	case DispatchAnswered:
 		delete(p.calls, call.id)
-		p.node.act(EndAnswer{Call: call.id, Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
+		p.node.act(EndAnswer{Call: call.id, Load: p.load(call.head), Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
 	default:
 		delete(p.calls, call.id)
 	}
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -151,6 +151,22 @@
 	return w.stream.connection.sendValue(frameAnswer, w.stream.id, &head)
 }
 
+// Whole sends an answer with its body and end. It is called in place of Head, Write and
+// End, and spares both sides two of three frames where the body fits into one.
+func (w *AnswerWriter) Whole(head message.Answer, body []byte, end message.End) error {
+	if len(body) <= chunkSize {
+		w.ended = true
+		return w.stream.connection.sendValue(frameWhole, w.stream.id, &wholeAnswer{Head: head, Body: body, End: end})
+	}
+	if err := w.Head(head); err != nil {
+		return err
+	}
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	return w.End(end)
+}
+
 // Write implements io.Writer for the body and waits while the peer's window is full.
 func (w *AnswerWriter) Write(p []byte) (int, error) { return w.stream.write(w.ctx, p) }
 
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -17,7 +17,7 @@
 
 // ProtocolVersion is the version of the protocol between nodes. Nodes of
 // different versions refuse each other in the hello.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 const (
 	// maximumFrame bounds a frame in bytes, so that a hostile or broken peer
@@ -49,10 +49,12 @@
 	frameMessage frameKind = "message"
 	frameCall    frameKind = "call"
 	frameAnswer  frameKind = "answer"
-	frameBody    frameKind = "body"
-	frameCredit  frameKind = "credit"
-	frameEnd     frameKind = "end"
-	frameReset   frameKind = "reset"
+	// frameWhole is an answer with its body and end.
+	frameWhole  frameKind = "whole"
+	frameBody   frameKind = "body"
+	frameCredit frameKind = "credit"
+	frameEnd    frameKind = "end"
+	frameReset  frameKind = "reset"
 	// frameGoodbye says that the sender leaves and asks for no further call.
 	frameGoodbye frameKind = "goodbye"
 	// frameNoMoreCalls answers a goodbye: no call follows on the connection.
@@ -84,6 +86,13 @@
 	Probe int64 `msgpack:"probe"`
 }
 
+// wholeAnswer is the payload of a whole answer.
+type wholeAnswer struct {
+	Head message.Answer `msgpack:"head"`
+	Body []byte         `msgpack:"body"`
+	End  message.End    `msgpack:"end"`
+}
+
 // envelope carries a message with its kind.
 type envelope struct {
 	Kind    message.Kind       `msgpack:"kind"`
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -90,6 +90,8 @@
 	switch f.Kind {
 	case frameAnswer:
 		return s.takeHead(f.Payload)
+	case frameWhole:
+		return s.takeWhole(f.Payload)
 	case frameBody:
 		return s.takeChunk(f.Payload)
 	case frameCredit:
@@ -110,6 +112,10 @@
 	if err := decode(payload, &head); err != nil {
 		return err
 	}
+	return s.answer(head)
+}
+
+func (s *stream) answer(head message.Answer) error {
 	select {
 	case s.head <- head:
 		return nil
@@ -118,6 +124,24 @@
 	}
 }
 
+// takeWhole takes an answer with its body and end. The head goes last, so that
+// whoever waits for it finds the rest.
+func (s *stream) takeWhole(payload []byte) error {
+	var whole wholeAnswer
+	if err := decode(payload, &whole); err != nil {
+		return err
+	}
+	if len(whole.Body) > 0 {
+		if err := s.takeChunk(whole.Body); err != nil {
+			return err
+		}
+	}
+	if err := s.finish(whole.End); err != nil {
+		return err
+	}
+	return s.answer(whole.Head)
+}
+
 func (s *stream) takeChunk(payload []byte) error {
 	select {
 	case <-s.ended:
@@ -142,13 +166,20 @@
 }
 
 func (s *stream) takeEnd(payload []byte) error {
-	err := &FrameError{Reason: "second end of one body"}
-	var failed error = err
+	var end message.End
+	if err := decode(payload, &end); err != nil {
+		return err
+	}
+	return s.finish(end)
+}
+
+// finish notes that the peer's body is whole.
+func (s *stream) finish(end message.End) error {
+	var failed error = &FrameError{Reason: "second end of one body"}
 	s.endOnce.Do(func() {
-		failed = decode(payload, &s.end)
-		if failed == nil {
-			close(s.ended)
-		}
+		s.end = end
+		failed = nil
+		close(s.ended)
 	})
 	return failed
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -238,7 +238,7 @@
 	case frameCall:
 		c.heard.Store(true)
 		return t.takeCall(c, f)
-	case frameAnswer, frameBody, frameCredit, frameEnd, frameReset:
+	case frameAnswer, frameWhole, frameBody, frameCredit, frameEnd, frameReset:
 		return c.streamFrame(f)
 	default:
 		return &FrameError{Reason: "unexpected frame " + string(f.Kind)}
--- a/io/upstream/answer.go
+++ b/io/upstream/answer.go
@@ -44,7 +44,7 @@
 // In a routed deployment nothing is sent before the buffer is full or the body
 // whole: an answer that breaks off within it is then a failed attempt, after
 // which a request that may run twice is sent elsewhere, and not an answer that
-// its caller sees break.
+// its caller sees break. One that is whole by then goes with its end.
 func (d *dispatch) passOn(ctx context.Context, response *http.Response, cancel context.CancelFunc) node.DispatchKind {
 	keep := d.keep
 	d.keep = false
@@ -62,7 +62,9 @@
 			return d.failedKind(ctx, err)
 		}
 	}
-	if kind := d.begin(response, buffer[:n]); kind != "" {
+	if whole {
+		d.whole = &wholeAnswer{status: response.StatusCode, header: d.answerFields(response.Header), body: append([]byte(nil), buffer[:n]...)}
+	} else if kind := d.begin(response, buffer[:n]); kind != "" {
 		return kind
 	}
 	for !whole {
@@ -97,6 +99,25 @@
 	return errors.Is(err, io.EOF)
 }
 
+// wholeAnswer is an answer that waits for its end.
+type wholeAnswer struct {
+	status int
+	header map[string][]string
+	body   []byte
+}
+
+// end sends the end of the answer, and the answer with it if it is whole. The peer may
+// have left.
+func (d *dispatch) end(a node.EndAnswer) {
+	end := message.End{Attempts: a.Attempts, Needed: a.Needed}
+	if d.whole == nil {
+		_ = d.writer.End(end)
+		return
+	}
+	head := message.Answer{Status: d.whole.status, Header: d.whole.header, Load: a.Load}
+	_ = d.writer.Whole(head, d.whole.body, end)
+}
+
 // begin sends the answer's head and the first part of its body; it returns how
 // the dispatch ended, or nothing.
 func (d *dispatch) begin(response *http.Response, first []byte) node.DispatchKind {
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -120,6 +120,7 @@
 	defer call.Close()
 	s.loop.Post(node.PeerCallArrived{Call: call.ID, From: incoming.From.ID, Head: incoming.Head, Age: incoming.Age})
 	left := ctx.Done()
+	var running *dispatch
 	for {
 		select {
 		case action := <-call.Actions:
@@ -128,13 +129,13 @@
 				writeRefusal(w, a)
 				return
 			case node.Dispatch:
-				d := &dispatch{server: s, call: call, action: a, head: incoming.Head, body: body, writer: w}
-				if d.run(ctx) {
+				running = &dispatch{server: s, call: call, action: a, head: incoming.Head, body: body, writer: w}
+				if running.run(ctx) {
 					return
 				}
 				left = nil
 			case node.EndAnswer:
-				_ = w.End(message.End{Attempts: a.Attempts, Needed: a.Needed}) // the peer may have left
+				running.end(a)
 				return
 			}
 		case <-left:
@@ -147,10 +148,8 @@
 }
 
 func writeRefusal(w *peer.AnswerWriter, a node.Refuse) {
-	if w.Head(message.Answer{Refusal: &a.Refusal, Load: a.Load}) != nil {
-		return
-	}
-	_ = w.End(message.End{Attempts: a.Attempts}) // the peer may have left
+	head := message.Answer{Refusal: &a.Refusal, Load: a.Load}
+	_ = w.Whole(head, nil, message.End{Attempts: a.Attempts}) // the peer may have left
 }
 
 // dispatch is one request to the backend server.
@@ -167,6 +166,8 @@
 	pool    *pool
 	// stop ends the watch that closes the connection with the context.
 	stop func() bool
+	// whole is the answer if it is at hand as a whole, to go with its end.
+	whole *wholeAnswer
 	// failed is set if the answer says that the backend server failed.
 	failed bool
 	// keep is set once the connection may carry another request.
