Throttle: no step beyond what the server's load accounts for

Where the news takes longer it holds what it lets pass for smaller than it is, goes down to a tenth, and then grows by a factor of 1.7 a second from there while the server is idle. A step is now bounded by how far the load lies above nine tenths, and an idle server opens in proportion to what is idle. Tried: 0.3, 0.6, 1, 2 times the part below one (1 and 2 make the gate swing by more than a quarter in TestGateSettlesAtCapacity); below 0.7 and 0.8.

--- a/core/pressure/throttle.go
+++ b/core/pressure/throttle.go
@@ -15,6 +15,14 @@
 	// throttleStep is how much of the way to the part that the ratio asks for is
 	// gone in one interval.
 	throttleStep = 0.2
+	// throttleMove is by how much the part may move in one interval's look, for
+	// each part of the server that lies idle below idleRatio, or is asked for beyond
+	// it. Where the news takes longer than throttleLag, as in fleets whose nodes hear
+	// of a service but twice a second, the estimate of what is let pass runs ahead:
+	// without this bound the part falls to almost nothing, and then takes many seconds
+	// to grow again from there.
+	throttleMove = 1.0
+	idleRatio       = 0.9
 	// lowestRatio bounds how far one look may raise the part.
 	lowestRatio = 0.4
 	// leastPassed is what is let pass at least, so that there are answers that
@@ -41,8 +49,7 @@
 }
 
 // Observe takes in how much is offered to the server in proportion to what it
-// serves well. It is called at least
-// once in each interval.
+// serves well. It is called at least once in each interval.
 func (t *Throttle) Observe(now time.Duration, ratio float64) {
 	if now < t.next {
 		return
@@ -50,6 +57,7 @@
 	t.next = max(t.next+throttleInterval, now)
 	passed := 1 - t.excess
 	wanted := min((1-t.effective)/max(ratio, lowestRatio), 1)
+	wanted = max(wanted, min(passed+throttleMove*(idleRatio-ratio), 1))
 	passed = max(passed+throttleStep*(wanted-passed), leastPassed)
 	t.excess = 1 - passed
 	t.effective += throttleInterval.Seconds() / throttleLag.Seconds() * (t.excess - t.effective)
