What a class calls is believed after four requests, not ten

Nodes of the fleet's size end two requests of a class a second: with ten needed the first five seconds of a burst went by before an entry was told what a class needs.

--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -23,7 +23,7 @@
 	// calleeLeast is how many further calls a request makes on average to count
 	// as one that makes them, and calleeRuns how many requests must have been seen.
 	calleeLeast = 0.3
-	calleeRuns  = 10.0
+	calleeRuns  = 4.0
 	// calleeShare is the part of all calls to a route that a class must make.
 	// Below it refusing the class would hardly relieve the service, and what the
 	// fit gives to such a class is mostly chance.
