A node that was cut off tells its domain that it is back, and waits before it grants

The returning node now tells up to 64 members of its domain itself, and grants a second later.

The contacts are read within 0.3 s of a start, not 0.5 s.

--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -192,6 +192,9 @@
 	if !v.known || at > v.heard {
 		v.heard, v.known = at, true
 	}
+	if m.isolated() {
+		m.returned()
+	}
 	m.probes.unanswered = 0
 	v.unanswered = 0
 	if v.unreachable {
@@ -201,6 +204,20 @@
 	}
 }
 
+// returned tells members of the own domain that this node hears others again. They may
+// hold it for gone; left to gossip, some would go by that for seconds more and do its
+// duties beside it.
+func (m *Machine) returned() {
+	m.publish(func(*message.Announcement) {})
+	list := m.roster.domains[m.options.Self.Domain]
+	start := m.position(list)
+	for i := range min(len(list), returnTargets) {
+		if line := list[(start+i)%len(list)]; line.id() != m.options.Self.ID {
+			m.send(line, &message.Gossip{News: []message.News{m.self}, Digest: m.options.Digest()})
+		}
+	}
+}
+
 func (m *Machine) view(domain coltsfootward.FailureDomain) *view {
 	v, ok := m.views[domain]
 	if !ok {
--- a/core/membership/options.go
+++ b/core/membership/options.go
@@ -70,6 +70,10 @@
 	// isolatedFactor stretches the suspicion of a node that hears nobody: then
 	// its own link is the likelier culprit than all of its peers.
 	isolatedFactor = 5
+	// returnTargets bounds how many members a node tells by itself that it is back
+	// after it was cut off: all of a domain of dozens, and few enough for one of a
+	// thousand whose switch comes back.
+	returnTargets = 64
 	// isolatedProbes is how many probes in a row go unanswered before a node
 	// holds its own link for broken.
 	isolatedProbes = 3
--- a/core/node/assigned_slots.go
+++ b/core/node/assigned_slots.go
@@ -21,6 +21,9 @@
 	// for gone and take its slots over, so the part of a node that is cut off is
 	// granted by one node at a time.
 	isolatedHold = 4 * time.Second
+	// resumeWait is how long a node that was cut off waits before it grants again.
+	// Whoever took its slots over hears of its return meanwhile and stops.
+	resumeWait = time.Second
 	// aloneWait is how long a node that has started waits for the others of its
 	// domain before it takes it that there are none. Nodes that start together
 	// would else each grant the whole domain's part.
@@ -45,6 +48,8 @@
 	// Instant.Monotonic; met says whether one ever was.
 	heard time.Duration
 	met   bool
+	// resumes is when a node that was cut off may grant again.
+	resumes time.Duration
 	// stopped is set while the node holds slots and may not grant.
 	stopped bool
 	// seen is the state of the roster that the holders follow from.
@@ -68,10 +73,15 @@
 func (s *assignedSlots) own() []slotID { return ownSlots(s.node) }
 
 func (s *assignedSlots) heardFrom(instance coltsfootward.Instance) {
-	if instance.Domain == s.node.options.Self.Domain {
-		s.heard = s.node.now.Monotonic
-		s.met = true
+	if instance.Domain != s.node.options.Self.Domain {
+		return
+	}
+	now := s.node.now.Monotonic
+	if s.met && now-s.heard >= isolatedHold {
+		s.resumes = now + resumeWait
 	}
+	s.heard = now
+	s.met = true
 }
 
 func (s *assignedSlots) tick() {
@@ -130,7 +140,7 @@
 	if !s.met {
 		return now-s.began >= aloneWait && len(s.running(s.node.options.Self.Domain)) <= 1
 	}
-	return now-s.heard < isolatedHold || len(s.running(s.node.options.Self.Domain)) <= 1
+	return now-s.heard < isolatedHold && now >= s.resumes || len(s.running(s.node.options.Self.Domain)) <= 1
 }
 
 // term returns this node's term of a slot of its domain, if it holds it now.
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -18,7 +18,7 @@
 	configuration := p.node.configuration.current
 	if configuration.Revision() == 0 {
 		r := coltsfootward.NewRefusal(coltsfootward.RefusalConfiguration, "no configuration has been read yet").
-			WithRetryAfter(p.node.spreadRetryAfter())
+			WithRetryAfter(p.node.spread(configurationReturn))
 		return nil, &r
 	}
 	route, ok := configuration.Route(e.Host, e.Path)
@@ -32,6 +32,10 @@
 	return p.buildRouted(e, route, organisation), nil
 }
 
+// configurationReturn is when a caller may come back to a node that has just started:
+// it mostly has its configuration within half a second.
+const configurationReturn = 500 * time.Millisecond
+
 // organisation returns whom a request is for; the zero value if nobody, as for
 // the calls of backend servers.
 func (p *entryPart) organisation(c coltsfootward.Configuration, route coltsfootward.Route, digest coltsfootward.KeyDigest) (coltsfootward.Organisation, *coltsfootward.Refusal) {
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -34,7 +34,7 @@
 	// firstScan is the time over which nodes that start together spread their
 	// first read of the contacts, and longestScan what the pause between two reads
 	// grows to while the platform does not answer.
-	firstScan   = 500 * time.Millisecond
+	firstScan   = 300 * time.Millisecond
 	longestScan = 2 * time.Second
 	// contactPatience is how long a node that reaches none of its domain's
 	// contacts waits before it takes their place.
--- a/core/pressure/throttle.go
+++ b/core/pressure/throttle.go
@@ -22,7 +22,7 @@
 	// without this bound the part falls to almost nothing, and then takes many seconds
 	// to grow again from there.
 	throttleMove = 1.0
-	idleRatio       = 0.9
+	idleRatio    = 0.9
 	// lowestRatio bounds how far one look may raise the part.
 	lowestRatio = 0.4
 	// leastPassed is what is let pass at least, so that there are answers that
