A node that awaits its first document asks often for its duty, however long that takes

A start that lasted longer than 5 s, as with the platform away, asked once a second from then on. The duty now says whether a document is awaited.

--- a/core/node/document.go
+++ b/core/node/document.go
@@ -15,6 +15,9 @@
 const (
 	// DocumentNone leaves the document to others, who bring each new one.
 	DocumentNone DocumentDuty = "none"
+	// DocumentAwaited says that there is no document yet and that others are expected
+	// to bring it.
+	DocumentAwaited DocumentDuty = "awaited"
 	// DocumentRead asks for one read: nobody has brought the document yet.
 	DocumentRead DocumentDuty = "read"
 	// DocumentFollow asks to follow its changes.
@@ -71,12 +74,14 @@
 	reader := m.machine.Rank(documentReaders) >= 0
 	missing := n.configuration.current.Revision() == 0
 	switch {
-	case m.lonely() && (!m.scanned || waited < m.patience(aloneDocumentPatience)):
-		return DocumentNone
+	case missing && m.lonely() && (!m.scanned || waited < m.patience(aloneDocumentPatience)):
+		return DocumentAwaited
 	case reader && m.settled():
 		return DocumentFollow
 	case missing && (reader || waited >= m.patience(documentPatience)):
 		return DocumentRead
+	case missing:
+		return DocumentAwaited
 	default:
 		return DocumentNone
 	}
--- a/core/nodetest/start_test.go
+++ b/core/nodetest/start_test.go
@@ -119,7 +119,7 @@
 	for r.Now() < back {
 		r.Run(100 * time.Millisecond)
 		for _, m := range members {
-			if m.Node().DocumentDuty() != node.DocumentNone {
+			if duty := m.Node().DocumentDuty(); duty == node.DocumentRead || duty == node.DocumentFollow {
 				asked++
 			}
 		}
--- a/io/document/watch.go
+++ b/io/document/watch.go
@@ -20,13 +20,10 @@
 	// platform serves.
 	firstWait   = 100 * time.Millisecond
 	longestWait = 800 * time.Millisecond
-	// startWait and idleWait are the pauses of a node that has nothing to do about
-	// the document, before it asks again: while it starts and finds its place among
-	// the others, and later.
-	startWait = 100 * time.Millisecond
+	// awaitWait and idleWait are the pauses of a node that has nothing to do about the
+	// document, before it asks again: while there is none yet, and later.
+	awaitWait = 100 * time.Millisecond
 	idleWait  = time.Second
-	// starting is how long that takes.
-	starting = 5 * time.Second
 	// readWait is the pause after a read that found no document. Whoever follows
 	// the document brings the first one to the others.
 	readWait = 2 * time.Second
@@ -78,15 +75,14 @@
 	known := false
 	var cursor coltsfootward.Cursor
 	pause := firstWait
-	began := time.Now()
 	for w.ctx.Err() == nil {
 		duty := w.options.Duty()
-		if duty == node.DocumentNone {
-			if time.Since(began) < starting {
-				w.sleep(startWait)
-			} else {
-				w.sleep(idleWait)
-			}
+		switch duty {
+		case node.DocumentAwaited:
+			w.sleep(awaitWait)
+			continue
+		case node.DocumentNone:
+			w.sleep(idleWait)
 			continue
 		}
 		var c coltsfootward.Configuration
