--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -25,7 +25,7 @@
 	if !ok {
 		return notRefused(lines)
 	}
-	where := fmt.Sprintf("%s refused it after %s as %s", refused.Node, orUnknown(refused.Fields["waited"]), refused.Fields["kind"])
+	where := fmt.Sprintf("%s refused it after %s as %s", refused.Node, waited(refused), refused.Fields["kind"])
 	return where + ": " + grounds(lines, refused) + "." + outcome(refused)
 }
 
@@ -109,9 +109,11 @@
 	return Line{}, false
 }
 
-func orUnknown(text string) string {
-	if text == "" {
-		return "0s"
+// waited is how long a request had waited; one that was refused as it came has no
+// such field.
+func waited(refused Line) string {
+	if d := refused.Fields["waited"]; d != "" {
+		return d
 	}
-	return text
+	return "0s"
 }
--- a/cmd/explain/line.go
+++ b/cmd/explain/line.go
@@ -25,6 +25,15 @@
 	Fields map[string]string `json:"fields"`
 }
 
+// count returns the number in the field count; zero if there is none.
+func (l Line) count() int {
+	count, err := strconv.Atoi(l.Fields["count"])
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
 // Request returns the id of the request that the line is about; empty for none.
 func (l Line) Request() string { return l.Fields["request"] }
 
--- a/cmd/explain/search.go
+++ b/cmd/explain/search.go
@@ -74,8 +74,7 @@
 	if err != nil || !aboutRequests(record.Code(code)) || len(s.drops) >= maximumDrops {
 		return
 	}
-	count, _ := strconv.Atoi(line.Fields["count"])
-	s.drops = append(s.drops, Drop{Time: line.Time, Node: line.Node, Code: code, Count: count})
+	s.drops = append(s.drops, Drop{Time: line.Time, Node: line.Node, Code: code, Count: line.count()})
 }
 
 func aboutRequests(code record.Code) bool {
--- a/cmd/explain/summary.go
+++ b/cmd/explain/summary.go
@@ -46,10 +46,7 @@
 // Take takes in the next line.
 func (s *Summary) Take(line Line) {
 	if line.Code == int(record.RecordsDropped) {
-		var count int
-		if _, err := fmt.Sscan(line.Fields["count"], &count); err == nil {
-			s.Dropped += count
-		}
+		s.Dropped += line.count()
 		return
 	}
 	if !aboutRequests(record.Code(line.Code)) {
