Cold backend servers get what they bear, domains out of service get nothing

- The domains out of service are a state with a version.
Readers take it from the platform in the call that reads the configuration; it travels whole with all gossip and with the configuration.
Entries leave such domains out, their nodes turn away what arrives and what waits.
- A backend server's node bounds its starts in any one second while it is cold, by its own word or where it may have restarted (four requests in a row broken off, its domain back in service); a health check settles the latter.
What a predecessor sent is not known, so a node that has started assumes the worst for a second.
- Entries count a cold server as good for one request at once, and refuse at the gate what needs a service most of whose servers are cold, with a return behind that time.

Ruled out: a smaller share at the entries alone (it bounds nothing while all servers are cold or the others are full). After the cold time a server gets its full share at once: warm, it bears it.

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -89,7 +89,7 @@
 	h.watcher = document.New(document.Options{
 		Source:   documents,
 		Duty:     h.documentDuty,
-		Found:    func(c coltsfootward.Configuration) { p.loop.Post(node.ConfigurationRead{Configuration: c}) },
+		Found:    h.documentFound,
 		Failed:   h.platformFailed,
 		Answered: h.platformAnswered,
 	})
@@ -102,6 +102,15 @@
 	return duty
 }
 
+// documentFound hands what was read to the machine: the domains first, so that no
+// request is placed by the new configuration in a domain that gets no work.
+func (h *hosted) documentFound(d coltsfootward.Document) {
+	h.parts.loop.Post(node.DomainsRead{OutOfService: d.OutOfService})
+	if d.Configuration.Revision() > 0 {
+		h.parts.loop.Post(node.ConfigurationRead{Configuration: d.Configuration})
+	}
+}
+
 // platformFailed reports a document that can't be used, and the first call that the
 // platform did not answer.
 func (h *hosted) platformFailed(err error) {
@@ -191,14 +200,13 @@
 
 // recoverBackend reports whether the backend server is known.
 func (h *hosted) recoverBackend() bool {
-	service, _ := h.current.Load().Service(coltsfootward.ServiceName(h.parts.settings.Backend.Service))
 	h.mu.Lock()
 	_, known := h.machine.Current()
 	h.mu.Unlock()
 	if known {
 		return true
 	}
-	health, err := upstream.CheckHealth(h.parts.settings.Backend.Address, service.HealthPath, platform.Fields())
+	health, err := h.checkHealth()
 	if err != nil || !health.Ready {
 		return false
 	}
@@ -206,7 +214,7 @@
 	defer h.mu.Unlock()
 	recovered := h.machine.Recover(coltsfootward.Heartbeat{
 		ID: health.ID, Service: h.machine.Service, Address: h.machine.Address,
-		Slots: health.Slots, State: coltsfootward.BackendReady,
+		Slots: health.Slots, Cold: health.Cold, State: coltsfootward.BackendReady,
 	})
 	if recovered {
 		h.parts.reporter.event(record.BackendFound, "backend", health.ID)
@@ -215,6 +223,28 @@
 	return true
 }
 
+func (h *hosted) checkHealth() (upstream.Health, error) {
+	backend := h.parts.settings.Backend
+	service, _ := h.current.Load().Service(coltsfootward.ServiceName(backend.Service))
+	return upstream.CheckHealth(backend.Address, service.HealthPath, platform.Fields())
+}
+
+// checkBackend tells the machine whether the backend server is cold. Without an
+// answer the machine stays with what it assumes.
+func (h *hosted) checkBackend() {
+	if h.leaving.Load() {
+		return
+	}
+	h.wait.Go(func() {
+		health, err := h.checkHealth()
+		if err != nil {
+			h.parts.reporter.event(record.BackendUnchecked, "error", err.Error())
+			return
+		}
+		h.parts.loop.Post(node.BackendChecked{Cold: health.Cold})
+	})
+}
+
 func (h *hosted) readyRouter() *mux.Router {
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -79,6 +79,11 @@
 				p.hosted.inForce(c)
 			}
 		},
+		CheckBackend: func() {
+			if p.hosted != nil {
+				p.hosted.checkBackend()
+			}
+		},
 		Observe: p.metrics.observe,
 	})
 	handler.loop = p.loop
--- a/configuration.go
+++ b/configuration.go
@@ -74,9 +74,14 @@
 	// HealthPath is where each of its backend servers tells how it is, and
 	// Connections how many connections each accepts; they are set in hosted
 	// deployments.
-	HealthPath  string   `msgpack:"health_path,omitempty" json:"health_path,omitempty"`
-	Connections int      `msgpack:"connections,omitempty" json:"connections,omitempty"`
-	Revision    Revision `msgpack:"revision" json:"revision"`
+	HealthPath  string `msgpack:"health_path,omitempty" json:"health_path,omitempty"`
+	Connections int    `msgpack:"connections,omitempty" json:"connections,omitempty"`
+	// ColdRate is how many requests a second each of its backend servers bears
+	// while it is cold, and ColdTime how long one is so after its start. A rate
+	// of zero means that they bear all from the start.
+	ColdRate float64       `msgpack:"cold_rate,omitempty" json:"cold_rate,omitempty"`
+	ColdTime time.Duration `msgpack:"cold_time,omitempty" json:"cold_time,omitempty"`
+	Revision Revision      `msgpack:"revision" json:"revision"`
 }
 
 // MarkFor returns the mark for a request. Without a matching one the request
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -49,6 +49,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonStartBy means that it cannot start before its entitlement ends.
 	ReasonStartBy Reason = "start_by"
+	// ReasonCold means that the server is cold and bears only few requests.
+	ReasonCold Reason = "cold"
 )
 
 // Refused is a request that will not be served. It has not begun.
@@ -68,6 +70,9 @@
 	queue   Queue
 	running map[RequestID]service
 	refused []Refused
+	// cold is set while the server is cold, coldRoom is how many may wait then.
+	cold     bool
+	coldRoom int
 	// emptied is when the queue was last empty.
 	emptied time.Duration
 	// overloadedSince is when refusing began, lastShed the latest refusal.
@@ -105,6 +110,10 @@
 // lost.
 func (c *Controller) LetDeepWait() { c.patient = true }
 
+// SetCold says whether the server is cold and gets few requests, and how many may
+// wait then.
+func (c *Controller) SetCold(cold bool, room int) { c.cold, c.coldRoom = cold, room }
+
 // SetSlots changes the number of slots that the server announces.
 func (c *Controller) SetSlots(slots int) { c.limiter.SetSlots(slots) }
 
@@ -164,14 +173,21 @@
 	// The queue is full of what matters less than the newcomer as often as not.
 	// Refusing whoever comes last would invert priorities under the very load
 	// that they are made for.
+	reason := ReasonFull
+	if c.cold {
+		reason = ReasonCold
+	}
 	for c.queue.Len() > c.room() {
 		victim, _ := c.queue.Evict()
-		c.refuse(now, victim, ReasonFull)
+		c.refuse(now, victim, reason)
 	}
 }
 
 // room is how many requests may wait. Those that can start at once do not count.
 func (c *Controller) room() int {
+	if c.cold {
+		return c.coldRoom
+	}
 	free := max(c.Limit()-len(c.running), 0)
 	return queueFactor*c.Limit() + free
 }
@@ -279,13 +295,16 @@
 }
 
 func (c *Controller) refuse(now time.Duration, r Request, reason Reason) {
+	c.refused = append(c.refused, Refused{Request: r, Reason: reason})
+	if reason == ReasonCold {
+		return // that passes by itself, and says nothing of the demand
+	}
 	c.shedder.Shed(r)
 	if !c.Overloaded(now) {
 		c.overloadedSince = now
 	}
 	c.shed = true
 	c.lastShed = now
-	c.refused = append(c.refused, Refused{Request: r, Reason: reason})
 }
 
 // Refused returns what has been refused since the last call.
--- a/core/message/configuration.go
+++ b/core/message/configuration.go
@@ -14,6 +14,9 @@
 	// Withdrawn are keys that were withdrawn and whose change the sender has
 	// not in force yet. The set only grows; it is bounded.
 	Withdrawn []coltsfootward.KeyDigest `msgpack:"withdrawn,omitempty"`
+	// OutOfService names the failure domains that get no work. It is small enough
+	// to travel whole.
+	OutOfService coltsfootward.OutOfService `msgpack:"out_of_service"`
 	// TableAge is how old the sender's youngest evidence is that somebody it
 	// hears reads the platform's table.
 	TableAge time.Duration `msgpack:"table_age"`
@@ -104,13 +107,16 @@
 	Services      []coltsfootward.Service      `msgpack:"services"`
 	Routes        []coltsfootward.Route        `msgpack:"routes"`
 	Limits        coltsfootward.Limits         `msgpack:"limits"`
+	// OutOfService travels along, so that a node that has just started knows it
+	// before it serves.
+	OutOfService coltsfootward.OutOfService `msgpack:"out_of_service"`
 }
 
 // MessageKind implements Message.
 func (*ConfigurationWhole) MessageKind() Kind { return KindConfigurationWhole }
 
-// NewConfigurationWhole returns the message that carries c.
-func NewConfigurationWhole(c coltsfootward.Configuration) *ConfigurationWhole {
+// NewConfigurationWhole returns the message that carries c and o.
+func NewConfigurationWhole(c coltsfootward.Configuration, o coltsfootward.OutOfService) *ConfigurationWhole {
 	return &ConfigurationWhole{
 		Revision:      c.Revision(),
 		Organisations: c.Organisations(),
@@ -118,6 +124,7 @@
 		Services:      c.Services(),
 		Routes:        c.Routes(),
 		Limits:        c.Limits(),
+		OutOfService:  o,
 	}
 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -138,6 +138,8 @@
 	Queued int `msgpack:"queued"`
 	// Limit is the current concurrency limit.
 	Limit int `msgpack:"limit"`
+	// Cold is how much longer the backend server is cold and gets few requests.
+	Cold time.Duration `msgpack:"cold,omitempty"`
 	// ShedLevel is the highest shed rank that is still accepted; zero means all are.
 	ShedLevel uint32 `msgpack:"shed_level"`
 	// Excess is the part of the demand for the upstream's service that entry nodes
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -103,6 +103,10 @@
 // ConfigurationInForce says that a whole configuration has come into force.
 type ConfigurationInForce struct{ Configuration coltsfootward.Configuration }
 
+// CheckBackend asks for a health check of the local backend server. BackendChecked
+// follows if it is answered.
+type CheckBackend struct{}
+
 // Report puts a record into the log and onto the time line.
 type Report struct{ Record record.Record }
 
@@ -121,5 +125,6 @@
 func (ReadTable) isAction()            {}
 func (ScanTable) isAction()            {}
 func (TransactTable) isAction()        {}
+func (CheckBackend) isAction()         {}
 func (Report) isAction()               {}
 func (Drained) isAction()              {}
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -197,12 +197,15 @@
 		Revision:  p.current.Revision(),
 		Withdrawn: p.marks.list(marksLimit),
 		TableAge:  p.contact.tableAge(p.node.now),
+
+		OutOfService: p.node.domains.current,
 	}
 }
 
 // digest takes in how far a peer is.
 func (p *configurationPart) digest(e MessageArrived, m message.ConfigurationDigest) {
 	p.contact.table(p.node.now.Expiry - e.Age - max(m.TableAge, 0))
+	p.node.domains.adopt(m.OutOfService)
 	for _, digest := range m.Withdrawn {
 		p.mark(digest)
 	}
@@ -231,7 +234,7 @@
 		return
 	}
 	if p.node.options.Routed {
-		p.send(from, message.NewConfigurationWhole(p.current))
+		p.send(from, message.NewConfigurationWhole(p.current, p.node.domains.current))
 		return
 	}
 	oldest := p.current.Revision() - coltsfootward.Revision(len(p.history))
--- a/core/node/document.go
+++ b/core/node/document.go
@@ -50,7 +50,7 @@
 	p.node.entry.forgetRoutes(c)
 	p.node.act(ConfigurationInForce{Configuration: c})
 	for _, to := range p.pushTargets() {
-		p.node.act(Send{To: to, Message: message.NewConfigurationWhole(c)})
+		p.node.act(Send{To: to, Message: message.NewConfigurationWhole(c, p.node.domains.current)})
 	}
 }
 
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -174,7 +174,7 @@
 		return false
 	}
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", full)).
-		WithRetryAfter(p.node.spread(returnAfter(call.objective))), p.gateEvidence(call, full)...)
+		WithRetryAfter(p.node.placement.coldReturn(full)+p.node.spread(returnAfter(call.objective))), p.gateEvidence(call, full)...)
 	return true
 }
 
@@ -204,6 +204,7 @@
 // moveGates sets the gates and tells of those that have moved.
 func (p *entryPart) moveGates() {
 	now := p.node.now.Monotonic
+	p.node.placement.withholdCold()
 	p.node.gates.Tick(now)
 	if now < p.nextMoved {
 		return
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -53,6 +53,10 @@
 // ConfigurationRead brings a whole configuration that was read from the platform.
 type ConfigurationRead struct{ Configuration coltsfootward.Configuration }
 
+// DomainsRead brings the failure domains that operators have taken out of service,
+// as read from the platform.
+type DomainsRead struct{ OutOfService coltsfootward.OutOfService }
+
 // BackendLost says that nothing listens at the local backend server's address.
 type BackendLost struct{}
 
@@ -163,7 +167,14 @@
 	Service  coltsfootward.ServiceName
 	Slots    int
 	Draining bool
-	// Cold is how much longer the backend server is slow after its start.
+	// Cold is how much longer the backend server is cold.
+	Cold time.Duration
+}
+
+// BackendChecked brings what the local backend server answered to the health check
+// that CheckBackend asked for.
+type BackendChecked struct {
+	// Cold is how much longer the backend server is cold.
 	Cold time.Duration
 }
 
@@ -185,6 +196,7 @@
 func (Tick) isEvent()              {}
 func (FinishRequested) isEvent()   {}
 func (ConfigurationRead) isEvent() {}
+func (DomainsRead) isEvent()       {}
 func (BackendLost) isEvent()       {}
 func (RequestArrived) isEvent()    {}
 func (CallerLeft) isEvent()        {}
@@ -196,5 +208,6 @@
 func (MessageArrived) isEvent()    {}
 func (PeerLost) isEvent()          {}
 func (BackendAnnounced) isEvent()  {}
+func (BackendChecked) isEvent()    {}
 func (DrainRequested) isEvent()    {}
 func (TableAnswered) isEvent()     {}
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -137,10 +137,11 @@
 
 func (p *membershipPart) backendAnnounced(e BackendAnnounced) {
 	changed := p.local.Service != e.Service || p.local.Slots != e.Slots || p.local.Draining != (e.Draining || p.local.Leaving)
+	p.node.upstream.cold.announced(e.Cold)
 	if !changed {
 		return
 	}
-	p.machine.AnnounceCold(e.Service, e.Slots, e.Draining, e.Cold)
+	p.machine.AnnounceCold(e.Service, e.Slots, e.Draining, p.node.upstream.cold.left())
 	p.publishLocal()
 	code := record.BackendAnnounced
 	if e.Draining {
@@ -150,6 +151,16 @@
 	p.node.upstream.start()
 }
 
+// coldChanged spreads that the local backend server is cold for another time than
+// was told.
+func (p *membershipPart) coldChanged() {
+	if p.local.Service == "" {
+		return
+	}
+	p.machine.AnnounceCold(p.local.Service, p.local.Slots, p.local.Draining, p.node.upstream.cold.left())
+	p.publishLocal()
+}
+
 // backendLost takes the local backend server out until it announces itself
 // again: nothing listens at its address, so every request placed on it would
 // cost a hop for nothing.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -25,6 +25,7 @@
 
 	configuration *configurationPart
 	confirmation  *confirmationPart
+	domains       domainsPart
 	membership    *membershipPart
 	placement     *placementPart
 	rate          *ratePart
@@ -49,6 +50,7 @@
 	n.table = newTablePart(n)
 	n.configuration = newConfigurationPart(n)
 	n.confirmation = newConfirmationPart(n)
+	n.domains = domainsPart{node: n}
 	n.membership = newMembershipPart(n)
 	n.placement = newPlacementPart(n)
 	n.lease = newLeasePart(n)
@@ -102,12 +104,16 @@
 		n.lease.peerLost(e.Instance)
 	case BackendAnnounced:
 		n.membership.backendAnnounced(e)
+	case BackendChecked:
+		n.upstream.cold.checked(e)
 	case DrainRequested:
 		n.drain()
 	case TableAnswered:
 		n.table.answered(e)
 	case ConfigurationRead:
 		n.configuration.adopt(e.Configuration)
+	case DomainsRead:
+		n.domains.adopt(e.OutOfService)
 	case FinishRequested:
 		n.finishing = true
 	case BackendLost:
@@ -173,6 +179,7 @@
 	case *message.ConfigurationChanges:
 		n.configuration.changes(e.From, *m)
 	case *message.ConfigurationWhole:
+		n.domains.adopt(m.OutOfService)
 		n.configuration.adopt(m.Configuration())
 	case *message.Draw:
 		n.rate.drawn(*m)
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -52,8 +52,9 @@
 	return s
 }
 
+// reachable reports whether a failure domain's backend servers may be given work.
 func (p *placementPart) reachable(domain coltsfootward.FailureDomain) bool {
-	return p.node.membership.machine.Reachable(domain)
+	return !p.node.domains.current.Has(domain) && p.node.membership.machine.Reachable(domain)
 }
 
 // changed takes in news of a member. A backend server that is new, or whose
@@ -212,3 +213,32 @@
 		p.service(service).pool.Lost(id)
 	}
 }
+
+// coldDemand is the highest demand for a service, in multiples of what its servers
+// serve when they are warm, that is to pass as long as its warm part has room for it.
+const coldDemand = 2.0
+
+// withholdCold closes the gates of services whose servers are mostly cold, as after
+// a loss of power of all. What passes is what the warm part has room for and the
+// cold ones bear; the rest is refused before any work is done for it.
+func (p *placementPart) withholdCold() {
+	for name, s := range p.pools {
+		part, wait := s.pool.Warmth(p.node.now.Monotonic)
+		withheld := 0.0
+		if wait > 0 {
+			withheld = max(1-coldDemand*part, 0)
+		}
+		p.node.gates.Withhold(name, withheld)
+	}
+}
+
+// coldReturn returns how long the cold time of a service lasts that has no room for
+// a request because of it, else zero.
+func (p *placementPart) coldReturn(service coltsfootward.ServiceName) time.Duration {
+	s := p.service(service)
+	part, wait := s.pool.Warmth(p.node.now.Monotonic)
+	if coldDemand*part >= 1 {
+		return 0
+	}
+	return wait
+}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -43,6 +43,7 @@
 	node      *Node
 	calls     map[CallID]*upstreamCall
 	admission *admissioncontrol.Controller
+	cold      coldPart
 	// dispatched counts the routed requests that the backend server has in hand,
 	// repeated those of them that are repeats.
 	dispatched, repeated int
@@ -55,6 +56,7 @@
 
 func newUpstreamPart(n *Node) *upstreamPart {
 	p := &upstreamPart{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
+	p.cold = coldPart{node: n, began: n.now.Monotonic}
 	if n.options.Routed {
 		p.admission.FixLimit()
 		p.admission.LetDeepWait()
@@ -83,6 +85,7 @@
 	}
 	p.measure()
 	p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
+	p.cold.refresh()
 	p.admission.Offer(now, p.request(call))
 	p.start()
 	p.refuseShed()
@@ -148,6 +151,9 @@
 	if local.Draining || p.node.draining {
 		return refusal(coltsfootward.RefusalDraining, "the backend server takes no new work")
 	}
+	if p.node.domains.ownOut() {
+		return refusal(coltsfootward.RefusalDraining, outOfServiceText)
+	}
 	if call.head.Budget < 1 {
 		return refusal(coltsfootward.RefusalAttempts, "the chain has used its attempts")
 	}
@@ -171,10 +177,14 @@
 // start dispatches waiting calls while the backend server has room.
 func (p *upstreamPart) start() {
 	if p.node.options.Routed && p.node.membership.local.Draining {
-		p.turnAway()
+		p.turnAway("the backend server takes no new work")
+	}
+	if p.node.domains.ownOut() {
+		p.turnAway(outOfServiceText)
 	}
 	p.admission.SetSlots(p.node.membership.local.Slots)
-	for {
+	p.cold.refresh()
+	for p.cold.allows() {
 		next, ok := p.admission.Next(p.node.now.Expiry)
 		if !ok {
 			return
@@ -193,14 +203,35 @@
 	}
 }
 
-// turnAway refuses what waits for a backend server that leaves. Dispatched as its
-// turn comes, it could reach the server long after its leaving was acknowledged;
-// refused now, it goes to another one.
-func (p *upstreamPart) turnAway() {
+// domainsChanged takes in that other failure domains than before are out of service.
+// A backend server may have gone cold while it got nothing.
+func (p *upstreamPart) domainsChanged(before coltsfootward.OutOfService) {
+	own := p.node.options.Self.Domain
+	if before.Has(own) && !p.node.domains.current.Has(own) {
+		p.cold.suspect()
+	}
+	p.start()
+}
+
+// coldLeft returns how much longer the backend server gets few requests.
+func (p *upstreamPart) coldLeft() time.Duration {
+	if !p.cold.bounded() {
+		return 0
+	}
+	return p.cold.left()
+}
+
+// outOfServiceText is the detail of refusals in a failure domain without service.
+const outOfServiceText = "the failure domain is out of service"
+
+// turnAway refuses what waits for a backend server that is to get nothing more.
+// Dispatched as its turn comes, it could reach the server long after that was
+// acknowledged; refused now, it goes to another one.
+func (p *upstreamPart) turnAway(detail string) {
 	for _, id := range sortedCalls(p.calls) {
 		call := p.calls[id]
 		if call.token == "" && p.admission.Withdraw(admissioncontrol.RequestID(id)) {
-			p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, "the backend server takes no new work"))
+			p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalDraining, detail))
 		}
 	}
 }
@@ -210,6 +241,7 @@
 	p.node.ledger.open(call)
 	call.began = p.node.now.Monotonic
 	p.countDispatched(call, 1)
+	p.cold.started()
 	p.node.act(Dispatch{
 		Call:         call.id,
 		Token:        call.token,
@@ -245,11 +277,16 @@
 			text = "the backend server is busy and the request has waited as long as any may"
 		case admissioncontrol.ReasonDeadline:
 			text = "the backend server cannot finish the request in the caller's time"
+		case admissioncontrol.ReasonCold:
+			text = "the backend server is cold and bears only few requests"
 		case admissioncontrol.ReasonStartBy:
 			text = "the backend server is busy for longer than the request's admission lasts"
 		}
 		r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, text).
 			WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
+		if shed.Reason == admissioncontrol.ReasonCold {
+			r = r.WithRetryAfter(p.cold.left() + p.node.spread(coldReturnSpread))
+		}
 		p.refuse(p.calls[CallID(shed.Request.ID)], r)
 	}
 }
@@ -260,6 +297,7 @@
 		return
 	}
 	p.measure()
+	p.cold.ended(e.Kind)
 	p.node.ledger.close(call)
 	p.countDispatched(call, -1)
 	if call.head.Route != "" {
@@ -350,6 +388,9 @@
 // tick refuses calls that have waited too long.
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
+	if p.admission.Queued() > 0 {
+		p.start()
+	}
 	p.measure()
 	p.node.throttle.Observe(p.node.now.Monotonic, p.node.meter.Ratio(p.admission.Limit()))
 	p.refuseShed()
@@ -423,6 +464,7 @@
 		Running: p.admission.Running(),
 		Queued:  p.admission.Queued(),
 		Limit:   p.admission.Limit(),
+		Cold:    p.coldLeft(),
 		Excess:  p.node.throttle.Excess(),
 		Cost:    p.admission.Estimate(classOf(head)).Seconds(),
 	}
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -1,6 +1,7 @@
 package nodetest
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -48,6 +49,13 @@
 	Fail func(message.Call) bool
 	// Reject, if set, makes the server answer that it does not run a request.
 	Reject func(message.Call) bool
+	// ColdRate is how many requests a second it bears while it is cold; with more
+	// than twice as many in one second it crashes. Zero means that it bears all.
+	ColdRate float64
+	// ColdTime is how long it is cold after a crash.
+	ColdTime time.Duration
+	// Crashes is how often it has crashed.
+	Crashes int
 	// Runs holds every request that reached it, in order.
 	Runs []*Run
 
@@ -55,6 +63,9 @@
 	service coltsfootward.ServiceName
 	queue   []*job
 	running map[node.CallID]*job
+	// coldUntil is when it is warm, down is set while it does not listen.
+	coldUntil time.Duration
+	down      bool
 }
 
 type job struct {
@@ -94,6 +105,11 @@
 		b.member.event(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchRejected} })
 		return
 	}
+	if b.down {
+		b.member.event(func() node.Event { return node.BackendLost{} })
+		b.member.event(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchUnsent} })
+		return
+	}
 	run := &Run{Head: s.head.Head, Token: a.Token, Began: b.member.rig.Now()}
 	b.Runs = append(b.Runs, run)
 	j := &job{call: a.Call, run: run}
@@ -101,9 +117,71 @@
 		j.children = b.Children(run.Head)
 	}
 	b.queue = append(b.queue, j)
+	if b.overwhelmed() {
+		b.crash()
+		return
+	}
 	b.fill()
 }
 
+// crashTime is how long a backend server that has crashed does not listen.
+const crashTime = 500 * time.Millisecond
+
+// GoCold makes the backend server cold for that long, as far as it is concerned; its
+// node is not told.
+func (b *Backend) GoCold(d time.Duration) { b.coldUntil = b.member.rig.Now() + d }
+
+// Cold returns how much longer the backend server is cold.
+func (b *Backend) Cold() time.Duration { return max(b.coldUntil-b.member.rig.Now(), 0) }
+
+// MostStarts returns the highest number of requests that reached the backend server
+// within a second, of those that came from that time on.
+func (b *Backend) MostStarts(from time.Duration) int {
+	most, first := 0, 0
+	for i, run := range b.Runs {
+		if run.Began < from {
+			first = i + 1
+			continue
+		}
+		for run.Began-b.Runs[first].Began >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (b *Backend) overwhelmed() bool {
+	return b.ColdRate > 0 && b.Cold() > 0 && float64(b.MostStarts(b.member.rig.Now()-time.Second)) > 2*b.ColdRate
+}
+
+// crash breaks off all and does not listen for a while. It comes back cold.
+func (b *Backend) crash() {
+	b.Crashes++
+	b.down = true
+	b.Break()
+	boot := b.member.boots
+	b.member.rig.After(crashTime, func() {
+		b.down = false
+		if b.member.boots == boot {
+			b.member.AnnounceCold(b.service, b.Slots, b.ColdTime)
+		}
+	})
+}
+
+// Break breaks off all that the backend server has in hand.
+func (b *Backend) Break() {
+	for _, id := range slices.Sorted(maps.Keys(b.running)) {
+		b.queue = append(b.queue, b.running[id])
+	}
+	broken := b.queue
+	b.reset()
+	for _, j := range broken {
+		j.stopped = true
+		b.member.event(func() node.Event { return node.DispatchEnded{Call: j.call, Kind: node.DispatchFailed} })
+	}
+}
+
 func (b *Backend) fill() {
 	for len(b.queue) > 0 && len(b.running) < b.Slots {
 		j := b.queue[0]
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -35,6 +35,10 @@
 		m.Backend.cancel(a.Call)
 	case node.Send:
 		m.send(a)
+	case node.CheckBackend:
+		m.rig.After(breakDelay, func() {
+			m.event(func() node.Event { return node.BackendChecked{Cold: m.Backend.Cold()} })
+		})
 	case node.Report:
 		m.Records = append(m.Records, a.Record)
 	case node.Drained:
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -236,6 +236,20 @@
 	m.event(func() node.Event { return node.BackendAnnounced{Service: service, Slots: slots} })
 }
 
+// AnnounceCold tells the node what its backend server offers, and that it is cold
+// for that long.
+func (m *Member) AnnounceCold(service coltsfootward.ServiceName, slots int, cold time.Duration) {
+	m.Backend.service = service
+	m.Backend.Slots = slots
+	m.Backend.GoCold(cold)
+	m.event(func() node.Event { return node.BackendAnnounced{Service: service, Slots: slots, Cold: cold} })
+}
+
+// ReadDomains tells the node which failure domains are out of service.
+func (m *Member) ReadDomains(o coltsfootward.OutOfService) {
+	m.event(func() node.Event { return node.DomainsRead{OutOfService: o} })
+}
+
 // Read tells the node of a configuration document that the platform stores.
 func (m *Member) Read(c coltsfootward.Configuration) {
 	m.event(func() node.Event { return node.ConfigurationRead{Configuration: c} })
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -67,13 +67,35 @@
 	u.slots = slots
 }
 
-// SetCold adds a backend server or changes its slots, like Set. cold is how much
-// longer it is slow after its start; zero means that it gets its full share.
-func (p *Pool) SetCold(now time.Duration, instance coltsfootward.Instance, slots int, cold time.Duration) {
+// SetCold adds a backend server or changes its slots, like Set. left is how much
+// longer it is cold; zero means that it gets its full share.
+func (p *Pool) SetCold(now time.Duration, instance coltsfootward.Instance, slots int, left time.Duration) {
 	p.Set(now, instance, slots, false)
-	if cold > 0 {
-		p.upstreams[instance.ID].joined = now - slowStart + min(cold, slowStart)
+	p.upstreams[instance.ID].setCold(now, left)
+}
+
+// Warmth returns the part of the reachable servers' slots that are not at cold
+// servers, and how long it takes until all are warm. Without any server that is
+// nothing.
+func (p *Pool) Warmth(now time.Duration) (part float64, wait time.Duration) {
+	var warm, all float64
+	for _, u := range p.upstreams {
+		if !p.reachable(u.domain) {
+			continue
+		}
+		slots := float64(max(u.slots, 1))
+		all += slots
+		if u.cold(now) {
+			warm += min(coldLimit, slots)
+			wait = max(wait, u.coldUntil-now)
+			continue
+		}
+		warm += slots
+	}
+	if all == 0 {
+		return 0, 0
 	}
+	return warm / all, wait
 }
 
 // Instance returns where a backend server of the pool runs.
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -50,10 +50,12 @@
 	domain   coltsfootward.FailureDomain
 	slots    int
 	joined   time.Duration
-	inFlight int
-	load     message.Load
-	loadAt   time.Duration
-	loaded   bool
+	// coldUntil is when the server is warm by its own node's word.
+	coldUntil time.Duration
+	inFlight  int
+	load      message.Load
+	loadAt    time.Duration
+	loaded    bool
 	// latency is the smoothed time of its answers, in seconds.
 	latency float64
 	// failures counts attempts in a row that failed.
@@ -66,7 +68,16 @@
 	suspected    bool
 }
 
-func (u *upstream) limit() float64 {
+// coldLimit is how many requests at once a cold server counts as good for. It then
+// gets work when the others are full, or are cold as well.
+const coldLimit = 1.0
+
+func (u *upstream) cold(now time.Duration) bool { return now < u.coldUntil }
+
+func (u *upstream) limit(now time.Duration) float64 {
+	if u.cold(now) {
+		return coldLimit
+	}
 	if u.loaded && u.load.Limit > 0 {
 		return float64(min(u.load.Limit, max(u.slots, 1)))
 	}
@@ -82,7 +93,7 @@
 		fade := math.Exp(-float64(now-u.loadAt) / float64(loadLife))
 		reported = float64(u.load.Running+u.load.Queued) * fade
 	}
-	return (max(reported, float64(u.inFlight)) + 1) / (u.limit() * u.warmth(now))
+	return (max(reported, float64(u.inFlight)) + 1) / (u.limit(now) * u.warmth(now))
 }
 
 // warmth is the part of its share that a new server may have.
@@ -151,4 +162,13 @@
 
 func (u *upstream) observeLoad(now time.Duration, load message.Load) {
 	u.load, u.loadAt, u.loaded = load, now, true
+	u.setCold(now, load.Cold)
+}
+
+// setCold takes in how much longer the server is cold.
+func (u *upstream) setCold(now, left time.Duration) {
+	u.coldUntil = 0
+	if left > 0 {
+		u.coldUntil = now + left
+	}
 }
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -81,6 +81,9 @@
 	excess float64
 	heard  time.Duration
 	known  bool
+	// withheld is a part of the demand that is refused besides, whatever the
+	// servers report.
+	withheld float64
 	// passed is the part that is let pass.
 	passed float64
 	// demand is the slot time that requests of each rank have asked for of late.
@@ -267,6 +270,15 @@
 	return int(min(rank>>(rankBits-bucketBits), buckets-1))
 }
 
+// Withhold has at least that part of the demand for a service refused, 0 to 1, until
+// it is called again. It is for what is known beforehand, such as cold servers: the
+// servers' reports come only after the load has reached them.
+func (g *Gates) Withhold(service coltsfootward.ServiceName, part float64) {
+	if part > 0 || g.gates[service] != nil {
+		g.gate(service).withheld = part
+	}
+}
+
 // Tick sets the gates anew at the end of each interval.
 func (g *Gates) Tick(now time.Duration) {
 	if now < g.next {
@@ -286,6 +298,7 @@
 	} else {
 		g.passed = 1 - g.excess
 	}
+	g.passed = min(g.passed, 1-g.withheld)
 	g.limit = g.rankAt(g.passed)
 	for i := range g.demand {
 		g.demand[i] *= demandFade
--- a/io/document/watch.go
+++ b/io/document/watch.go
@@ -37,8 +37,8 @@
 	Source coltsfootward.Documents
 	// Duty says what is to be done now.
 	Duty func() node.DocumentDuty
-	// Found is given each configuration that was read.
-	Found func(coltsfootward.Configuration)
+	// Found is given each document that was read.
+	Found func(coltsfootward.Document)
 	// Failed is told of each call that failed, and of documents that can't be used.
 	Failed func(error)
 	// Answered is told of each call that was answered.
@@ -73,7 +73,7 @@
 // back can least bear.
 func (w *Watcher) run() {
 	known := false
-	var cursor coltsfootward.Cursor
+	var last coltsfootward.Document
 	pause := firstWait
 	for w.ctx.Err() == nil {
 		duty := w.options.Duty()
@@ -85,13 +85,12 @@
 			w.sleep(idleWait)
 			continue
 		}
-		var c coltsfootward.Configuration
-		var next coltsfootward.Cursor
+		var next coltsfootward.Document
 		var err error
 		if known && duty == node.DocumentFollow {
-			c, next, err = w.options.Source.Changed(w.ctx, cursor)
+			next, err = w.options.Source.Changed(w.ctx, last)
 		} else {
-			c, next, err = w.read()
+			next, err = w.read()
 		}
 		if err != nil && w.ctx.Err() == nil {
 			w.options.Failed(err)
@@ -104,11 +103,10 @@
 		}
 		pause = firstWait
 		known = true
-		cursor = next
+		last = next
 		w.options.Answered()
-		if c.Revision() > 0 {
-			w.options.Found(c)
-		} else if duty == node.DocumentRead {
+		w.options.Found(next)
+		if next.Configuration.Revision() == 0 && duty == node.DocumentRead {
 			w.sleep(readWait)
 		}
 	}
@@ -121,7 +119,7 @@
 	return err == nil || errors.Is(err, coltsfootward.ErrNoDocument) || errors.As(err, &invalid)
 }
 
-func (w *Watcher) read() (coltsfootward.Configuration, coltsfootward.Cursor, error) {
+func (w *Watcher) read() (coltsfootward.Document, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, readTimeout)
 	defer cancel()
 	return w.options.Source.Read(ctx)
--- a/io/document/watch_test.go
+++ b/io/document/watch_test.go
@@ -18,22 +18,22 @@
 	reads, changes int
 }
 
-func (s *source) Read(context.Context) (coltsfootward.Configuration, coltsfootward.Cursor, error) {
+func (s *source) Read(context.Context) (coltsfootward.Document, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.revision == 0 {
-		return coltsfootward.Configuration{}, 1, coltsfootward.ErrNoDocument
+		return coltsfootward.Document{Cursor: 1}, coltsfootward.ErrNoDocument
 	}
-	return coltsfootward.NewConfiguration(s.revision, nil, nil, nil), 1, nil
+	return coltsfootward.Document{Configuration: coltsfootward.NewConfiguration(s.revision, nil, nil, nil), Cursor: 1}, nil
 }
 
-func (s *source) Changed(ctx context.Context, after coltsfootward.Cursor) (coltsfootward.Configuration, coltsfootward.Cursor, error) {
+func (s *source) Changed(ctx context.Context, last coltsfootward.Document) (coltsfootward.Document, error) {
 	s.mu.Lock()
 	s.changes++
 	s.mu.Unlock()
 	<-ctx.Done()
-	return coltsfootward.Configuration{}, after, ctx.Err()
+	return last, ctx.Err()
 }
 
 func (s *source) calls() (reads, changes int) {
@@ -46,9 +46,15 @@
 	t.Helper()
 	var mu sync.Mutex
 	w := document.New(document.Options{
-		Source:   s,
-		Duty:     func() node.DocumentDuty { return duty },
-		Found:    func(coltsfootward.Configuration) { mu.Lock(); found++; mu.Unlock() },
+		Source: s,
+		Duty:   func() node.DocumentDuty { return duty },
+		Found: func(d coltsfootward.Document) {
+			mu.Lock()
+			defer mu.Unlock()
+			if d.Configuration.Revision() > 0 {
+				found++
+			}
+		},
 		Failed:   func(error) {},
 		Answered: func() {},
 	})
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -38,6 +38,9 @@
 	// InForce is given each whole configuration that comes into force; nil means
 	// that nobody is.
 	InForce func(coltsfootward.Configuration)
+	// CheckBackend asks for a health check of the backend server; nil means that
+	// there is none.
+	CheckBackend func()
 	// Drained is called once the node has nothing left to do after a drain.
 	Drained func()
 	// Observe is told of every event that the machine took, on the machine's
@@ -178,6 +181,10 @@
 		if l.outlets.InForce != nil {
 			l.outlets.InForce(a.Configuration)
 		}
+	case node.CheckBackend:
+		if l.outlets.CheckBackend != nil {
+			l.outlets.CheckBackend()
+		}
 	case node.Report:
 		l.outlets.Report(a.Record)
 	case node.Drained:
--- a/io/upstream/health.go
+++ b/io/upstream/health.go
@@ -26,6 +26,8 @@
 	Ready bool
 	// Slots is how many requests it serves at once.
 	Slots int
+	// Cold is how much longer it is cold.
+	Cold time.Duration
 }
 
 // CheckHealth asks the backend server at address how it is.
@@ -47,7 +49,20 @@
 	defer response.Body.Close()
 	slots := slotsOf(response.Header.Get(fields.Load))
 	id := response.Header.Get(fields.Backend)
-	return Health{ID: id, Ready: response.StatusCode == http.StatusOK && id != "" && slots > 0, Slots: slots}, nil
+	return Health{
+		ID: id, Ready: response.StatusCode == http.StatusOK && id != "" && slots > 0, Slots: slots,
+		Cold: coldOf(response.Header.Get(fields.Cold)),
+	}, nil
+}
+
+// coldOf reads a number of milliseconds; a field that is missing or can't be read
+// means none.
+func coldOf(text string) time.Duration {
+	milliseconds, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || milliseconds < 0 {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
 }
 
 // slotsOf reads the slots out of a load field: running, waiting, slots.
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -30,6 +30,8 @@
 	NotRun string
 	// Caller is the service beside the node that the request entered at.
 	Caller string
+	// Cold is how many milliseconds longer a backend server is cold.
+	Cold string
 }
 
 // Answers reports whether an answer is a backend server's own to the request of
--- a/platform.go
+++ b/platform.go
@@ -73,17 +73,28 @@
 // ErrNoDocument is returned by Documents.Read while operators have stored none.
 var ErrNoDocument = errors.New("coltsfootward: no configuration is stored: have operators write one")
 
-// Documents is where a platform keeps the whole configuration as one document.
+// Document is what operators have stored, as it was read at one moment.
+type Document struct {
+	// Configuration has revision zero if none is stored or it did not change.
+	Configuration Configuration
+	// OutOfService names the failure domains that get no work.
+	OutOfService OutOfService
+	// Cursor is where the history goes on.
+	Cursor Cursor
+}
+
+// Documents is where a platform keeps what operators have set: the whole
+// configuration as one document, and the failure domains that are out of service.
 // Implementations are safe for concurrent use. Every method may return
 // ErrUnavailable.
 type Documents interface {
-	// Read returns the present document and where its history goes on. It
-	// returns a *DocumentError for one that can't be used.
-	Read(ctx context.Context) (Configuration, Cursor, error)
-	// Changed waits for a change after the cursor, as long as the platform lets
-	// it wait, and returns the changed document and the next cursor. Without a
-	// change the configuration has revision zero.
-	Changed(ctx context.Context, after Cursor) (Configuration, Cursor, error)
+	// Read returns the present document. With ErrNoDocument or a *DocumentError
+	// the rest of the document holds all the same.
+	Read(ctx context.Context) (Document, error)
+	// Changed waits for a change of the document that was read last, as long as
+	// the platform lets it wait, and returns the next one. Its errors are those
+	// of Read and ErrHistoryLost.
+	Changed(ctx context.Context, last Document) (Document, error)
 }
 
 // DocumentError says what is wrong with a configuration document.
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -75,6 +75,15 @@
 	s.wake()
 }
 
+// Remove removes a row as the operator does.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(Row{Table: table, Key: key, Tombstone: true, RowVersion: s.version})
+	s.wake()
+}
+
 func (s *Store) put(r Row) {
 	id := rowID{r.Table, r.Part, r.Key}
 	if r.Tombstone {
