--- /dev/null
+++ b/cmd/endtoend/hosted_cold_test.go
@@ -0,0 +1,73 @@
+package endtoend
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against work for a failure domain that the operator has emptied.
+func TestHostedDomainOutOfService(t *testing.T) {
+	store, nodes := startHosted(t, 3)
+	emptied := nodes[1].backend // the only one in south
+	store.Write("op", "evacuate/south", []byte("{}"))
+	waitHosted(t, "south gets nothing", func() bool {
+		before := len(emptied.Runs())
+		for i := range 30 {
+			ask(nodes[i%3], "GET", fmt.Sprintf("/urea/probe-%d", i), "farm-key")
+		}
+		return len(emptied.Runs()) == before
+	})
+	before := len(emptied.Runs())
+	for i := range 60 {
+		if a := ask(nodes[i%3], "GET", fmt.Sprintf("/urea/%d", i), "farm-key"); a.status != http.StatusOK {
+			t.Errorf("request %d: got %+v, want 200", i, a)
+		}
+	}
+	if got := len(emptied.Runs()) - before; got > 0 {
+		t.Errorf("%d requests reached the emptied domain", got)
+	}
+	store.Remove("op", "evacuate/south")
+	waitHosted(t, "south gets work again", func() bool {
+		ask(nodes[1], "GET", "/urea/again", "farm-key")
+		return len(emptied.Runs()) > before
+	})
+}
+
+// Guards against a cold server that gets its share of the full demand at once.
+func TestHostedColdServer(t *testing.T) {
+	const perSecond, coldTime = 10, 1500 * time.Millisecond
+	store, nodes := startHosted(t, 2)
+	document := fmt.Sprintf(hostedDocument, 4)
+	store.Write("op", "config", []byte(strings.Replace(document, `"max_connections":20`, fmt.Sprintf(`"max_connections":20,"cold_start":"%s","cold_per_s":%d`, coldTime, perSecond), 1)))
+	waitHosted(t, "the cold rate is in force", func() bool {
+		return ask(nodes[0], "GET", "/urea/first", "farm-key").status == http.StatusOK
+	})
+	time.Sleep(500 * time.Millisecond)
+	for _, n := range nodes {
+		n.backend.GoCold(coldTime)
+		if err := n.backend.Beat(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := len(nodes[0].backend.Runs())
+	began := time.Now()
+	for i := 0; time.Since(began) < time.Second; i++ {
+		a := ask(nodes[0], "GET", fmt.Sprintf("/urea/%d", i), "farm-key")
+		if a.status != http.StatusOK && (a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "") {
+			t.Fatalf("got %+v, want 200, or 503 with Retry-After", a)
+		}
+	}
+	if got := len(nodes[0].backend.Runs()) - before; got > perSecond+2 {
+		t.Errorf("%d requests reached a cold server within a second, want at most %d", got, perSecond)
+	}
+	waitHosted(t, "the servers are warm", func() bool {
+		before := len(nodes[0].backend.Runs())
+		for i := range 3 * perSecond {
+			ask(nodes[0], "GET", fmt.Sprintf("/urea/warm-%d", i), "farm-key")
+		}
+		return len(nodes[0].backend.Runs())-before > perSecond
+	})
+}
--- a/standin/hosting/backend.go
+++ b/standin/hosting/backend.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -27,10 +28,12 @@
 	mu       sync.Mutex
 	sequence uint64
 	draining bool
-	born     int64
-	runs     []*http.Request
-	done     chan struct{}
-	wait     sync.WaitGroup
+	// coldUntil is when the server is warm.
+	coldUntil time.Time
+	born      int64
+	runs      []*http.Request
+	done      chan struct{}
+	wait      sync.WaitGroup
 }
 
 // NewBackend returns a backend server that has not started.
@@ -70,6 +73,18 @@
 	return b.Beat()
 }
 
+// GoCold makes the server cold for that long. Its next heartbeat says so.
+func (b *Backend) GoCold(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldUntil = time.Now().Add(d)
+}
+
+// coldMilliseconds is called with the lock held.
+func (b *Backend) coldMilliseconds() int64 {
+	return max(time.Until(b.coldUntil).Milliseconds(), 0)
+}
+
 // Beat sends one heartbeat.
 func (b *Backend) Beat() error {
 	b.mu.Lock()
@@ -80,7 +95,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": b.Service, "address": b.Address, "zone": "north", "version": "v1", "slots": b.Slots,
-		"state": state, "cold_remaining": "0ms", "sequence": b.sequence, "born": b.born,
+		"state": state, "cold_remaining": fmt.Sprintf("%dms", b.coldMilliseconds()), "sequence": b.sequence, "born": b.born,
 	})
 	b.mu.Unlock()
 	if err != nil {
@@ -108,9 +123,10 @@
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	draining := b.draining
+	draining, cold := b.draining, b.coldMilliseconds()
 	b.mu.Unlock()
 	if r.URL.Path == "/health" {
+		w.Header().Set("Coltsfootward-Cold-Remaining-Ms", strconv.FormatInt(cold, 10))
 		w.Header().Set("Coltsfootward-Instance-Id", b.ID)
 		w.Header().Set("Coltsfootward-Server-Load", fmt.Sprintf("0,0,%d", b.Slots))
 		if draining {
