--- a/io/worker/pool_test.go
+++ b/io/worker/pool_test.go
@@ -28,7 +28,7 @@
 }
 
 // Guards against a task that waits for another one of the pool for ever.
-func TestTasksMayWaitForEachOther(t *testing.T) {
+func TestTasksMayWaitForEachOther(_ *testing.T) {
 	p := worker.NewPool()
 	var link chan struct{}
 	for range 300 {
