Cold servers are spared while others are warm, and say nothing of their service

A cold one counts as good for one request, so it looked less full than any warm one: every request under the overload went there first to be refused. Its node took these for demand and had the entries let 0.15 of it pass, where the warm ones had room for about half.

While half of a service's slots are at warm servers the cold ones get nothing; what comes to one all the same does not count as demand, and its word on what to refuse is left out.

--- a/core/node/cold.go
+++ b/core/node/cold.go
@@ -99,7 +99,7 @@
 	p.published = p.until()
 	p.node.membership.coldChanged()
 	if p.left() > 0 {
-		p.node.report(record.BackendCold, field("service", string(p.node.membership.local.Service)), field("left", short(p.left())))
+		p.node.report(record.BackendCold, field("service", string(p.node.options.Service)), field("left", short(p.left())))
 	}
 	p.node.upstream.start()
 }
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -135,7 +135,7 @@
 	if call.head.Route == "" {
 		return
 	}
-	told := []pressure.Reported{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost}}
+	told := []pressure.Reported{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost, Cold: load.Cold > 0}}
 	for _, below := range load.Below {
 		told = append(told, pressure.Reported{Service: below.Service, Excess: below.Excess, Cost: below.Cost})
 	}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -84,7 +84,9 @@
 		return
 	}
 	p.measure()
-	p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
+	if !p.cold.bounded() {
+		p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
+	}
 	p.cold.refresh()
 	p.admission.Offer(now, p.request(call))
 	p.start()
--- a/core/nodetest/cold_test.go
+++ b/core/nodetest/cold_test.go
@@ -278,3 +278,30 @@
 		}
 	}
 }
+
+// Guards against requests that go to a cold server first, because the warm ones are
+// full, only to be refused there, and against its node's word that the whole service
+// has no room.
+func TestColdServerIsSparedUnderOverload(t *testing.T) {
+	r, members := newCold(1, 2, "north", "south")
+	load(r, members, 1000, 2*time.Second)
+	cold := members[0]
+	cold.AnnounceCold("quotes", 40, coldTime)
+	r.Run(500 * time.Millisecond)
+	records := len(cold.Records)
+	// Three warm servers of 40 slots serve 1,714 requests of 70 ms a second.
+	const demand, capacity = 2200, 1700
+	sent := load(r, members, demand, 2*time.Second)
+	refused := 0
+	for _, record := range cold.Records[records:] {
+		if record.Name == "call_refused" {
+			refused++
+		}
+	}
+	if refused > len(sent)/50 {
+		t.Errorf("%d of %d requests were refused by the cold server's node, want hardly any", refused, len(sent))
+	}
+	if got, want := answeredPart(sent), 0.85*capacity/demand; got < want {
+		t.Errorf("%.3f answered, want %.3f: most of what the warm servers have room for", got, want)
+	}
+}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -38,6 +38,10 @@
 	own       []*upstream
 	other     []*upstream
 	stale     bool
+	// sparesCold is set while cold servers get nothing, until spareUntil, when it is
+	// looked at again.
+	sparesCold bool
+	spareUntil time.Duration
 	levels    levels
 }
 
@@ -219,7 +223,27 @@
 }
 
 func (p *Pool) available(now time.Duration, u *upstream) bool {
-	return u.available(now) && p.reachable(u.domain)
+	return u.available(now) && p.reachable(u.domain) && !(u.cold(now) && p.spares(now))
+}
+
+const (
+	// spareFrom is the part of the slots that must be at warm servers for cold ones to
+	// be spared.
+	spareFrom = 0.5
+	// spareInterval is the time between two looks at that.
+	spareInterval = 100 * time.Millisecond
+)
+
+// spares reports whether cold servers get nothing. The little that one bears is soon
+// used up, and under an overload, when the warm ones are fuller, every request would
+// go there first to be refused. With most servers cold, what they bear counts.
+func (p *Pool) spares(now time.Duration) bool {
+	if now >= p.spareUntil {
+		p.spareUntil = now + spareInterval
+		part, _ := p.Warmth(now)
+		p.sparesCold = part >= spareFrom
+	}
+	return p.sparesCold
 }
 
 // any returns a server that was not tried, ejected or suspected as it may be:
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -169,7 +169,9 @@
 			needs[r.Service] = need{share: reachFirst}
 		}
 		needs[r.Service] = needs[r.Service].told(r.Cost)
-		g.gate(r.Service).report(now, r.Excess)
+		if !r.Cold {
+			g.gate(r.Service).report(now, r.Excess)
+		}
 	}
 	maps.DeleteFunc(needs, func(_ coltsfootward.ServiceName, known need) bool { return known.share < reachForget })
 }
@@ -202,6 +204,9 @@
 	// Cost is the slot time in seconds that one request of the class takes there;
 	// zero if that is not known.
 	Cost float64
+	// Cold is set if the server that tells is cold: what it is asked for beyond the
+	// little that it bears says nothing of the service.
+	Cold bool
 }
 
 // Below returns what is to be refused of the demand for the services that
