--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -42,7 +42,7 @@
 	// looked at again.
 	sparesCold bool
 	spareUntil time.Duration
-	levels    levels
+	levels     levels
 }
 
 // NewPool returns an empty pool of the node self. reachable says which failure
