Servers of a service without a cold rate are only slow after their start

Cause, found by reading: a backend server tells how long it is slow after its start on every deployment. Taken for one that bears few requests, a service whose servers had all just started was refused most of its demand for 3 s, though nothing bounds what its servers bear. Only where the service has a cold rate does cold mean that; elsewhere a cold server begins with a smaller share, as before.

--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -223,6 +223,8 @@
 // cold ones bear; the rest is refused before any work is done for it.
 func (p *placementPart) withholdCold() {
 	for name, s := range p.pools {
+		service, _ := p.node.configuration.current.Service(name)
+		s.pool.BoundCold(service.ColdRate > 0)
 		part, wait := s.pool.Warmth(p.node.now.Monotonic)
 		withheld := 0.0
 		if wait > 0 {
--- a/core/nodetest/cold_test.go
+++ b/core/nodetest/cold_test.go
@@ -305,3 +305,24 @@
 		t.Errorf("%.3f answered, want %.3f: most of what the warm servers have room for", got, want)
 	}
 }
+
+// Guards against a service without a cold rate that is refused nearly everything while
+// its servers are merely slow after their start.
+func TestSlowServersOfAServiceWithoutColdRateServe(t *testing.T) {
+	document := routedDocument(1, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes")
+	r, members := newRouted(1, 2, document, "north", "south")
+	for _, m := range members {
+		m.Announce("quotes", 40)
+		m.Backend.ServiceTime = func(message.Call) time.Duration { return 70 * time.Millisecond }
+	}
+	load(r, members, 800, time.Second)
+	for _, m := range members {
+		m.AnnounceCold("quotes", 40, coldTime)
+	}
+	r.Run(200 * time.Millisecond)
+	sent := load(r, members, 800, 2*time.Second)
+	r.Run(time.Second)
+	if got := answeredPart(sent); got < 0.99 {
+		t.Errorf("%.3f answered, want 0.99", got)
+	}
+}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -38,6 +38,8 @@
 	own       []*upstream
 	other     []*upstream
 	stale     bool
+	// bounded is set if cold servers bear less than all.
+	bounded bool
 	// sparesCold is set while cold servers get nothing, until spareUntil, when it is
 	// looked at again.
 	sparesCold bool
@@ -59,7 +61,7 @@
 func (p *Pool) Set(now time.Duration, instance coltsfootward.Instance, slots int, fresh bool) {
 	u, ok := p.upstreams[instance.ID]
 	if !ok {
-		u = &upstream{id: instance.ID, domain: instance.Domain}
+		u = &upstream{id: instance.ID, domain: instance.Domain, bounded: p.bounded}
 		p.upstreams[instance.ID] = u
 		p.stale = true
 	}
@@ -75,7 +77,23 @@
 // longer it is cold; zero means that it gets its full share.
 func (p *Pool) SetCold(now time.Duration, instance coltsfootward.Instance, slots int, left time.Duration) {
 	p.Set(now, instance, slots, false)
-	p.upstreams[instance.ID].setCold(now, left)
+	u := p.upstreams[instance.ID]
+	u.setCold(now, left)
+	if left > 0 {
+		u.joined = now - slowStart + min(left, slowStart)
+	}
+}
+
+// BoundCold says whether cold servers bear less than all. If not, a cold one is only
+// slow, and begins with a smaller share.
+func (p *Pool) BoundCold(bounded bool) {
+	if p.bounded == bounded {
+		return
+	}
+	p.bounded = bounded
+	for _, u := range p.upstreams {
+		u.bounded = bounded
+	}
 }
 
 // Warmth returns the part of the reachable servers' slots that are not at cold
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -50,8 +50,10 @@
 	domain   coltsfootward.FailureDomain
 	slots    int
 	joined   time.Duration
-	// coldUntil is when the server is warm by its own node's word.
+	// coldUntil is when the server is warm by its own node's word; bounded is set if
+	// it bears less than all until then.
 	coldUntil time.Duration
+	bounded   bool
 	inFlight  int
 	load      message.Load
 	loadAt    time.Duration
@@ -72,7 +74,7 @@
 // gets work when the others are full, or are cold as well.
 const coldLimit = 1.0
 
-func (u *upstream) cold(now time.Duration) bool { return now < u.coldUntil }
+func (u *upstream) cold(now time.Duration) bool { return u.bounded && now < u.coldUntil }
 
 func (u *upstream) limit(now time.Duration) float64 {
 	if u.cold(now) {
