--- a/core/node/cold.go
+++ b/core/node/cold.go
@@ -18,7 +18,8 @@
 	// coldReturnSpread is how long after the cold time the callers refused meanwhile
 	// come back, on average, so that they do not come all at once.
 	coldReturnSpread = 500 * time.Millisecond
-	// checkInterval is the time between two health checks at least.
+	// checkInterval is how long after a health check what is broken off asks for no
+	// other one.
 	checkInterval = time.Second
 )
 
@@ -60,13 +61,12 @@
 // suspect takes the server for cold until it is checked.
 func (p *coldPart) suspect() {
 	service, _ := p.node.configuration.current.Service(p.node.membership.local.Service)
-	now := p.node.now.Monotonic
 	p.failures = 0
-	if service.ColdRate <= 0 || p.asked != 0 && now-p.asked < checkInterval {
+	if service.ColdRate <= 0 {
 		return
 	}
-	p.asked = now
-	p.assumed = now + service.ColdTime
+	p.asked = p.node.now.Monotonic
+	p.assumed = p.asked + service.ColdTime
 	p.set()
 	p.node.act(CheckBackend{})
 }
@@ -78,7 +78,7 @@
 		p.failures = 0
 	case DispatchFailed:
 		p.failures++
-		if p.failures >= restartFailures {
+		if p.failures >= restartFailures && p.node.now.Monotonic-p.asked >= checkInterval {
 			p.suspect()
 		}
 	}
