Soak: the ports of a fleet are taken all at once

Reproduced on a quiet machine with 30 starts of a fleet and nothing else: 1 in 24 was not ready after 20 s, the log of node 2 says so (14716, the operators' port of node 0). Ruled out: load (the machine was quiet), the cold start of servers (the service has no cold rate), slowness of the start (0.2 to 0.4 s else).

--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -60,8 +60,13 @@
 	f := &fleet{store: hosting.NewStore()}
 	f.platform = httptest.NewServer(f.store)
 	f.configure(3)
+	ports, err := freePorts(count, lowestPort, highestPort)
+	if err != nil {
+		f.close()
+		return nil, err
+	}
 	for i := range count {
-		n, err := f.newNode(program, directory, i, seen)
+		n, err := f.newNode(program, directory, i, ports[i], seen)
 		if err != nil {
 			f.close()
 			return nil, err
@@ -80,19 +85,16 @@
 	f.store.Write("op", "config", fmt.Appendf(nil, document, version, poorRate, poorBurst))
 }
 
-func (f *fleet) newNode(program, directory string, i int, seen func(*http.Request)) (*node, error) {
-	ports, err := freePorts(5)
-	if err != nil {
-		return nil, err
-	}
-	n := &node{number: i, program: program, callers: ports[0], ready: "http://" + ports[4] + "/ready"}
-	n.backend = hosting.NewBackend(fmt.Sprintf("i-%d", i), "quotes", "", ports[1], slots)
+func (f *fleet) newNode(program, directory string, i int, ports nodePorts, seen func(*http.Request)) (*node, error) {
+	n := &node{number: i, program: program, callers: ports.callers, ready: "http://" + ports.ready + "/ready"}
+	n.backend = hosting.NewBackend(fmt.Sprintf("i-%d", i), "quotes", "", ports.backend, slots)
 	n.backend.Serve = func(w http.ResponseWriter, r *http.Request) {
 		seen(r)
 		time.Sleep(5 * time.Millisecond)
 		fmt.Fprintf(w, "answer to %s", r.Header.Get("Coltsfootward-Request-Id"))
 	}
 	n.server = httptest.NewServer(n.backend)
+	var err error
 	if n.toBackend, err = newProxy(n.server.Listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -125,7 +127,7 @@
 [retries]
 share = 0.2
 capacity = 48
-`, i, []string{"north", "south"}[i%2], ports[0], ports[1], ports[2], ports[3], ports[4], n.toBackend.address(), n.toStore.address(), grace)
+`, i, []string{"north", "south"}[i%2], ports.callers, ports.backend, ports.peers, ports.operators, ports.ready, n.toBackend.address(), n.toStore.address(), grace)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -141,22 +143,34 @@
 	portTries   = 1000
 )
 
-// freePorts returns addresses that nothing listens at.
-func freePorts(count int) ([]string, error) {
-	var addresses []string
+// nodePorts are the addresses at which a node listens.
+type nodePorts struct {
+	callers, backend, peers, operators, ready string
+}
+
+// freePorts returns addresses for count nodes, from lowest up to but not including
+// highest, at which nothing listens. They are taken all at once, since a node that
+// is starting doesn't hold its own yet.
+func freePorts(count, lowest, highest int) ([]nodePorts, error) {
+	nodes := make([]nodePorts, count)
+	var wanted []*string
+	for i := range nodes {
+		n := &nodes[i]
+		wanted = append(wanted, &n.callers, &n.backend, &n.peers, &n.operators, &n.ready)
+	}
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		if len(wanted) == 0 {
+			return nodes, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue // taken; there are others
 		}
 		defer listener.Close()
-		addresses = append(addresses, address)
-		if len(addresses) == count {
-			return addresses, nil
-		}
+		*wanted[0], wanted = address, wanted[1:]
 	}
-	return nil, fmt.Errorf("no %d free ports between %d and %d", count, lowestPort, highestPort)
+	return nil, fmt.Errorf("%d nodes find no free ports between %d and %d", count, lowest, highest)
 }
 
 // start starts the process unless it runs.
