--- /dev/null
+++ b/cmd/coltsload/cost.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// cost measures what calls cost the nodes.
+type cost struct {
+	Program  string        `long:"program" required:"yes" description:"the node's executable, coltsfootward"`
+	Nodes    int           `long:"nodes" default:"4" description:"node processes, 2 to 30"`
+	Rates    []int         `long:"rate" default:"0" default:"500" default:"1000" description:"calls per second over all nodes, 0 for nodes at rest; may be given again"`
+	Duration time.Duration `long:"duration" default:"10s" description:"how long each rate is held"`
+	Warm     time.Duration `long:"warm" default:"2s" description:"how long calls are made at each rate before anything is counted"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the arrivals, which are a Poisson process"`
+	Refused  bool          `long:"refused" description:"make calls that are refused, with a key that nobody holds"`
+	JSON     bool          `long:"json" description:"print one object a rate instead of a table"`
+	Profile  string        `long:"profile" description:"directory for a processor and an allocation profile of node 0 at the last rate"`
+}
+
+// The bounds of a fleet on one machine.
+const (
+	fewestNodes = 2
+	mostNodes   = 30
+)
+
+// costRow is what one rate cost, over all nodes.
+type costRow struct {
+	Rate      int            `json:"rate"`
+	Calls     int            `json:"calls"`
+	Failed    map[string]int `json:"failed,omitempty"`
+	P50       time.Duration  `json:"p50_nanoseconds"`
+	P99       time.Duration  `json:"p99_nanoseconds"`
+	PerSecond costUnits      `json:"per_node_second"`
+	// PerCall is nil at rest.
+	PerCall *costUnits `json:"per_call,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *cost) Execute([]string) error {
+	if c.Nodes < fewestNodes || c.Nodes > mostNodes {
+		return fmt.Errorf("coltsload: --nodes %d: choose %d to %d", c.Nodes, fewestNodes, mostNodes)
+	}
+	if c.Duration <= 0 || c.Warm < 0 {
+		return errors.New("coltsload: --duration must be above zero, --warm not below it")
+	}
+	for _, rate := range c.Rates {
+		if rate < 0 {
+			return fmt.Errorf("coltsload: --rate %d: choose 0 or more", rate)
+		}
+	}
+	directory, err := os.MkdirTemp("", "coltsload")
+	if err != nil {
+		return fmt.Errorf("coltsload: %w", err)
+	}
+	defer os.RemoveAll(directory)
+	f, err := startCostFleet(c.Program, directory, c.Nodes)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	return c.measure(f)
+}
+
+func (c *cost) measure(f *costFleet) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if !c.JSON {
+		fmt.Printf("seed %d, %d nodes, %v a rate after %v warm-up, open loop, Poisson arrivals\n", c.Seed, c.Nodes, c.Duration, c.Warm)
+		fmt.Fprintln(w, "CALLS/S\tCALLS\tP50\tP99\tOF\tCPU\tALLOCATIONS\tBYTES ALLOCATED\tREADS+WRITES\tWAKE-UPS\tFAILED")
+	}
+	for i, rate := range c.Rates {
+		row, err := c.measureRate(f, rate, i == len(c.Rates)-1 && c.Profile != "")
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			if err := json.NewEncoder(os.Stdout).Encode(row); err != nil {
+				return err
+			}
+			continue
+		}
+		row.write(w)
+	}
+	return w.Flush()
+}
+
+// measureRate holds a rate and returns what it cost.
+func (c *cost) measureRate(f *costFleet, rate int, profiled bool) (costRow, error) {
+	callers := f.callers(c.Refused)
+	defer callers.close()
+	callers.hold(plan{rate: rate, duration: c.Warm, seed: c.Seed})
+	before, err := f.used()
+	if err != nil {
+		return costRow{}, err
+	}
+	var wait sync.WaitGroup
+	var failed error
+	if profiled {
+		wait.Go(func() { failed = f.profile(c.Profile, c.Duration) })
+	}
+	m := callers.hold(plan{rate: rate, duration: c.Duration, seed: c.Seed + 1})
+	after, err := f.used()
+	wait.Wait()
+	if err := errors.Join(err, failed); err != nil {
+		return costRow{}, err
+	}
+	used := after.minus(before)
+	row := costRow{Rate: rate, Calls: m.calls, Failed: m.failed, P50: m.quantile(50), P99: m.quantile(99),
+		PerSecond: used.per(float64(c.Nodes) * c.Duration.Seconds())}
+	if m.calls > 0 {
+		units := used.per(float64(m.calls))
+		row.PerCall = &units
+	}
+	return row, nil
+}
+
+func (r costRow) write(w io.Writer) {
+	line := func(of string, u costUnits) {
+		fmt.Fprintf(w, "%d\t%d\t%v\t%v\t%s\t%v\t%.1f\t%.0f\t%.1f\t%.1f\t%v\n", r.Rate, r.Calls, r.P50, r.P99, of,
+			u.Processor.Round(time.Microsecond), u.Allocations, u.Allocated, u.Transfers, u.WakeUps, r.Failed)
+	}
+	line("a node, a second", r.PerSecond)
+	if r.PerCall != nil {
+		line("a call", *r.PerCall)
+	}
+}
+
+// profile writes the profiles of node 0.
+func (f *costFleet) profile(directory string, duration time.Duration) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return fmt.Errorf("coltsload: profile: %w", err)
+	}
+	seconds := max(int(duration.Seconds()), 1)
+	pages := map[string]string{"processor": fmt.Sprintf("profile?seconds=%d", seconds), "allocations": fmt.Sprintf("allocs?seconds=%d", seconds)}
+	var wait sync.WaitGroup
+	failed := make(chan error, len(pages))
+	for name, page := range pages {
+		wait.Go(func() {
+			failed <- fetch("http://"+f.nodes[0].Ports().Operators+"/debug/pprof/"+page, filepath.Join(directory, name+".pprof"))
+		})
+	}
+	wait.Wait()
+	close(failed)
+	var all error
+	for err := range failed {
+		all = errors.Join(all, err)
+	}
+	return all
+}
+
+// fetch writes a page to a file.
+func fetch(url, file string) error {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("coltsload: profile: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("coltsload: profile: %s answered %s", url, response.Status)
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("coltsload: profile: %w", err)
+	}
+	_, err = io.Copy(out, response.Body)
+	return errors.Join(err, out.Close())
+}
--- a/cmd/coltsload/main.go
+++ b/cmd/coltsload/main.go
@@ -27,6 +27,9 @@
 		{"latency", "measure what a node pair adds to a call",
 			"Calls a backend server directly and through two nodes, in one run and at the same rates, and prints both and the difference. Starts all parts in this process unless --direct and --through name others.\n\nExample: coltsload latency --rate 160 --duration 10s",
 			&latency{}},
+		{"cost", "measure what calls cost the nodes",
+			"Starts nodes as processes of their own, calls them at set rates, and prints what a node's second and a call cost: processor time, allocations, system calls, wake-ups. Rate 0 tells what nodes cost at rest.\n\nExample: coltsload cost --program ./coltsfootward --rate 0 --rate 1000 --profile /tmp/profiles",
+			&cost{}},
 	}
 }
 
--- a/cmd/coltsload/openloop.go
+++ b/cmd/coltsload/openloop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -55,17 +56,27 @@
 func run(ctx context.Context, t target, p plan) measurement {
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
 	defer client.CloseIdleConnections()
+	return openLoop(p, func(int) string { return call(ctx, client, t) })
+}
+
+// openLoop makes the calls of a plan. call is told which one it is and returns what
+// went wrong with it, or "".
+func openLoop(p plan, call func(number int) string) measurement {
 	m := measurement{failed: make(map[string]int), histogram: hdrhistogram.New(shortest, longest, digits)}
 	arrivals := rand.New(rand.NewPCG(p.seed, 0))
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	used := processorTime()
 	start := time.Now()
-	for at := time.Duration(0); at < p.duration; at += gap(arrivals, p.rate) {
+	for number, at := 0, time.Duration(0); ; number++ {
+		at += gap(arrivals, p.rate)
+		time.Sleep(time.Until(start.Add(min(at, p.duration))))
+		if at >= p.duration {
+			break
+		}
 		intended := start.Add(at)
-		time.Sleep(time.Until(intended))
 		wait.Go(func() {
-			failure := call(ctx, client, t)
+			failure := call(number)
 			took := time.Since(intended)
 			mu.Lock()
 			defer mu.Unlock()
@@ -84,6 +95,9 @@
 
 // gap returns the time to the next arrival of a Poisson process.
 func gap(r *rand.Rand, rate int) time.Duration {
+	if rate == 0 {
+		return math.MaxInt64
+	}
 	return time.Duration(r.ExpFloat64() / float64(rate) * float64(time.Second))
 }
 
@@ -96,6 +110,11 @@
 	if t.key != "" {
 		request.Header.Set("Authorization", "Bearer "+t.key)
 	}
+	return failure(client, request, http.StatusOK)
+}
+
+// failure sends a request and returns what went wrong with it, or "".
+func failure(client *http.Client, request *http.Request, wanted int) string {
 	response, err := client.Do(request)
 	if err != nil {
 		return "no answer"
@@ -104,7 +123,7 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return "truncated"
 	}
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode != wanted {
 		return strings.TrimSpace(fmt.Sprintf("%d %s", response.StatusCode, response.Header.Get(caller.HeaderRefusal)))
 	}
 	return ""
--- a/cmd/daemon/face.go
+++ b/cmd/daemon/face.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"coltsfootward/cmd/settings"
@@ -93,6 +94,10 @@
 	router.PathPrefix(path).Handler(handler)
 	router.HandleFunc("/debug/vars", p.metrics.serve)
 	router.HandleFunc("/metrics", p.metrics.serveText)
+	router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	router.HandleFunc("/debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
+		pprof.Handler(mux.Vars(r)["name"]).ServeHTTP(w, r)
+	})
 	return router
 }
 
--- a/cmd/soak/fleet_test.go
+++ b/cmd/fleet/ports_test.go
@@ -1,4 +1,4 @@
-package soak
+package fleet
 
 import "testing"
 
@@ -11,7 +11,7 @@
 	}
 	seen := make(map[string]bool)
 	for _, n := range nodes {
-		for _, address := range []string{n.callers, n.backend, n.peers, n.operators, n.ready} {
+		for _, address := range []string{n.Callers, n.Backend, n.Peers, n.Operators, n.Ready} {
 			if address == "" || seen[address] {
 				t.Errorf("address %q is empty or given out twice", address)
 			}
--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -32,7 +32,7 @@
 	wait sync.WaitGroup
 }
 
-func startCallers(f *fleet, l *ledger, count int, seed uint64) *callers {
+func startCallers(f *nodes, l *ledger, count int, seed uint64) *callers {
 	c := &callers{done: make(chan struct{})}
 	for i := range count + poorCallers {
 		organisation, pause := "farm", callerPause
@@ -50,7 +50,7 @@
 	c.wait.Wait()
 }
 
-func (c *callers) run(f *fleet, l *ledger, organisation string, number int, pause time.Duration, source *rand.Rand) {
+func (c *callers) run(f *nodes, l *ledger, organisation string, number int, pause time.Duration, source *rand.Rand) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callerDeadline + callerSlack}
@@ -65,21 +65,21 @@
 			kind = "order"
 		}
 		id := fmt.Sprintf("%s-%s-%d-%d", organisation, kind, number, i)
-		ask(client, f.nodes[source.IntN(len(f.nodes))], l, id)
+		ask(client, f.all[source.IntN(len(f.all))], l, id)
 	}
 }
 
 // ask sends one request and notes what the caller is told.
 func ask(client *http.Client, n *node, l *ledger, id string) {
 	organisation, _, _ := strings.Cut(id, "-")
-	t := told{order: kindOf(id) == "order", node: n.number, sent: l.now()}
+	t := told{order: kindOf(id) == "order", node: n.Number(), sent: l.now()}
 	defer func() { l.tell(id, t) }()
 	method, body := http.MethodGet, io.Reader(nil)
 	if t.order {
 		// A reader of no known kind keeps the library from sending the order twice.
 		method, body = http.MethodPost, io.MultiReader(strings.NewReader("order "+id))
 	}
-	request, err := http.NewRequest(method, "http://"+n.callers+"/"+kindOf(id)+"/"+id, body)
+	request, err := http.NewRequest(method, "http://"+n.Ports().Callers+"/"+kindOf(id)+"/"+id, body)
 	if err != nil {
 		t.refused = true
 		return
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -54,7 +54,7 @@
 type run struct {
 	options Options
 	source  *rand.Rand
-	fleet   *fleet
+	fleet   *nodes
 	ledger  *ledger
 	wait    sync.WaitGroup
 
@@ -78,12 +78,12 @@
 		options.Duration = 15 * time.Second
 	}
 	r := &run{options: options, source: rand.New(rand.NewPCG(options.Seed, 1)), ledger: newLedger(), faults: make(map[string]int), version: 3}
-	fleet, err := newFleet(options.Program, options.Directory, options.Nodes, r.ledger.ran)
+	all, err := newNodes(options.Program, options.Directory, options.Nodes, r.ledger.ran)
 	if err != nil {
 		return Report{}, fmt.Errorf("soak: start the fleet: %w", err)
 	}
-	defer fleet.close()
-	r.fleet = fleet
+	defer all.close()
+	r.fleet = all
 	if !r.awaitReady() {
 		return Report{}, errors.New("soak: the nodes were not ready in time: see their logs in the run's directory")
 	}
@@ -124,7 +124,7 @@
 func (r *run) awaitReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if !slices.ContainsFunc(r.fleet.nodes, func(n *node) bool { return !r.serves(client, n) }) {
+		if !slices.ContainsFunc(r.fleet.all, func(n *node) bool { return !r.serves(client, n) }) {
 			return true
 		}
 	}
@@ -133,10 +133,10 @@
 
 // serves reports whether a node is ready and a request through it is served.
 func (r *run) serves(client *http.Client, n *node) bool {
-	if !n.isReady() {
+	if !n.Ready() {
 		return false
 	}
-	id := fmt.Sprintf("farm-urea-first%d-%d", n.number, time.Now().UnixNano())
+	id := fmt.Sprintf("farm-urea-first%d-%d", n.Number(), time.Now().UnixNano())
 	ask(client, n, r.ledger, id)
 	return r.ledger.served(id)
 }
@@ -158,7 +158,7 @@
 	return from + time.Duration(r.source.Int64N(int64(to-from)))
 }
 
-func (r *run) anyNode() *node { return r.fleet.nodes[r.source.IntN(len(r.fleet.nodes))] }
+func (r *run) anyNode() *node { return r.fleet.all[r.source.IntN(len(r.fleet.all))] }
 
 // planOne does one piece of planned work: stops come one after the other, each
 // with everything else in order.
@@ -174,23 +174,25 @@
 	}
 	from := r.ledger.now()
 	if !r.stop(n, grace+time.Second) {
-		r.find("node %d still ran %v after SIGTERM", n.number, grace+time.Second)
+		r.find("node %d still ran %v after SIGTERM", n.Number(), grace+time.Second)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.planned = append(r.planned, window{node: n.number, from: from, to: r.ledger.now()})
+	r.planned = append(r.planned, window{node: n.Number(), from: from, to: r.ledger.now()})
 }
 
 func (r *run) configure() {
 	r.count("configuration")
 	r.version += 1 + r.source.IntN(3)
-	r.fleet.configure(r.version)
+	if err := r.fleet.configure(r.version); err != nil {
+		r.find("%v", err)
+	}
 }
 
 // stop ends a node by SIGTERM and starts it anew. It reports whether the node ended
 // by itself within that time; one that did not is killed.
 func (r *run) stop(n *node, within time.Duration) bool {
-	ended := n.signal(syscall.SIGTERM)
+	ended := n.Signal(syscall.SIGTERM)
 	if ended == nil {
 		return true
 	}
@@ -200,7 +202,7 @@
 	case <-ended:
 	case <-time.After(within):
 		inTime = false
-		n.signal(syscall.SIGKILL)
+		n.Signal(syscall.SIGKILL)
 		<-ended
 	}
 	r.restart(n)
@@ -208,8 +210,8 @@
 }
 
 func (r *run) restart(n *node) {
-	if err := n.start(); err != nil {
-		r.find("node %d did not start: %v", n.number, err)
+	if err := n.Start(); err != nil {
+		r.find("node %d did not start: %v", n.Number(), err)
 	}
 }
 
@@ -227,7 +229,7 @@
 	harm := harms[r.source.IntN(len(harms))]
 	switch r.source.IntN(9) {
 	case 0, 1:
-		if ended := n.signal(syscall.SIGKILL); ended != nil {
+		if ended := n.Signal(syscall.SIGKILL); ended != nil {
 			r.count("kill")
 			later(func() {
 				<-ended
@@ -235,9 +237,9 @@
 			})
 		}
 	case 2:
-		if n.signal(syscall.SIGSTOP) != nil {
+		if n.Signal(syscall.SIGSTOP) != nil {
 			r.count("pause")
-			later(func() { n.signal(syscall.SIGCONT) })
+			later(func() { n.Signal(syscall.SIGCONT) })
 		}
 	case 3:
 		// It may be paused meanwhile, so only that it comes back is asked.
--- a/standin/hosting/backend.go
+++ b/standin/hosting/backend.go
@@ -24,6 +24,8 @@
 	// Serve answers requests that are this server's; the id's echo and the stamp
 	// are set. Nil means a short body.
 	Serve http.HandlerFunc
+	// Forget has the server keep no list of its runs.
+	Forget bool
 
 	mu       sync.Mutex
 	sequence uint64
@@ -138,9 +140,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	b.mu.Lock()
-	b.runs = append(b.runs, r)
-	b.mu.Unlock()
+	if !b.Forget {
+		b.mu.Lock()
+		b.runs = append(b.runs, r)
+		b.mu.Unlock()
+	}
 	w.Header().Set("Coltsfootward-Request-Id", r.Header.Get("Coltsfootward-Request-Id"))
 	w.Header().Set("Coltsfootward-Response-Stamp", "stamp-of-"+b.ID)
 	if b.Serve != nil {
