--- a/core/message/codec.go
+++ b/core/message/codec.go
@@ -92,11 +92,13 @@
 		return nil
 	}
 	h := make(map[string][]string, min(size, maximumGuess))
+	// Most fields have one value, so that one array serves them all.
+	all := make([]string, 0, min(size, maximumGuess))
 	for range size {
 		name, count := r.text(), r.length()
-		values := make([]string, 0, min(count, maximumGuess))
+		first := len(all)
 		for range count {
-			values = append(values, r.text())
+			all = append(all, r.text())
 			if r.err != nil {
 				return nil
 			}
@@ -104,7 +106,7 @@
 		if r.err != nil {
 			return nil
 		}
-		h[name] = values
+		h[name] = all[first:len(all):len(all)]
 	}
 	return h
 }
@@ -232,7 +234,10 @@
 	w.fields(answerFields)
 	w.number(int64(a.Status))
 	w.header(a.Header)
-	w.note(encoder.Encode(a.Refusal))
+	w.flag(a.Refusal != nil)
+	if a.Refusal != nil {
+		w.note(encoder.Encode(a.Refusal))
+	}
 	w.note(a.Load.EncodeMsgpack(encoder))
 	return w.err
 }
@@ -243,8 +248,10 @@
 	r.fields(answerFields)
 	a.Status = int(r.number())
 	a.Header = r.header()
-	if r.err == nil {
-		r.err = decoder.Decode(&a.Refusal)
+	a.Refusal = nil
+	if refused := r.flag(); refused && r.err == nil {
+		a.Refusal = new(coltsfootward.Refusal)
+		r.err = decoder.Decode(a.Refusal)
 	}
 	if r.err == nil {
 		r.err = a.Load.DecodeMsgpack(decoder)
--- a/io/caller/routed.go
+++ b/io/caller/routed.go
@@ -76,6 +76,9 @@
 
 // hostOf returns the host that a request names, without a port.
 func hostOf(r *http.Request) string {
+	if !strings.Contains(r.Host, ":") {
+		return r.Host
+	}
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
 		return host
 	}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -63,7 +63,7 @@
 	machine *node.Node
 	clock   *Clock
 	outlets Outlets
-	events  chan func()
+	events  chan posted
 	table   chan func(context.Context)
 	done    chan struct{}
 	once    sync.Once
@@ -80,7 +80,7 @@
 		machine: machine,
 		clock:   clock,
 		outlets: outlets,
-		events:  make(chan func(), eventRing),
+		events:  make(chan posted, eventRing),
 		table:   make(chan func(context.Context), tableRing),
 		done:    make(chan struct{}),
 		calls:   make(map[node.CallID]chan node.Action),
@@ -101,16 +101,20 @@
 // Done returns a channel that is closed when the loop stops.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
+// posted is what waits for the machine: an event and since when, or an inspection.
+type posted struct {
+	event   node.Event
+	at      time.Time
+	inspect func(*node.Node)
+}
+
 // Post hands an event to the machine. It waits while the ring is full and
 // drops the event once the loop has stopped.
-func (l *Loop) Post(event node.Event) {
-	posted := time.Now()
-	l.enqueue(func() { l.handle(event, posted) })
-}
+func (l *Loop) Post(event node.Event) { l.enqueue(posted{event: event, at: time.Now()}) }
 
-func (l *Loop) enqueue(f func()) bool {
+func (l *Loop) enqueue(p posted) bool {
 	select {
-	case l.events <- f:
+	case l.events <- p:
 		return true
 	case <-l.done:
 		return false
@@ -121,7 +125,7 @@
 // if the loop has stopped.
 func (l *Loop) Inspect(f func(*node.Node)) bool {
 	finished := make(chan struct{})
-	if !l.enqueue(func() { f(l.machine); close(finished) }) {
+	if !l.enqueue(posted{inspect: func(n *node.Node) { f(n); close(finished) }}) {
 		return false
 	}
 	select {
@@ -137,8 +141,12 @@
 	defer timer.Stop()
 	for {
 		select {
-		case f := <-l.events:
-			f()
+		case p := <-l.events:
+			if p.inspect != nil {
+				p.inspect(l.machine)
+				continue
+			}
+			l.handle(p.event, p.at)
 		case <-timer.C:
 			l.handle(node.Tick{}, time.Now())
 			timer.Reset(l.machine.NextTick())
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"coltsfootward"
@@ -207,70 +208,99 @@
 	return nil
 }
 
-// readFrame reads one frame. It returns io.EOF only at a frame's border and a
+// frameReader reads frames. What it needs to take a frame apart is kept from one
+// frame to the next. It is not safe for concurrent use.
+type frameReader struct {
+	r       io.Reader
+	source  bytes.Reader
+	decoder *msgpack.Decoder
+	length  [lengthBytes]byte
+	kind    [longestKind]byte
+}
+
+func newFrameReader(r io.Reader) *frameReader {
+	f := &frameReader{r: r}
+	f.decoder = msgpack.NewDecoder(&f.source)
+	return f
+}
+
+// readFrame reads one frame from r and nothing behind it.
+func readFrame(r io.Reader) (frame, error) { return newFrameReader(r).read() }
+
+// read reads one frame. It returns io.EOF only at a frame's border and a
 // *FrameError for bytes that are no frame.
-func readFrame(r io.Reader) (frame, error) {
+func (fr *frameReader) read() (frame, error) {
 	var f frame
-	var length [lengthBytes]byte
-	if _, err := io.ReadFull(r, length[:]); err != nil {
+	if _, err := io.ReadFull(fr.r, fr.length[:]); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) {
 			return f, &FrameError{Reason: "truncated length", Err: err}
 		}
 		return f, err
 	}
-	size := binary.BigEndian.Uint32(length[:])
+	size := binary.BigEndian.Uint32(fr.length[:])
 	if size > maximumFrame {
 		return f, &FrameError{Reason: fmt.Sprintf("%d bytes are more than %d", size, maximumFrame)}
 	}
 	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	if _, err := io.ReadFull(fr.r, data); err != nil {
 		return f, &FrameError{Reason: "truncated body", Err: err}
 	}
-	return parseFrame(data)
+	return fr.parse(data)
 }
 
-// parseFrame takes a frame apart. The payload is a part of data.
-func parseFrame(data []byte) (frame, error) {
+// parse takes a frame apart. The payload is a part of data.
+func (fr *frameReader) parse(data []byte) (frame, error) {
 	var f frame
-	source := bytes.NewReader(data)
-	decoder := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(decoder)
-	decoder.Reset(source)
-	kind, err := decodeKind(decoder)
+	fr.source.Reset(data)
+	fr.decoder.Reset(&fr.source)
+	kind, err := fr.readKind()
 	if err != nil {
 		return f, &FrameError{Reason: "undecodable", Err: err}
 	}
 	var numbers [3]int64
 	for i := range numbers {
-		if numbers[i], err = decoder.DecodeInt64(); err != nil {
+		if numbers[i], err = fr.decoder.DecodeInt64(); err != nil {
 			return f, &FrameError{Reason: "undecodable", Err: err}
 		}
 	}
-	f = frame{Kind: kind, Stream: uint32(numbers[0]), Sent: numbers[1], Payload: data[len(data)-source.Len():]}
+	f = frame{Kind: kind, Stream: uint32(numbers[0]), Sent: numbers[1], Payload: data[len(data)-fr.source.Len():]}
 	if int64(len(f.Payload)) != numbers[2] || int64(f.Stream) != numbers[0] {
 		return f, &FrameError{Reason: "a frame whose parts do not fit its length"}
 	}
 	return f, nil
 }
 
-func decodeKind(decoder *msgpack.Decoder) (frameKind, error) {
-	length, err := decoder.DecodeBytesLen()
+func (fr *frameReader) readKind() (frameKind, error) {
+	length, err := fr.decoder.DecodeBytesLen()
 	if err != nil {
 		return "", err
 	}
 	if length < 0 || length > longestKind {
 		return "", fmt.Errorf("a kind of %d bytes", length)
 	}
-	var name [longestKind]byte
-	if err := decoder.ReadFull(name[:length]); err != nil {
+	name := fr.kind[:length]
+	if err := fr.decoder.ReadFull(name); err != nil {
 		return "", err
 	}
-	if kind, ok := frameKinds[string(name[:length])]; ok {
+	if kind, ok := frameKinds[string(name)]; ok {
 		return kind, nil
 	}
-	return frameKind(name[:length]), nil
+	return frameKind(name), nil
 }
 
+// payloadDecoder decodes payloads, one after the other.
+type payloadDecoder struct {
+	source  bytes.Reader
+	decoder *msgpack.Decoder
+}
+
+// payloadDecoders keeps decoders for reuse.
+var payloadDecoders = sync.Pool{New: func() any {
+	d := &payloadDecoder{}
+	d.decoder = msgpack.NewDecoder(&d.source)
+	return d
+}}
+
 // decode decodes a payload. A panic of the decoder on hostile bytes becomes an
 // error like any other.
 func decode(data []byte, into any) (err error) {
@@ -280,10 +310,12 @@
 		}
 	}()
 	if own, ok := into.(msgpack.CustomDecoder); ok {
-		decoder := msgpack.GetDecoder()
-		defer msgpack.PutDecoder(decoder)
-		decoder.Reset(bytes.NewReader(data))
-		err = own.DecodeMsgpack(decoder)
+		d := payloadDecoders.Get().(*payloadDecoder)
+		d.source.Reset(data)
+		d.decoder.Reset(&d.source)
+		err = own.DecodeMsgpack(d.decoder)
+		d.source.Reset(nil)
+		payloadDecoders.Put(d)
 	} else {
 		err = msgpack.Unmarshal(data, into)
 	}
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -33,11 +33,12 @@
 	// left is called then, on the side that serves the call; nil for none.
 	left context.CancelFunc
 	// ended is closed when the peer's end frame arrived.
-	ended   chan struct{}
-	endOnce sync.Once
-	end     message.End
-	err     error
-	rest    []byte
+	ended chan struct{}
+	// endTaken is set by the first end frame.
+	endTaken atomic.Bool
+	end      message.End
+	err      error
+	rest     []byte
 }
 
 // The states of a call's departure. It leaves queued once, either way: the
@@ -175,13 +176,12 @@
 
 // finish notes that the peer's body is whole.
 func (s *stream) finish(end message.End) error {
-	var failed error = &FrameError{Reason: "second end of one body"}
-	s.endOnce.Do(func() {
-		s.end = end
-		failed = nil
-		close(s.ended)
-	})
-	return failed
+	if s.endTaken.Swap(true) {
+		return &FrameError{Reason: "second end of one body"}
+	}
+	s.end = end
+	close(s.ended)
+	return nil
 }
 
 // Read implements io.Reader for the body that the peer sends. It returns
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -203,8 +203,9 @@
 
 // read runs until the connection breaks.
 func (t *Transport) read(c *connection, reader *bufio.Reader) {
+	frames := newFrameReader(reader)
 	for {
-		f, err := readFrame(reader)
+		f, err := frames.read()
 		if err == nil {
 			err = t.take(c, f)
 		}
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -18,10 +18,9 @@
 func ReadBody(r io.Reader, most int64) ([]byte, error) {
 	pooled := firstBuffers.Get().(*[firstRead]byte)
 	defer firstBuffers.Put(pooled)
-	limited := io.LimitReader(r, most)
 	n := 0
-	for n < len(pooled) {
-		read, err := limited.Read(pooled[n:])
+	for n < len(pooled) && int64(n) < most {
+		read, err := r.Read(pooled[n:min(int64(len(pooled)), most)])
 		n += read
 		// A body that breaks off may end with io.ErrUnexpectedEOF; only io.EOF
 		// says that it is whole.
@@ -32,6 +31,6 @@
 			return nil, err
 		}
 	}
-	rest, err := io.ReadAll(limited)
+	rest, err := io.ReadAll(io.LimitReader(r, most-int64(n)))
 	return append(append(make([]byte, 0, n+len(rest)), pooled[:n]...), rest...), err
 }
