A node's end waits for nothing on the network

Ruled out by reading: the watcher of the configuration, health checks (0.5 s) and the goodbyes to peers, which are bounded.

--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -68,7 +68,10 @@
 	done    chan struct{}
 	once    sync.Once
 	wait    sync.WaitGroup
-	nextID  atomic.Uint64
+	// ending is done once the loop is closed: operations on the table end with it.
+	ending context.Context
+	end    context.CancelFunc
+	nextID atomic.Uint64
 
 	mu    sync.Mutex
 	calls map[node.CallID]chan node.Action
@@ -85,6 +88,7 @@
 		done:    make(chan struct{}),
 		calls:   make(map[node.CallID]chan node.Action),
 	}
+	l.ending, l.end = context.WithCancel(context.Background())
 	l.wait.Go(l.run)
 	for range tableWorkers {
 		l.wait.Go(l.work)
@@ -94,7 +98,10 @@
 
 // Close stops the loop and waits for its goroutines.
 func (l *Loop) Close() {
-	l.once.Do(func() { close(l.done) })
+	l.once.Do(func() {
+		close(l.done)
+		l.end()
+	})
 	l.wait.Wait()
 }
 
@@ -234,7 +241,7 @@
 	for {
 		select {
 		case operation := <-l.table:
-			ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+			ctx, cancel := context.WithTimeout(l.ending, tableTimeout)
 			operation(ctx)
 			cancel()
 		case <-l.done:
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -74,11 +74,13 @@
 }
 
 func (t *Transport) handshake(to coltsfootward.Instance) (*connection, *bufio.Reader, error) {
-	n, err := socket.Dialer(dialTimeout).Dial("tcp", to.Address)
+	n, err := socket.Dialer(dialTimeout).DialContext(t.ending, "tcp", to.Address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: dial %s: %w: check that the instance runs and its address is reachable", to.ID, err)
 	}
+	release := t.closeAtEnd(n)
 	c, reader, err := t.greet(n, to)
+	release()
 	if err != nil {
 		n.Close()
 		t.rejected(n.RemoteAddr().String(), err)
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -67,6 +67,10 @@
 	done    chan struct{}
 	once    sync.Once
 	wait    sync.WaitGroup
+	// ending is done once the transport is closed: what is under way on the network
+	// ends with it.
+	ending context.Context
+	end    context.CancelFunc
 	// calls serves the calls of peers.
 	calls *worker.Pool
 
@@ -98,6 +102,7 @@
 		outbound: make(map[*connection]struct{}),
 		calls:    worker.NewPool(),
 	}
+	t.ending, t.end = context.WithCancel(context.Background())
 	if listener != nil {
 		t.wait.Go(t.accept)
 	}
@@ -112,6 +117,7 @@
 		t.closed = true
 		t.mu.Unlock()
 		close(t.done)
+		t.end()
 		if t.listener != nil {
 			t.listener.Close()
 		}
@@ -168,7 +174,9 @@
 
 // serve runs an accepted connection.
 func (t *Transport) serve(n net.Conn) {
+	release := t.closeAtEnd(n)
 	c, reader, err := t.welcome(n)
+	release()
 	if err != nil {
 		n.Close()
 		t.rejected(n.RemoteAddr().String(), err)
@@ -194,6 +202,13 @@
 	t.read(c, reader)
 }
 
+// closeAtEnd has a connection whose peer has not said hello yet end with the
+// transport, until the function that it returns is called.
+func (t *Transport) closeAtEnd(n net.Conn) (release func()) {
+	stop := context.AfterFunc(t.ending, func() { n.Close() })
+	return func() { stop() }
+}
+
 func (t *Transport) rejected(address string, err error) {
 	var invalid *FrameError
 	if errors.As(err, &invalid) {
