--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -4,14 +4,12 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"coltsfootward"
 	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
-	"coltsfootward/core/record"
 )
 
 // upstreamCall is a call for the local backend server.
@@ -93,89 +91,6 @@
 	p.refuseShed()
 }
 
-// request is the call as admission sees it.
-func (p *upstreamPart) request(call *upstreamCall) admissioncontrol.Request {
-	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
-	return admissioncontrol.Request{
-		ID:           admissioncontrol.RequestID(call.id),
-		Priority:     queuePriority(call.head),
-		ShedRank:     call.head.ShedRank,
-		Deep:         call.head.Depth > 0,
-		Organisation: call.head.Organisation,
-		Weight:       organisation.Rate.PerSecond,
-		Class:        classOf(call.head),
-		Arrived:      call.arrived,
-		Deadline:     call.deadline,
-		StartBy:      call.lastStart(),
-		Repeatable:   !call.head.Unrepeatable,
-	}
-}
-
-// queuePriority is the place of a request's priorities in the queue. Without a
-// second priority only every fourth place is used.
-func queuePriority(head message.Call) int {
-	second := 0
-	if head.Second != "" {
-		second = head.Second.Rank()
-	}
-	return head.Priority.Rank()*len(coltsfootward.Priorities()) + second
-}
-
-// classOf returns the class of work that a request belongs to: its route, where
-// it has one.
-func classOf(head message.Call) string {
-	if head.Route != "" {
-		return string(head.Route)
-	}
-	return requestClass(head.Method, head.Path)
-}
-
-// requestClass groups requests that probably take equally long: the method and
-// the path's first two parts. What follows is usually the name of one thing.
-func requestClass(method, path string) string {
-	end := 0
-	for range 2 {
-		next := strings.IndexByte(path[min(end+1, len(path)):], '/')
-		if next < 0 {
-			return method + " " + path
-		}
-		end += 1 + next
-	}
-	return method + " " + path[:end]
-}
-
-// check refuses what cannot be served here at all.
-func (p *upstreamPart) check(call *upstreamCall) *coltsfootward.Refusal {
-	local := p.node.membership.local
-	if local.Service == "" || local.Service != call.head.Service {
-		return refusal(coltsfootward.RefusalNoUpstream, fmt.Sprintf("no backend server of %q runs here", call.head.Service))
-	}
-	if local.Draining || p.node.draining {
-		return refusal(coltsfootward.RefusalDraining, "the backend server takes no new work")
-	}
-	if p.node.domains.ownOut() {
-		return refusal(coltsfootward.RefusalDraining, outOfServiceText)
-	}
-	if call.head.Budget < 1 {
-		return refusal(coltsfootward.RefusalAttempts, "the chain has used its attempts")
-	}
-	return p.checkTime(call)
-}
-
-func (p *upstreamPart) checkTime(call *upstreamCall) *coltsfootward.Refusal {
-	now := p.node.now.Expiry
-	if now >= call.deadline {
-		return refusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started")
-	}
-	// A node that was paused between admission and dispatch would start work
-	// that the organisation's rate has long been charged for elsewhere. The
-	// admission's short life ends that: what is older is not dispatched.
-	if last := call.lastStart(); last != 0 && now >= last {
-		return refusal(coltsfootward.RefusalStale, "the request waited longer than its admission lasts")
-	}
-	return nil
-}
-
 // start dispatches waiting calls while the backend server has room.
 func (p *upstreamPart) start() {
 	if p.node.options.Routed && p.node.membership.local.Draining {
@@ -293,100 +208,6 @@
 	}
 }
 
-func (p *upstreamPart) ended(e DispatchEnded) {
-	call, ok := p.calls[e.Call]
-	if !ok {
-		return
-	}
-	p.measure()
-	p.cold.ended(e.Kind)
-	p.node.ledger.close(call)
-	p.countDispatched(call, -1)
-	if call.head.Route != "" {
-		p.node.callees.Ended(p.node.now.Monotonic, call.began, call.head.Route, e.Failed)
-	}
-	if e.Kind == DispatchUnsent {
-		p.admission.Unsent(admissioncontrol.RequestID(call.id))
-	} else {
-		p.admission.Done(p.node.now.Expiry, admissioncontrol.RequestID(call.id), e.Kind != DispatchAnswered)
-	}
-	switch e.Kind {
-	case DispatchUnsent:
-		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
-	case DispatchRejected:
-		p.node.meter.Rejected(p.admission.Estimate(classOf(call.head)))
-		p.rejected(call)
-	case DispatchFailed:
-		p.refuse(call, p.failed(call))
-	case DispatchTimeout:
-		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out while the request ran").
-			WithExecution(coltsfootward.ExecutionUnknown))
-	case DispatchAnswered:
-		delete(p.calls, call.id)
-		p.node.act(EndAnswer{Call: call.id, Load: p.load(call.head), Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
-	default:
-		delete(p.calls, call.id)
-	}
-	p.start()
-	p.refuseShed()
-}
-
-// rejected answers a call that the backend server said it did not run. The
-// server has seen it, so it counts as an attempt.
-func (p *upstreamPart) rejected(call *upstreamCall) {
-	delete(p.calls, call.id)
-	r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the backend server rejected the request without running it").
-		WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
-	p.answerRefused(call, r, 1)
-}
-
-// answerRefused tells the peer and the log that a call is refused.
-func (p *upstreamPart) answerRefused(call *upstreamCall, r coltsfootward.Refusal, attempts int) {
-	p.node.report(record.CallRefused, append(refusalFields(call.head.Request, r), p.evidence(call)...)...)
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: attempts})
-}
-
-// failed is the refusal of a call that the backend server broke off.
-//
-// One that broke off because a further call of its own was refused is final:
-// the layer below has already attempted that call as often as is allowed. If
-// each layer above did so too, attempts would multiply with the depth just
-// when the deepest service is overloaded.
-func (p *upstreamPart) failed(call *upstreamCall) coltsfootward.Refusal {
-	r := coltsfootward.NewRefusal(coltsfootward.RefusalUpstreamFailed, "the backend server broke off").
-		WithExecution(coltsfootward.ExecutionUnknown)
-	if call.childRefused {
-		r = r.WithFinal().WithRetryAfter(call.childRetryAfter)
-	}
-	return r
-}
-
-// childRefused notes that a further call of the request was refused for good.
-func (p *upstreamPart) childRefused(token CallToken, r coltsfootward.Refusal) {
-	if call, ok := p.node.ledger.parent(token); ok {
-		call.childRefused = true
-		call.childRetryAfter = r.RetryAfter
-		if r.Kind == coltsfootward.RefusalOverloaded {
-			p.admission.RefusedBelow(admissioncontrol.RequestID(call.id))
-		}
-	}
-}
-
-func (p *upstreamPart) callerLeft(id CallID) {
-	call, ok := p.calls[id]
-	if !ok {
-		return
-	}
-	if call.token != "" {
-		p.node.act(CancelDispatch{Call: id})
-		return
-	}
-	p.admission.Withdraw(admissioncontrol.RequestID(id))
-	p.admission.Unsent(admissioncontrol.RequestID(id))
-	p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalCancelled, "the caller left before the request started"))
-	p.start()
-}
-
 // tick refuses calls that have waited too long.
 func (p *upstreamPart) tick() {
 	p.admission.Tick(p.node.now.Expiry)
@@ -400,93 +221,6 @@
 	p.reportLimit()
 }
 
-// measure takes in how full the backend server has been since the last look. It comes
-// before each change of that, so the time between two looks does not matter.
-func (p *upstreamPart) measure() {
-	p.node.meter.Observe(p.node.now.Monotonic, p.admission.Running(), p.admission.Backlog())
-}
-
-func (p *upstreamPart) reportOverload() {
-	overloaded := p.admission.Overloaded(p.node.now.Expiry)
-	if overloaded == p.overloaded {
-		return
-	}
-	p.overloaded = overloaded
-	code := record.OverloadEnded
-	if overloaded {
-		code = record.OverloadBegan
-	}
-	p.node.report(code, field("service", string(p.node.membership.local.Service)), field("queued", number(p.admission.Queued())))
-}
-
-// reportLimit reports the limit's moves, at most once a second. The first limit
-// is what the backend server announced and has been reported as such.
-func (p *upstreamPart) reportLimit() {
-	limit, now := p.admission.Limit(), p.node.now.Monotonic
-	if limit == p.reportedLimit || now < p.nextReport {
-		return
-	}
-	first := p.reportedLimit == 0
-	p.reportedLimit = limit
-	if first {
-		return
-	}
-	p.nextReport = now + time.Second
-	p.node.report(record.LimitChanged, field("limit", number(limit)), field("slots", number(p.node.membership.local.Slots)))
-}
-
-// refuse answers the peer. Attempts counts what the call and all below it used:
-// its own attempt only if it may have run.
-func (p *upstreamPart) refuse(call *upstreamCall, r coltsfootward.Refusal) {
-	delete(p.calls, call.id)
-	used := 0
-	if r.Execution != coltsfootward.ExecutionNotRun {
-		used = call.escrow.Used()
-	}
-	p.answerRefused(call, r, used)
-}
-
-// load is what goes back with every answer to such a request.
-func (p *upstreamPart) load(head message.Call) message.Load {
-	if head.Route != "" {
-		return p.routedLoad(head)
-	}
-	return message.Load{
-		Running:   p.admission.Running(),
-		Queued:    p.admission.Queued(),
-		Limit:     p.admission.Limit(),
-		ShedLevel: p.admission.Level(head.Organisation, classOf(head)),
-	}
-}
-
-// routedLoad tells how full this upstream is, and what entry nodes are to refuse
-// for it and for the services that such requests need further down.
-func (p *upstreamPart) routedLoad(head message.Call) message.Load {
-	load := message.Load{
-		Running: p.admission.Running(),
-		Queued:  p.admission.Queued(),
-		Limit:   p.admission.Limit(),
-		Cold:    p.coldLeft(),
-		Excess:  p.node.throttle.Excess(),
-		Cost:    p.admission.Estimate(classOf(head)).Seconds(),
-	}
-	for _, r := range p.node.gates.Below(p.node.now.Monotonic, p.node.callees.Of(p.node.now.Monotonic, head.Route)) {
-		load.Below = append(load.Below, message.Pressure{Service: r.Service, Excess: r.Excess, Cost: r.Cost})
-	}
-	return load
-}
-
-// Load returns the state of the node's own upstream, without a shed level.
-func (n *Node) Load() message.Load {
-	return n.upstream.load(message.Call{})
-}
-
-// LoadFor returns what goes back with the answer to a request: the upstream's
-// state and the shed level for such requests.
-func (n *Node) LoadFor(head message.Call) message.Load {
-	return n.upstream.load(head)
-}
-
 func (n *Node) newCallToken() CallToken {
 	return CallToken(fmt.Sprintf("%016x%016x", n.source.Uint64(), n.source.Uint64()))
 }
--- /dev/null
+++ b/core/node/upstream_end.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"coltsfootward"
+	admissioncontrol "coltsfootward/core/admission"
+	"coltsfootward/core/record"
+)
+
+func (p *upstreamPart) ended(e DispatchEnded) {
+	call, ok := p.calls[e.Call]
+	if !ok {
+		return
+	}
+	p.measure()
+	p.cold.ended(e.Kind)
+	p.node.ledger.close(call)
+	p.countDispatched(call, -1)
+	if call.head.Route != "" {
+		p.node.callees.Ended(p.node.now.Monotonic, call.began, call.head.Route, e.Failed)
+	}
+	if e.Kind == DispatchUnsent {
+		p.admission.Unsent(admissioncontrol.RequestID(call.id))
+	} else {
+		p.admission.Done(p.node.now.Expiry, admissioncontrol.RequestID(call.id), e.Kind != DispatchAnswered)
+	}
+	switch e.Kind {
+	case DispatchUnsent:
+		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
+	case DispatchRejected:
+		p.node.meter.Rejected(p.admission.Estimate(classOf(call.head)))
+		p.rejected(call)
+	case DispatchFailed:
+		p.refuse(call, p.failed(call))
+	case DispatchTimeout:
+		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalTimeout, "the caller's time ran out while the request ran").
+			WithExecution(coltsfootward.ExecutionUnknown))
+	case DispatchAnswered:
+		delete(p.calls, call.id)
+		p.node.act(EndAnswer{Call: call.id, Load: p.load(call.head), Attempts: call.escrow.Used(), Needed: call.escrow.Needed()})
+	default:
+		delete(p.calls, call.id)
+	}
+	p.start()
+	p.refuseShed()
+}
+
+// rejected answers a call that the backend server said it did not run. The
+// server has seen it, so it counts as an attempt.
+func (p *upstreamPart) rejected(call *upstreamCall) {
+	delete(p.calls, call.id)
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, "the backend server rejected the request without running it").
+		WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
+	p.answerRefused(call, r, 1)
+}
+
+// answerRefused tells the peer and the log that a call is refused.
+func (p *upstreamPart) answerRefused(call *upstreamCall, r coltsfootward.Refusal, attempts int) {
+	p.node.report(record.CallRefused, append(refusalFields(call.head.Request, r), p.evidence(call)...)...)
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: attempts})
+}
+
+// failed is the refusal of a call that the backend server broke off.
+//
+// One that broke off because a further call of its own was refused is final:
+// the layer below has already attempted that call as often as is allowed. If
+// each layer above did so too, attempts would multiply with the depth just
+// when the deepest service is overloaded.
+func (p *upstreamPart) failed(call *upstreamCall) coltsfootward.Refusal {
+	r := coltsfootward.NewRefusal(coltsfootward.RefusalUpstreamFailed, "the backend server broke off").
+		WithExecution(coltsfootward.ExecutionUnknown)
+	if call.childRefused {
+		r = r.WithFinal().WithRetryAfter(call.childRetryAfter)
+	}
+	return r
+}
+
+// childRefused notes that a further call of the request was refused for good.
+func (p *upstreamPart) childRefused(token CallToken, r coltsfootward.Refusal) {
+	if call, ok := p.node.ledger.parent(token); ok {
+		call.childRefused = true
+		call.childRetryAfter = r.RetryAfter
+		if r.Kind == coltsfootward.RefusalOverloaded {
+			p.admission.RefusedBelow(admissioncontrol.RequestID(call.id))
+		}
+	}
+}
+
+func (p *upstreamPart) callerLeft(id CallID) {
+	call, ok := p.calls[id]
+	if !ok {
+		return
+	}
+	if call.token != "" {
+		p.node.act(CancelDispatch{Call: id})
+		return
+	}
+	p.admission.Withdraw(admissioncontrol.RequestID(id))
+	p.admission.Unsent(admissioncontrol.RequestID(id))
+	p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalCancelled, "the caller left before the request started"))
+	p.start()
+}
+
+// refuse answers the peer. Attempts counts what the call and all below it used:
+// its own attempt only if it may have run.
+func (p *upstreamPart) refuse(call *upstreamCall, r coltsfootward.Refusal) {
+	delete(p.calls, call.id)
+	used := 0
+	if r.Execution != coltsfootward.ExecutionNotRun {
+		used = call.escrow.Used()
+	}
+	p.answerRefused(call, r, used)
+}
--- /dev/null
+++ b/core/node/upstream_queue.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+
+	"coltsfootward"
+	admissioncontrol "coltsfootward/core/admission"
+	"coltsfootward/core/message"
+)
+
+// request is the call as admission sees it.
+func (p *upstreamPart) request(call *upstreamCall) admissioncontrol.Request {
+	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
+	return admissioncontrol.Request{
+		ID:           admissioncontrol.RequestID(call.id),
+		Priority:     queuePriority(call.head),
+		ShedRank:     call.head.ShedRank,
+		Deep:         call.head.Depth > 0,
+		Organisation: call.head.Organisation,
+		Weight:       organisation.Rate.PerSecond,
+		Class:        classOf(call.head),
+		Arrived:      call.arrived,
+		Deadline:     call.deadline,
+		StartBy:      call.lastStart(),
+		Repeatable:   !call.head.Unrepeatable,
+	}
+}
+
+// queuePriority is the place of a request's priorities in the queue. Without a
+// second priority only every fourth place is used.
+func queuePriority(head message.Call) int {
+	second := 0
+	if head.Second != "" {
+		second = head.Second.Rank()
+	}
+	return head.Priority.Rank()*len(coltsfootward.Priorities()) + second
+}
+
+// classOf returns the class of work that a request belongs to: its route, where
+// it has one.
+func classOf(head message.Call) string {
+	if head.Route != "" {
+		return string(head.Route)
+	}
+	return requestClass(head.Method, head.Path)
+}
+
+// requestClass groups requests that probably take equally long: the method and
+// the path's first two parts. What follows is usually the name of one thing.
+func requestClass(method, path string) string {
+	end := 0
+	for range 2 {
+		next := strings.IndexByte(path[min(end+1, len(path)):], '/')
+		if next < 0 {
+			return method + " " + path
+		}
+		end += 1 + next
+	}
+	return method + " " + path[:end]
+}
+
+// check refuses what cannot be served here at all.
+func (p *upstreamPart) check(call *upstreamCall) *coltsfootward.Refusal {
+	local := p.node.membership.local
+	if local.Service == "" || local.Service != call.head.Service {
+		return refusal(coltsfootward.RefusalNoUpstream, fmt.Sprintf("no backend server of %q runs here", call.head.Service))
+	}
+	if local.Draining || p.node.draining {
+		return refusal(coltsfootward.RefusalDraining, "the backend server takes no new work")
+	}
+	if p.node.domains.ownOut() {
+		return refusal(coltsfootward.RefusalDraining, outOfServiceText)
+	}
+	if call.head.Budget < 1 {
+		return refusal(coltsfootward.RefusalAttempts, "the chain has used its attempts")
+	}
+	return p.checkTime(call)
+}
+
+func (p *upstreamPart) checkTime(call *upstreamCall) *coltsfootward.Refusal {
+	now := p.node.now.Expiry
+	if now >= call.deadline {
+		return refusal(coltsfootward.RefusalTimeout, "the caller's time ran out before the request started")
+	}
+	// A node that was paused between admission and dispatch would start work
+	// that the organisation's rate has long been charged for elsewhere. The
+	// admission's short life ends that: what is older is not dispatched.
+	if last := call.lastStart(); last != 0 && now >= last {
+		return refusal(coltsfootward.RefusalStale, "the request waited longer than its admission lasts")
+	}
+	return nil
+}
