--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -198,6 +198,13 @@
 	Queued            int                         `json:"queued"`
 	Limit             int                         `json:"limit"`
 	ShedLevel         uint32                      `json:"shed_level"`
+	// OutOfService are the failure domains that operators have taken out of service.
+	OutOfService []coltsfootward.FailureDomain `json:"out_of_service"`
+	// ColdMilliseconds is how much longer the local backend server is cold,
+	// ColdPassed and ColdRefused what it was given and spared while cold.
+	ColdMilliseconds int64 `json:"cold_milliseconds"`
+	ColdPassed       int   `json:"cold_passed"`
+	ColdRefused      int   `json:"cold_refused"`
 }
 
 // inspect adds the gauges, read from the machine whenever someone asks.
@@ -211,7 +218,7 @@
 }
 
 func read(n *node.Node) gauges {
-	status, load := n.Status(), n.Load()
+	status, load, cold := n.Status(), n.Load(), n.Cold()
 	return gauges{
 		Instance:          status.Self.ID,
 		Domain:            status.Self.Domain,
@@ -225,6 +232,10 @@
 		Queued:            load.Queued,
 		Limit:             load.Limit,
 		ShedLevel:         load.ShedLevel,
+		OutOfService:      n.OutOfService().Domains,
+		ColdMilliseconds:  cold.Left.Milliseconds(),
+		ColdPassed:        cold.Passed,
+		ColdRefused:       cold.Refused,
 	}
 }
 
--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -48,11 +48,11 @@
 		return fmt.Sprintf("organisation %s has %s a second and a burst of %s (revision %s), and none of its parts had a token: %s",
 			f["organisation"], f["rate"], f["burst"], f["revision"], f["parts"])
 	case f["full"] != "":
-		return fmt.Sprintf("it needs service %s, whose servers want %s of the demand refused (told %s ago), so ranks above %s are refused and its own is %s",
-			f["full"], f["excess"], f["age"], f["limit"], f["rank"])
+		return fmt.Sprintf("it needs service %s, whose servers want %s of the demand refused (told %s ago), so ranks above %s are refused and its own is %s%s",
+			f["full"], f["excess"], f["age"], f["limit"], f["rank"], cold(refused, "; of these servers so many are cold, for another %s, that the service bears little"))
 	case kind == coltsfootward.RefusalNoUpstream && f["known"] != "":
-		return fmt.Sprintf("of %s backend servers of %s that are known, %s were tried, %s are ejected after failures, %s suspected, %s behind a cut",
-			f["known"], f["service"], f["tried"], f["ejected"], f["suspected"], f["unreachable"])
+		return fmt.Sprintf("of %s backend servers of %s that are known, %s were tried, %s are ejected after failures, %s suspected, %s behind a cut%s",
+			f["known"], f["service"], f["tried"], f["ejected"], f["suspected"], f["unreachable"], outOfService(refused))
 	case kind == coltsfootward.RefusalOverloaded:
 		if full, ok := last(lines, record.CallRefused); ok {
 			return busy(full)
@@ -69,8 +69,26 @@
 // busy says how full a backend server was.
 func busy(refused Line) string {
 	f := refused.Fields
-	return fmt.Sprintf("at %s, with %s of %s running and %s waiting (%s of work) and %s of the request's time left, %s",
-		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"])
+	return fmt.Sprintf("at %s, with %s of %s running and %s waiting (%s of work) and %s of the request's time left, %s%s",
+		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"], cold(refused, "; it is cold for another %s"))
+}
+
+// cold says how much longer servers are cold, if a refusal was due to that.
+func cold(refused Line, format string) string {
+	left := refused.Fields["cold"]
+	if left == "" {
+		return ""
+	}
+	return fmt.Sprintf(format, left)
+}
+
+// outOfService names the failure domains that get no work, if there are any.
+func outOfService(refused Line) string {
+	out := refused.Fields["out_of_service"]
+	if out == "" {
+		return ""
+	}
+	return " or in a failure domain out of service (" + out + ")"
 }
 
 // timedOut says where a request's time went.
--- a/cmd/explain/explain_test.go
+++ b/cmd/explain/explain_test.go
@@ -23,6 +23,10 @@
 {"level":"info","ts":1700000004.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-lost","instance":"south-1","kind":"connection_lost","execution":"unknown","detail":"the connection broke while the request was under way","service":"quotes","hop":"1","took":"700ms"}
 {"level":"info","ts":1700000004.001,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-lost","kind":"connection_lost","execution":"unknown","detail":"the connection broke while the request was under way","retry_after":"0s","service":"quotes","waited":"702ms","hops":"1","instance":"south-1"}
 {"level":"info","ts":1700000005.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-none","kind":"no_upstream","execution":"not_run","detail":"no backend server of the service takes work","retry_after":"1s","service":"quotes","waited":"0s","hops":"0","known":"13","tried":"0","ejected":"3","suspected":"0","unreachable":"10"}
+{"level":"info","ts":1700000005.100,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-out","kind":"no_upstream","execution":"not_run","detail":"no backend server of the service takes work","retry_after":"1s","service":"quotes","waited":"0s","hops":"0","known":"13","tried":"0","ejected":"3","suspected":"0","unreachable":"10","out_of_service":"south"}
+{"level":"info","ts":1700000005.200,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-cold-gate","kind":"overloaded","execution":"not_run","detail":"service \"feeds\", which the request needs, has no room for requests of this importance","retry_after":"3.2s","service":"quotes","waited":"0s","hops":"0","full":"feeds","passed":"0.02","excess":"0.98","age":"20ms","rank":"900","limit":"5","cold":"2.9s"}
+{"level":"info","ts":1700000005.300,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-cold","kind":"overloaded","execution":"not_run","detail":"the backend server is cold and bears only few requests","running":"2","limit":"19","queued":"1","backlog":"40ms","left":"310ms","service":"quotes","cold":"2.4s"}
+{"level":"info","ts":1700000005.301,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-cold","kind":"overloaded","execution":"not_run","detail":"the backend server is cold and bears only few requests","retry_after":"2.6s","service":"quotes","waited":"90ms","left":"308ms","hops":"1","instance":"south-1"}
 {"level":"info","ts":1700000006.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-slow","instance":"south-1","kind":"draining","execution":"not_run","detail":"the backend server takes no new work","service":"quotes","hop":"1","took":"3ms"}
 {"level":"info","ts":1700000007.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-slow","kind":"timeout","execution":"unknown","detail":"the caller's time ran out","retry_after":"0s","service":"quotes","waited":"1s","hops":"2","instance":"south-2"}
 {"level":"info","ts":1700000008.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-saved","instance":"south-1","kind":"upstream_failed","execution":"unknown","detail":"the backend server broke off","service":"quotes","hop":"1","took":"30ms"}
@@ -40,7 +44,7 @@
 
 func TestCauses(t *testing.T) {
 	var page strings.Builder
-	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-slow", "r-saved"} {
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved"} {
 		search := explain.NewSearch(request)
 		read(t, search.Take)
 		found, ok := search.Result()
--- a/core/node/cold.go
+++ b/core/node/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootward"
 	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/record"
 )
@@ -43,6 +44,9 @@
 	failures int
 	// asked is when a health check was asked for last.
 	asked time.Duration
+	// passed and refused count the requests that a cold server was given, and those
+	// that it was spared.
+	passed, refused int
 }
 
 // announced takes in the server's own word. A heartbeat that was sent before the
@@ -123,4 +127,30 @@
 func (p *coldPart) allows() bool { return !p.bounded() || p.starts.Wait(p.node.now.Monotonic) == 0 }
 
 // started counts a start.
-func (p *coldPart) started() { p.starts.Started(p.node.now.Monotonic) }
+func (p *coldPart) started() {
+	p.starts.Started(p.node.now.Monotonic)
+	if p.bounded() {
+		p.passed++
+	}
+}
+
+// refusal says when a caller that a cold server is spared may come back.
+func (p *coldPart) refusal(r coltsfootward.Refusal) coltsfootward.Refusal {
+	p.refused++
+	return r.WithRetryAfter(p.left() + p.node.spread(coldReturnSpread))
+}
+
+// ColdStatus is what a node knows of its backend server's coldness.
+type ColdStatus struct {
+	// Left is how much longer the server is cold, as far as the node knows.
+	Left time.Duration
+	// Passed counts the requests that it was given while cold, Refused those
+	// refused because it was.
+	Passed, Refused int
+}
+
+// Cold returns the coldness of the local backend server.
+func (n *Node) Cold() ColdStatus {
+	p := &n.upstream.cold
+	return ColdStatus{Left: p.left(), Passed: p.passed, Refused: p.refused}
+}
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -77,7 +77,7 @@
 // gateEvidence says how far a gate was closed and who wanted it so.
 func (p *entryPart) gateEvidence(call *entryCall, service coltsfootward.ServiceName) []record.Field {
 	state := p.node.gates.State(p.node.now.Monotonic, service)
-	return []record.Field{
+	fields := []record.Field{
 		field("full", string(service)),
 		field("passed", decimal(state.Passed)),
 		field("excess", decimal(state.Excess)),
@@ -85,23 +85,45 @@
 		field("rank", number(call.head.ShedRank)),
 		field("limit", number(state.Limit)),
 	}
+	return coldField(fields, p.node.placement.coldReturn(service))
+}
+
+// coldField adds how much longer servers are cold, if they are.
+func coldField(fields []record.Field, left time.Duration) []record.Field {
+	if left <= 0 {
+		return fields
+	}
+	return append(fields, field("cold", short(left)))
 }
 
 // targetEvidence says why no backend server of the call's service could be chosen.
 func (p *entryPart) targetEvidence(call *entryCall) []record.Field {
 	census := p.node.placement.service(call.head.Service).pool.Census(p.node.now.Monotonic, call.tried)
-	return []record.Field{
+	fields := []record.Field{
 		field("known", number(census.Known)),
 		field("tried", number(census.Tried)),
 		field("ejected", number(census.Ejected)),
 		field("suspected", number(census.Suspected)),
 		field("unreachable", number(census.Unreachable)),
 	}
+	if out := p.node.domains.current.Domains; len(out) > 0 {
+		fields = append(fields, field("out_of_service", names(out)))
+	}
+	return fields
+}
+
+// names returns failure domains in one text.
+func names(domains []coltsfootward.FailureDomain) string {
+	var all []string
+	for _, domain := range domains {
+		all = append(all, string(domain))
+	}
+	return strings.Join(all, ", ")
 }
 
 // evidence says how full the backend server was when a call for it was refused.
 func (p *upstreamPart) evidence(call *upstreamCall) []record.Field {
-	return []record.Field{
+	fields := []record.Field{
 		field("service", string(call.head.Service)),
 		field("route", string(call.head.Route)),
 		field("organisation", string(call.head.Organisation)),
@@ -114,6 +136,7 @@
 		field("waited", short(p.node.now.Expiry-call.arrived)),
 		field("left", short(call.deadline-p.node.now.Expiry)),
 	}
+	return coldField(fields, p.coldLeft())
 }
 
 // shortest is the precision of the times in evidence.
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -202,7 +202,7 @@
 		r := coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, text).
 			WithRetryAfter(p.node.spread(p.admission.ReturnAfter(p.node.now.Expiry)))
 		if shed.Reason == admissioncontrol.ReasonCold {
-			r = r.WithRetryAfter(p.cold.left() + p.node.spread(coldReturnSpread))
+			r = p.cold.refusal(r)
 		}
 		p.refuse(p.calls[CallID(shed.Request.ID)], r)
 	}
--- a/core/nodetest/evidence_test.go
+++ b/core/nodetest/evidence_test.go
@@ -95,3 +95,43 @@
 		})
 	}
 }
+
+// Guards against refusals that don't tell that servers were cold.
+func TestRefusalsSayThatServersAreCold(t *testing.T) {
+	r, members := newCold(1, 2, "north", "south")
+	load(r, members, 1000, time.Second)
+	for _, m := range members {
+		m.AnnounceCold("quotes", 40, coldTime)
+	}
+	load(r, members, 1000, coldTime-time.Second)
+	for code, kind := range map[record.Code]string{record.RequestRefused: "at the entry", record.CallRefused: "at the server's node"} {
+		missing, ok := lacking(members, code, coltsfootward.RefusalOverloaded, "cold")
+		if !ok || len(missing) > 0 {
+			t.Errorf("%s: refusals lack %v, seen %v", kind, missing, ok)
+		}
+	}
+	passed, refused := 0, 0
+	for _, m := range members {
+		cold := m.Node().Cold()
+		if cold.Left <= 0 || cold.Left > coldTime {
+			t.Errorf("%s: cold for another %v, want up to %v", m.Instance.ID, cold.Left, coldTime)
+		}
+		passed += cold.Passed
+		refused += cold.Refused
+	}
+	if passed == 0 || refused == 0 {
+		t.Errorf("cold servers got %d requests and were spared %d, want some of both", passed, refused)
+	}
+}
+
+// Guards against "no backend server takes work" that doesn't name the operators' doing.
+func TestRefusalsNameDomainsOutOfService(t *testing.T) {
+	r, members := newCold(1, 1, "north", "south")
+	members[0].ReadDomains(outOfService(3, "north", "south"))
+	r.Run(time.Second)
+	get(members[1])
+	r.Run(time.Second)
+	if missing, ok := lacking(members, record.RequestRefused, coltsfootward.RefusalNoUpstream, "out_of_service"); !ok || len(missing) > 0 {
+		t.Errorf("the refusal lacks %v, seen %v", missing, ok)
+	}
+}
