--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -37,8 +37,8 @@
 	// Objective is the latency up to which an answer has its full worth, Deadline
 	// how long a caller waits in all, Timeout the route's own bound.
 	Objective, Deadline, Timeout time.Duration
-	// Worth is what an answer within the objective is worth, LateWorth the part
-	// of that which a later one keeps.
+	// Worth is what an answer within the objective is worth, LateWorth what a later
+	// one is.
 	Worth, LateWorth float64
 	Priority         coltsfootward.Priority
 	Unrepeatable     bool
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -64,7 +64,7 @@
 			return
 		}
 		n.Late++
-		n.Earned += c.Worth * c.LateWorth
+		n.Earned += c.LateWorth
 	})
 }
 
