--- a/cmd/coltsload/cost_fleet.go
+++ b/cmd/coltsload/cost_fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootward/cmd/fleet"
+	hostingplatform "coltsfootward/platform"
 	"coltsfootward/standin/hosting"
 
 	"github.com/google/uuid"
@@ -167,9 +168,10 @@
 	if err != nil {
 		return "request"
 	}
+	fields := hostingplatform.Fields()
 	request.Host = costHost
-	request.Header.Set("Coltsfootward-Request-Id", id)
-	request.Header.Set("Coltsfootward-Deadline-Ms", strconv.FormatInt(costDeadline.Milliseconds(), 10))
+	request.Header.Set(fields.Request, id)
+	request.Header.Set(fields.Deadline, strconv.FormatInt(costDeadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	return failure(c.client, request, c.wanted)
 }
--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -85,8 +85,8 @@
 		return
 	}
 	request.Host = host
-	request.Header.Set("Coltsfootward-Request-Id", id)
-	request.Header.Set("Coltsfootward-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	request.Header.Set(fields.Request, id)
+	request.Header.Set(fields.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer key-of-"+organisation)
 	response, err := client.Do(request)
 	if err != nil {
@@ -100,5 +100,5 @@
 		return // the answer broke off, and does not look whole
 	}
 	t.status = response.StatusCode
-	t.whole = string(text) == "answer to "+id && response.Header.Get("Coltsfootward-Response-Stamp") != ""
+	t.whole = string(text) == "answer to "+id && response.Header.Get(fields.Stamp) != ""
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -7,9 +7,13 @@
 	"time"
 
 	"coltsfootward/cmd/fleet"
+	hostingplatform "coltsfootward/platform"
 	"coltsfootward/standin/hosting"
 )
 
+// fields names the header fields that callers and backend servers use.
+var fields = hostingplatform.Fields()
+
 const (
 	host    = "soak.example"
 	service = "quotes"
@@ -96,7 +100,7 @@
 	n.backend.Serve = func(w http.ResponseWriter, r *http.Request) {
 		seen(r)
 		time.Sleep(5 * time.Millisecond)
-		fmt.Fprintf(w, "answer to %s", r.Header.Get("Coltsfootward-Request-Id"))
+		fmt.Fprintf(w, "answer to %s", r.Header.Get(fields.Request))
 	}
 	n.server = httptest.NewServer(n.backend)
 	var err error
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -42,7 +42,7 @@
 
 // ran takes in a run at a backend server.
 func (l *ledger) ran(r *http.Request) {
-	id := r.Header.Get("Coltsfootward-Request-Id")
+	id := r.Header.Get(fields.Request)
 	organisation, _, _ := strings.Cut(id, "-")
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,7 +53,7 @@
 	if r.Header.Get("Authorization") != "" {
 		l.note("request %s reached a backend server with its key", id)
 	}
-	if got := r.Header.Get("Coltsfootward-Tenant-Id"); got != organisation {
+	if got := r.Header.Get(fields.Organisation); got != organisation {
 		l.note("request %s ran for organisation %q", id, got)
 	}
 	if want := "/" + kindOf(id) + "/" + id; r.URL.Path != want {
