--- a/cmd/coltsload/cost.go
+++ b/cmd/coltsload/cost.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -140,30 +139,20 @@
 		return fmt.Errorf("coltsload: profile: %w", err)
 	}
 	seconds := max(int(duration.Seconds()), 1)
-	pages := map[string]string{"processor": fmt.Sprintf("profile?seconds=%d", seconds), "allocations": fmt.Sprintf("allocs?seconds=%d", seconds)}
-	var wait sync.WaitGroup
-	failed := make(chan error, len(pages))
-	for name, page := range pages {
-		wait.Go(func() {
-			failed <- fetch("http://"+f.nodes[0].Ports().Operators+"/debug/pprof/"+page, filepath.Join(directory, name+".pprof"))
-		})
+	page := func(name, file string) error {
+		return fetch(fmt.Sprintf("http://%s/debug/pprof/%s?seconds=%d", f.nodes[0].Ports().Operators, name, seconds), filepath.Join(directory, file))
 	}
+	var processor, allocations error
+	var wait sync.WaitGroup
+	wait.Go(func() { processor = page("profile", "processor.pprof") })
+	wait.Go(func() { allocations = page("allocs", "allocations.pprof") })
 	wait.Wait()
-	close(failed)
-	var all error
-	for err := range failed {
-		all = errors.Join(all, err)
-	}
-	return all
+	return errors.Join(processor, allocations)
 }
 
 // fetch writes a page to a file.
 func fetch(url, file string) error {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.Get(url)
 	if err != nil {
 		return fmt.Errorf("coltsload: profile: %w", err)
 	}
--- a/cmd/coltsload/cost_fleet.go
+++ b/cmd/coltsload/cost_fleet.go
@@ -147,8 +147,7 @@
 }
 
 func (f *costFleet) callers(refused bool) *costCallers {
-	c := &costCallers{fleet: f, key: key, wanted: http.StatusOK,
-		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}}
+	c := &costCallers{fleet: f, client: newClient(), key: key, wanted: http.StatusOK}
 	if refused {
 		c.key, c.wanted = "key-of-nobody", http.StatusUnauthorized
 	}
--- a/cmd/coltsload/openloop.go
+++ b/cmd/coltsload/openloop.go
@@ -54,11 +54,16 @@
 // time. A closed loop would stop asking while the system stalls and so leave
 // out the very calls that suffer.
 func run(ctx context.Context, t target, p plan) measurement {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
+	client := newClient()
 	defer client.CloseIdleConnections()
 	return openLoop(p, func(int) string { return call(ctx, client, t) })
 }
 
+// newClient returns a client that keeps connections for many calls at once.
+func newClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}
+}
+
 // openLoop makes the calls of a plan. call is told which one it is and returns what
 // went wrong with it, or "".
 func openLoop(p plan, call func(number int) string) measurement {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -224,13 +224,7 @@
 	n.act(Drained{})
 }
 
-// usualActions is how many actions most events lead to, at most.
-const usualActions = 4
-
 func (n *Node) act(action Action) {
-	if n.actions == nil {
-		n.actions = make([]Action, 0, usualActions)
-	}
 	n.actions = append(n.actions, action)
 }
 
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -225,22 +225,24 @@
 	for name, s := range p.pools {
 		service, _ := p.node.configuration.current.Service(name)
 		s.pool.BoundCold(service.ColdRate > 0)
-		part, wait := s.pool.Warmth(p.node.now.Monotonic)
-		withheld := 0.0
-		if wait > 0 {
-			withheld = max(1-coldDemand*part, 0)
-		}
+		withheld, _ := p.withheldByCold(s)
 		p.node.gates.Withhold(name, withheld)
 	}
 }
 
+// withheldByCold returns the part of the demand for a service that its cold servers
+// leave no room for, and how long that lasts.
+func (p *placementPart) withheldByCold(s *servicePool) (part float64, wait time.Duration) {
+	warm, wait := s.pool.Warmth(p.node.now.Monotonic)
+	if wait == 0 || coldDemand*warm >= 1 {
+		return 0, 0
+	}
+	return 1 - coldDemand*warm, wait
+}
+
 // coldReturn returns how long the cold time of a service lasts that has no room for
 // a request because of it, else zero.
 func (p *placementPart) coldReturn(service coltsfootward.ServiceName) time.Duration {
-	s := p.service(service)
-	part, wait := s.pool.Warmth(p.node.now.Monotonic)
-	if coldDemand*part >= 1 {
-		return 0
-	}
+	_, wait := p.withheldByCold(p.service(service))
 	return wait
 }
--- a/core/node/shed_rank.go
+++ b/core/node/shed_rank.go
@@ -19,12 +19,7 @@
 
 // requestHash returns a hash of so many bits.
 func requestHash(organisation coltsfootward.OrganisationName, request coltsfootward.RequestID, bits int) uint32 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range [...]string{string(organisation), "\x00", string(request)} {
-		_, _ = digest.WriteString(part) // it never fails
-	}
-	return uint32(digest.Sum64() >> (64 - bits))
+	return uint32(xxhash.Sum64String(string(organisation)+"\x00"+string(request)) >> (64 - bits))
 }
 
 // secondShift is where the second priority stands in a routed request's rank.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -65,12 +65,10 @@
 	outlets Outlets
 	events  chan posted
 	table   chan func(context.Context)
-	done    chan struct{}
-	once    sync.Once
-	wait    sync.WaitGroup
 	// ending is done once the loop is closed: operations on the table end with it.
 	ending context.Context
 	end    context.CancelFunc
+	wait   sync.WaitGroup
 	nextID atomic.Uint64
 
 	mu    sync.Mutex
@@ -85,7 +83,6 @@
 		outlets: outlets,
 		events:  make(chan posted, eventRing),
 		table:   make(chan func(context.Context), tableRing),
-		done:    make(chan struct{}),
 		calls:   make(map[node.CallID]chan node.Action),
 	}
 	l.ending, l.end = context.WithCancel(context.Background())
@@ -98,15 +95,12 @@
 
 // Close stops the loop and waits for its goroutines.
 func (l *Loop) Close() {
-	l.once.Do(func() {
-		close(l.done)
-		l.end()
-	})
+	l.end()
 	l.wait.Wait()
 }
 
 // Done returns a channel that is closed when the loop stops.
-func (l *Loop) Done() <-chan struct{} { return l.done }
+func (l *Loop) Done() <-chan struct{} { return l.ending.Done() }
 
 // posted is what waits for the machine: an event and since when, or an inspection.
 type posted struct {
@@ -123,7 +117,7 @@
 	select {
 	case l.events <- p:
 		return true
-	case <-l.done:
+	case <-l.ending.Done():
 		return false
 	}
 }
@@ -138,7 +132,7 @@
 	select {
 	case <-finished:
 		return true
-	case <-l.done:
+	case <-l.ending.Done():
 		return false
 	}
 }
@@ -157,7 +151,7 @@
 		case <-timer.C:
 			l.handle(node.Tick{}, time.Now())
 			timer.Reset(l.machine.NextTick())
-		case <-l.done:
+		case <-l.ending.Done():
 			return
 		}
 	}
@@ -244,7 +238,7 @@
 			ctx, cancel := context.WithTimeout(l.ending, tableTimeout)
 			operation(ctx)
 			cancel()
-		case <-l.done:
+		case <-l.ending.Done():
 			return
 		}
 	}
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -26,7 +26,7 @@
 		return d.connection, d.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-t.done:
+	case <-t.ending.Done():
 		return nil, errConnectionClosed
 	}
 }
@@ -76,7 +76,7 @@
 		return
 	}
 	select {
-	case <-t.done:
+	case <-t.ending.Done():
 		c.close()
 		return
 	default:
@@ -110,7 +110,7 @@
 			select {
 			case <-d.ready:
 				d.deliver(payload)
-			case <-t.done:
+			case <-t.ending.Done():
 			}
 		})
 	}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -212,16 +212,13 @@
 // frame to the next. It is not safe for concurrent use.
 type frameReader struct {
 	r       io.Reader
-	source  bytes.Reader
-	decoder *msgpack.Decoder
+	decoder *byteDecoder
 	length  [lengthBytes]byte
 	kind    [longestKind]byte
 }
 
 func newFrameReader(r io.Reader) *frameReader {
-	f := &frameReader{r: r}
-	f.decoder = msgpack.NewDecoder(&f.source)
-	return f
+	return &frameReader{r: r, decoder: newByteDecoder()}
 }
 
 // readFrame reads one frame from r and nothing behind it.
@@ -251,8 +248,7 @@
 // parse takes a frame apart. The payload is a part of data.
 func (fr *frameReader) parse(data []byte) (frame, error) {
 	var f frame
-	fr.source.Reset(data)
-	fr.decoder.Reset(&fr.source)
+	fr.decoder.take(data)
 	kind, err := fr.readKind()
 	if err != nil {
 		return f, &FrameError{Reason: "undecodable", Err: err}
@@ -263,7 +259,7 @@
 			return f, &FrameError{Reason: "undecodable", Err: err}
 		}
 	}
-	f = frame{Kind: kind, Stream: uint32(numbers[0]), Sent: numbers[1], Payload: data[len(data)-fr.source.Len():]}
+	f = frame{Kind: kind, Stream: uint32(numbers[0]), Sent: numbers[1], Payload: fr.decoder.rest(data)}
 	if int64(len(f.Payload)) != numbers[2] || int64(f.Stream) != numbers[0] {
 		return f, &FrameError{Reason: "a frame whose parts do not fit its length"}
 	}
@@ -288,18 +284,29 @@
 	return frameKind(name), nil
 }
 
-// payloadDecoder decodes payloads, one after the other.
-type payloadDecoder struct {
-	source  bytes.Reader
-	decoder *msgpack.Decoder
+// byteDecoder decodes from bytes, and can be given others when it is done.
+type byteDecoder struct {
+	*msgpack.Decoder
+	source bytes.Reader
 }
 
-// payloadDecoders keeps decoders for reuse.
-var payloadDecoders = sync.Pool{New: func() any {
-	d := &payloadDecoder{}
-	d.decoder = msgpack.NewDecoder(&d.source)
+func newByteDecoder() *byteDecoder {
+	d := &byteDecoder{}
+	d.Decoder = msgpack.NewDecoder(&d.source)
 	return d
-}}
+}
+
+// take begins to decode data.
+func (d *byteDecoder) take(data []byte) {
+	d.source.Reset(data)
+	d.Reset(&d.source)
+}
+
+// rest returns what of data, which it has taken, is not decoded yet.
+func (d *byteDecoder) rest(data []byte) []byte { return data[len(data)-d.source.Len():] }
+
+// byteDecoders keeps decoders for reuse.
+var byteDecoders = sync.Pool{New: func() any { return newByteDecoder() }}
 
 // decode decodes a payload. A panic of the decoder on hostile bytes becomes an
 // error like any other.
@@ -310,12 +317,11 @@
 		}
 	}()
 	if own, ok := into.(msgpack.CustomDecoder); ok {
-		d := payloadDecoders.Get().(*payloadDecoder)
-		d.source.Reset(data)
-		d.decoder.Reset(&d.source)
-		err = own.DecodeMsgpack(d.decoder)
-		d.source.Reset(nil)
-		payloadDecoders.Put(d)
+		d := byteDecoders.Get().(*byteDecoder)
+		d.take(data)
+		err = own.DecodeMsgpack(d.Decoder)
+		d.take(nil)
+		byteDecoders.Put(d)
 	} else {
 		err = msgpack.Unmarshal(data, into)
 	}
@@ -328,46 +334,42 @@
 // usualPayload is the size of most payloads in bytes.
 const usualPayload = 512
 
-func encode(value any) ([]byte, error) {
-	own, ok := value.(msgpack.CustomEncoder)
-	if !ok {
-		data, err := msgpack.Marshal(value)
-		if err != nil {
-			return nil, fmt.Errorf("peer: encode: %w", err)
-		}
-		return data, nil
-	}
+// encoded returns what write encodes.
+func encoded(write func(*msgpack.Encoder) error) ([]byte, error) {
 	encoder := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(encoder)
 	data := bytes.NewBuffer(make([]byte, 0, usualPayload))
 	encoder.Reset(data)
-	if err := own.EncodeMsgpack(encoder); err != nil {
+	if err := write(encoder); err != nil {
 		return nil, fmt.Errorf("peer: encode: %w", err)
 	}
 	return data.Bytes(), nil
 }
 
+func encode(value any) ([]byte, error) {
+	if own, ok := value.(msgpack.CustomEncoder); ok {
+		return encoded(own.EncodeMsgpack)
+	}
+	return encoded(func(encoder *msgpack.Encoder) error { return encoder.Encode(value) })
+}
+
 // encodeMessage encodes a message behind its kind.
 func encodeMessage(m message.Message) ([]byte, error) {
-	encoder := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(encoder)
-	data := bytes.NewBuffer(make([]byte, 0, usualPayload))
-	encoder.Reset(data)
-	if err := encoder.EncodeString(string(m.MessageKind())); err != nil {
-		return nil, fmt.Errorf("peer: encode: %w", err)
-	}
-	if err := encoder.Encode(m); err != nil {
-		return nil, fmt.Errorf("peer: encode: %w", err)
-	}
-	return data.Bytes(), nil
+	return encoded(func(encoder *msgpack.Encoder) error {
+		if err := encoder.EncodeString(string(m.MessageKind())); err != nil {
+			return err
+		}
+		return encoder.Encode(m)
+	})
 }
 
 func decodeMessage(data []byte) (message.Message, error) {
-	source := bytes.NewReader(data)
-	decoder := msgpack.GetDecoder()
-	decoder.Reset(source)
-	kind, err := decoder.DecodeString()
-	msgpack.PutDecoder(decoder)
+	d := byteDecoders.Get().(*byteDecoder)
+	d.take(data)
+	kind, err := d.DecodeString()
+	rest := d.rest(data)
+	d.take(nil)
+	byteDecoders.Put(d)
 	if err != nil {
 		return nil, &FrameError{Reason: "undecodable", Err: err}
 	}
@@ -375,7 +377,7 @@
 	if m == nil {
 		return nil, &FrameError{Reason: fmt.Sprintf("unknown message kind %q", kind)}
 	}
-	if err := decode(data[len(data)-source.Len():], m); err != nil {
+	if err := decode(rest, m); err != nil {
 		return nil, err
 	}
 	return m, nil
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -64,7 +64,6 @@
 	self    coltsfootward.Instance
 	clock   func() coltsfootward.Instant
 	handler Handler
-	done    chan struct{}
 	once    sync.Once
 	wait    sync.WaitGroup
 	// ending is done once the transport is closed: what is under way on the network
@@ -95,7 +94,6 @@
 		self:     self,
 		clock:    clock,
 		handler:  handler,
-		done:     make(chan struct{}),
 		listener: listener,
 		dialled:  make(map[coltsfootward.InstanceID]*dialled),
 		accepted: make(map[*connection]struct{}),
@@ -116,7 +114,6 @@
 		t.mu.Lock()
 		t.closed = true
 		t.mu.Unlock()
-		close(t.done)
 		t.end()
 		if t.listener != nil {
 			t.listener.Close()
@@ -193,7 +190,7 @@
 		t.handler.PeerLost(c.remote)
 	}()
 	select {
-	case <-t.done:
+	case <-t.ending.Done():
 		return
 	default:
 	}
@@ -345,7 +342,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-t.done:
+		case <-t.ending.Done():
 			return
 		case <-ticker.C:
 		}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -286,9 +286,6 @@
 	return response, d.checkHead(response)
 }
 
-// alwaysSet is how many of the fields that a node sets are sent also if empty.
-const alwaysSet = 3
-
 func (d *dispatch) fill(request *http.Request, backend string) {
 	for name, values := range d.head.Header {
 		request.Header[name] = values
@@ -300,11 +297,14 @@
 	left := d.action.Deadline - d.server.clock.Now().Expiry
 	deadline := strconv.FormatInt(max(left.Milliseconds(), 1), 10)
 	if fields := d.server.options.Routed; fields != nil {
-		values := [...]string{string(d.head.Request), string(d.head.Caller), deadline, backend, string(d.head.Organisation)}
-		for i, name := range [...]string{fields.Request, fields.Caller, fields.Deadline, fields.Expected, fields.Organisation} {
-			if values[i] != "" || i < alwaysSet {
-				request.Header[name] = values[i : i+1 : i+1]
-			}
+		request.Header[fields.Request] = []string{string(d.head.Request)}
+		request.Header[fields.Caller] = []string{string(d.head.Caller)}
+		request.Header[fields.Deadline] = []string{deadline}
+		if backend != "" {
+			request.Header[fields.Expected] = []string{backend}
+		}
+		if d.head.Organisation != "" {
+			request.Header[fields.Organisation] = []string{string(d.head.Organisation)}
 		}
 	} else {
 		request.Header.Set(caller.HeaderRequest, string(d.head.Request))
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -18,9 +18,10 @@
 func ReadBody(r io.Reader, most int64) ([]byte, error) {
 	pooled := firstBuffers.Get().(*[firstRead]byte)
 	defer firstBuffers.Put(pooled)
+	limited := io.LimitReader(r, most)
 	n := 0
-	for n < len(pooled) && int64(n) < most {
-		read, err := r.Read(pooled[n:min(int64(len(pooled)), most)])
+	for n < len(pooled) {
+		read, err := limited.Read(pooled[n:])
 		n += read
 		// A body that breaks off may end with io.ErrUnexpectedEOF; only io.EOF
 		// says that it is whole.
@@ -31,6 +32,6 @@
 			return nil, err
 		}
 	}
-	rest, err := io.ReadAll(io.LimitReader(r, most-int64(n)))
+	rest, err := io.ReadAll(limited)
 	return append(append(make([]byte, 0, n+len(rest)), pooled[:n]...), rest...), err
 }
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -68,19 +68,20 @@
 
 // Write sets a row as the operator does.
 func (s *Store) Write(table, key string, value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.put(Row{Table: table, Key: key, Value: value, RowVersion: s.version})
-	s.wake()
+	s.change(Row{Table: table, Key: key, Value: value})
 }
 
 // Remove removes a row as the operator does.
 func (s *Store) Remove(table, key string) {
+	s.change(Row{Table: table, Key: key, Tombstone: true})
+}
+
+func (s *Store) change(r Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.put(Row{Table: table, Key: key, Tombstone: true, RowVersion: s.version})
+	r.RowVersion = s.version
+	s.put(r)
 	s.wake()
 }
 
