core/node: report a crash of the backend server with the requests it was running

Callers saw all requests of one service refused or failed for 18 s, three times. The logs could not tell whether one request ended every server or whether load did: no line says what a server was running when it ended, and two requests with the same path, organisation and body look like two different ones.

Change: every request has a fingerprint, a hash of organisation, host, method, path and body. It is in request_refused, call_refused and attempt_failed. The node beside a server reports backend_crashed (312) with the fingerprints of the requests in service once requests broke off and the server is gone or has started anew, unless it had announced its end. If all its requests broke off and none follows, a health check decides.

No decision depends on it yet.

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"coltsfootward"
@@ -175,10 +177,20 @@
 		Slots:    current.Slots,
 		Draining: current.State != coltsfootward.BackendReady,
 		Cold:     current.ColdRemaining,
+		Start:    startOf(current),
 	})
 	return h.components.loop.Inspect(func(*node.Node) {})
 }
 
+// startOf identifies the start of the backend server that a heartbeat belongs to. A
+// health check does not report the start, so the result is empty then.
+func startOf(h coltsfootward.Heartbeat) string {
+	if h.StartedAt.IsZero() {
+		return ""
+	}
+	return h.ID + "@" + strconv.FormatInt(h.StartedAt.UnixMilli(), 10)
+}
+
 // findBackend determines the backend server's state after the node has started.
 //
 // A node may be killed right after it has acknowledged that its backend server is
@@ -245,6 +257,9 @@
 		health, err := h.checkHealth()
 		if err != nil {
 			h.components.reporter.event(record.BackendUnchecked, "error", err.Error())
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				h.components.loop.Post(node.BackendLost{})
+			}
 			return
 		}
 		h.components.loop.Post(node.BackendChecked{Cold: health.ColdRemaining})
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -6,6 +6,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/message"
+	"coltsfootward/core/quarantine"
 )
 
 // retryAfterJitter is the width of the range from which jitteredRetryAfter
@@ -67,7 +68,8 @@
 	// key.
 	claim *entryClaim
 	// body is a digest of the request's body.
-	body uint64
+	body        uint64
+	fingerprint quarantine.Fingerprint
 	// admission entitles the next attempt to start.
 	admission admission
 	// objective is the latency up to which a response has its full value; zero
@@ -119,6 +121,7 @@
 		p.refuse(e.Call, e.Request, *refusal)
 		return
 	}
+	call.fingerprint = quarantine.FingerprintOf(call.head, e.Body)
 	p.calls[call.id] = call
 	if p.shedAtEntry(call) {
 		return
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -103,6 +103,7 @@
 	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)),
 		field("execution", string(refused.Execution)), field("detail", refused.Detail),
+		field("fingerprint", call.fingerprint.String()),
 		field("service", string(call.head.Service)), field("route", string(call.head.Route)),
 		field("hop", number(call.hops)), field("took", rounded(p.node.now.Monotonic-call.sentAt)))
 	call.lastRefusal = refused
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -42,7 +42,7 @@
 	// Request is the ID that the caller has given to the request; if it is
 	// empty, the node generates one.
 	Request coltsfootward.RequestID
-	// Body is a digest of the body, used for requests with an idempotency key.
+	// Body is a digest of the body.
 	Body uint64
 	// Attempt is the caller's own attempt number, counted from 1.
 	Attempt int
@@ -124,6 +124,8 @@
 	Call CallID
 	From coltsfootward.InstanceID
 	Head message.Call
+	// Body is a digest of the body.
+	Body uint64
 	// Age is an upper bound on the time since the call was sent.
 	Age time.Duration
 }
@@ -179,6 +181,9 @@
 	Draining bool
 	// Cold is how much longer the backend server is cold.
 	Cold time.Duration
+	// Start identifies the backend server's current start; empty if it reports
+	// none.
+	Start string
 }
 
 // BackendChecked reports the local backend server's response to the health
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -23,6 +23,7 @@
 // when the call ends.
 func (p *entryComponent) evidence(call *entryCall) []record.Field {
 	fields := []record.Field{
+		field("fingerprint", call.fingerprint.String()),
 		field("service", string(call.head.Service)),
 		field("route", string(call.head.Route)),
 		field("organisation", string(call.head.Organisation)),
@@ -130,6 +131,7 @@
 // a call for it was refused.
 func (p *upstreamComponent) evidence(call *upstreamCall) []record.Field {
 	fields := []record.Field{
+		field("fingerprint", call.fingerprint.String()),
 		field("service", string(call.head.Service)),
 		field("route", string(call.head.Route)),
 		field("organisation", string(call.head.Organisation)),
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -141,6 +141,7 @@
 
 func (p *membershipComponent) backendAnnounced(e BackendAnnounced) {
 	changed := p.local.Service != e.Service || p.local.Slots != e.Slots || p.local.Draining != (e.Draining || p.local.Leaving)
+	p.node.upstream.crashes.announced(e.Start)
 	p.node.upstream.cold.announced(e.Cold)
 	if !changed {
 		return
@@ -169,6 +170,7 @@
 // again. Nothing listens at its address, so every request placed on it would
 // waste a hop.
 func (p *membershipComponent) backendLost() {
+	p.node.upstream.crashes.backendLost()
 	if p.local.Service == "" {
 		return
 	}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -10,6 +10,7 @@
 	admissioncontrol "coltsfootward/core/admission"
 	"coltsfootward/core/attempt"
 	"coltsfootward/core/message"
+	"coltsfootward/core/quarantine"
 )
 
 // upstreamCall is a call for the local backend server.
@@ -35,6 +36,7 @@
 	// childRetryAfter is the Retry-After of that refusal.
 	childRefused    bool
 	childRetryAfter time.Duration
+	fingerprint     quarantine.Fingerprint
 }
 
 // upstreamComponent queues and dispatches all requests for the local backend
@@ -45,6 +47,7 @@
 	calls     map[CallID]*upstreamCall
 	admission *admissioncontrol.Controller
 	cold      coldTracker
+	crashes   crashDetector
 	// inFlight counts the requests that the backend server is processing;
 	// inFlightRetries counts those of them that are retries.
 	inFlight, inFlightRetries int
@@ -58,6 +61,7 @@
 func newUpstreamComponent(n *Node) *upstreamComponent {
 	p := &upstreamComponent{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
 	p.cold = coldTracker{node: n, startedAt: n.now.Monotonic}
+	p.crashes = crashDetector{node: n}
 	if n.options.Routed {
 		p.admission.FixLimit()
 		p.admission.LetDeepWait()
@@ -75,6 +79,8 @@
 		arrivedAt: now,
 		deadline:  now + e.Head.Timeout - e.Age,
 		budget:    attempt.NewBudget(e.Head.Budget),
+
+		fingerprint: quarantine.FingerprintOf(e.Head, e.Body),
 	}
 	if e.Head.StartWithin > 0 {
 		call.startBy = now + e.Head.StartWithin - e.Age
@@ -225,6 +231,7 @@
 	p.observeLoad()
 	p.node.throttle.Observe(p.node.now.Monotonic, p.node.meter.Ratio(p.admission.Limit()))
 	p.refuseShed()
+	p.crashes.tick()
 	p.reportOverload()
 	p.reportLimit()
 }
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -13,6 +13,7 @@
 	}
 	p.observeLoad()
 	p.cold.dispatchEnded(e.Kind)
+	p.crashes.dispatchEnded(call, e.Kind)
 	p.node.ledger.close(call)
 	p.addInFlight(call, -1)
 	if call.head.Route != "" {
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -51,6 +51,9 @@
 	// Fail, if set, selects requests that end without a response after their
 	// service time.
 	Fail func(message.Call) bool
+	// CrashOn, if set, selects requests that crash the server after their service
+	// time.
+	CrashOn func(message.Call) bool
 	// Reject, if set, selects requests that the server rejects without executing
 	// them.
 	Reject func(message.Call) bool
@@ -242,7 +245,11 @@
 		d = b.ServiceTime(j.run.Head)
 	}
 	b.member.rig.After(d, func() {
-		if !j.stopped {
+		switch {
+		case j.stopped:
+		case b.CrashOn != nil && b.CrashOn(j.run.Head):
+			b.crash()
+		default:
 			b.finish(j, b.Fail == nil || !b.Fail(j.run.Head))
 		}
 	})
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -36,9 +36,7 @@
 	case node.Send:
 		m.send(a)
 	case node.CheckBackend:
-		m.rig.After(breakDetectionDelay, func() {
-			m.deliver(func() node.Event { return node.BackendChecked{Cold: m.Backend.Cold()} })
-		})
+		m.rig.After(breakDetectionDelay, m.checkBackend)
 	case node.Report:
 		m.Records = append(m.Records, a.Record)
 	case node.Drained:
@@ -48,6 +46,15 @@
 	}
 }
 
+// checkBackend delivers the result of a health check.
+func (m *Member) checkBackend() {
+	if m.Backend.down {
+		m.deliver(func() node.Event { return node.BackendLost{} })
+		return
+	}
+	m.deliver(func() node.Event { return node.BackendChecked{Cold: m.Backend.Cold()} })
+}
+
 func (m *Member) send(a node.Send) {
 	to, ok := m.rig.members[a.To.ID]
 	if !ok || !m.rig.connected(m.Instance.ID, a.To.ID) {
@@ -91,7 +98,7 @@
 	remote := e.remoteCall
 	m.afterLinkDelay(to, func() {
 		to.deliver(func() node.Event {
-			p.head = node.PeerCallArrived{Call: remote, From: m.Instance.ID, Head: a.Head, Age: m.rig.now - sent}
+			p.head = node.PeerCallArrived{Call: remote, From: m.Instance.ID, Head: a.Head, Body: e.body, Age: m.rig.now - sent}
 			return p.head
 		})
 	})
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -42,6 +42,7 @@
 // entryRequest is a pending request at its entry node.
 type entryRequest struct {
 	outcome *Outcome
+	body    uint64
 	// attempt is the number of the latest attempt; reports about an earlier
 	// attempt are ignored.
 	attempt    int
@@ -289,7 +290,7 @@
 	}
 	m.nextID++
 	o.call = m.nextID
-	m.entryRequests[o.call] = &entryRequest{outcome: o}
+	m.entryRequests[o.call] = &entryRequest{outcome: o, body: request.Body}
 	if request.Method == "" {
 		request.Method = "GET"
 	}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -34,6 +34,7 @@
 	GateMoved           Code = 309
 	BackendCold         Code = 310
 	BackendUnchecked    Code = 311
+	BackendCrashed      Code = 312
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -95,6 +96,7 @@
 	{GateMoved, "gate_moved", "info", "The node changed the fraction of the demand for a service that it admits. excess is the fraction that the service's servers ask entry nodes to refuse, age the age of that report."},
 	{BackendCold, "backend_cold", "info", "A backend server is cold, either as it reported itself or as the node observed. Until it is warm, it gets only as many requests as a cold server can handle."},
 	{BackendUnchecked, "backend_unchecked", "info", "A backend server that may have restarted did not answer a health check; it is treated as cold for its service's cold time."},
+	{BackendCrashed, "backend_crashed", "warn", "The backend server ended while it was running requests and had not announced its end. running is the number of these requests, fingerprints names the first of them. Equal requests have the same fingerprint; one that occurs in several such records may have crashed the servers."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
--- a/io/caller/face.go
+++ b/io/caller/face.go
@@ -89,9 +89,7 @@
 	call := h.loop.Open()
 	defer call.Close()
 	event.Call = call.ID
-	if event.IdempotencyKey != "" {
-		event.Body = xxhash.Sum64(body)
-	}
+	event.Body = xxhash.Sum64(body)
 	e := &exchange{handler: h, call: call, request: r, writer: w, body: body, header: RequestFields(r.Header, key), refuse: writeRefusal}
 	h.loop.Post(event)
 	e.run()
--- a/io/caller/routed.go
+++ b/io/caller/routed.go
@@ -12,6 +12,8 @@
 	"coltsfootward"
 	"coltsfootward/core/node"
 	"coltsfootward/io/wire"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // bearer is the prefix of the Authorization field with a caller's key.
@@ -34,6 +36,7 @@
 	call := h.loop.Open()
 	defer call.Close()
 	event.Call = call.ID
+	event.Body = xxhash.Sum64(body)
 	e := &exchange{handler: h, call: call, request: r, writer: w, body: body, header: h.options.Routed.RequestFields(r.Header), refuse: refuse}
 	h.loop.Post(event)
 	e.run()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -21,6 +21,8 @@
 	"coltsfootward/io/loop"
 	"coltsfootward/io/peer"
 	"coltsfootward/io/wire"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -122,7 +124,7 @@
 	}
 	call := s.loop.Open()
 	defer call.Close()
-	s.loop.Post(node.PeerCallArrived{Call: call.ID, From: incoming.From.ID, Head: incoming.Head, Age: incoming.Age})
+	s.loop.Post(node.PeerCallArrived{Call: call.ID, From: incoming.From.ID, Head: incoming.Head, Body: xxhash.Sum64(body), Age: incoming.Age})
 	cancelled := ctx.Done()
 	var current *dispatch
 	for {
