core/nodetest: test of a request that crashes each server that begins it, red

Four nodes in two failure domains, each with a server of one service; ten crashing requests and fifty others a second, at all nodes in turn, for 20 s.

--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -76,6 +76,63 @@
 	}
 }
 
+// contactTime is the time that the nodes have to learn which request crashes their
+// servers, and maxLateRuns how often it may reach servers after that.
+const (
+	contactTime = 3 * time.Second
+	maxLateRuns = 3
+)
+
+// Guards against a request that ends a whole service: equal requests arrive again at
+// every node and crash each backend server that begins them.
+func TestRequestThatCrashesServersIsWithheld(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newCrashRig(seed, 2, "north", "south")
+		var sent []*nodetest.Outcome
+		third := time.Duration(0)
+		for i := range 200 {
+			sendCrashing(members[i%len(members)])
+			for range 5 {
+				sent = append(sent, get(members[r.Source().IntN(len(members))]))
+			}
+			r.Run(100 * time.Millisecond)
+			if third == 0 && crashCount(members) >= 3 {
+				third = r.Now()
+			}
+		}
+		r.Run(time.Second)
+		if got := runsSince(members, third+contactTime, crashes); got > maxLateRuns {
+			t.Errorf("seed %d: the request reached servers %d times later than %v after its third crash, want at most %d",
+				seed, got, contactTime, maxLateRuns)
+		}
+		if got := answeredShare(sent[len(sent)/2:]); got < 0.99 {
+			t.Errorf("seed %d: %.3f of the other requests answered in the second half, want 0.99", seed, got)
+		}
+	}
+}
+
+func crashCount(members []*nodetest.Member) int {
+	count := 0
+	for _, m := range members {
+		count += m.Backend.Crashes
+	}
+	return count
+}
+
+// runsSince returns how many of the selected requests reached backend servers from
+// the given time on.
+func runsSince(members []*nodetest.Member, from time.Duration, selected func(message.Call) bool) int {
+	count := 0
+	for _, m := range members {
+		for _, run := range m.Backend.Runs {
+			if run.Arrived >= from && selected(run.Head) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func records(m *nodetest.Member, code record.Code) []record.Record {
 	var found []record.Record
 	for _, r := range m.Records {
