core/quarantine: withhold requests that have crashed three backend servers

Callers saw all requests of one service refused or failed for as long as one request came again: each server that began it ended, was back after 3 s, and ended again.

Cause: the layer keeps nothing about a request beyond its own attempts. A server that ends counts as a failed attempt, so the request goes to the next server, and an equal request at any node starts from nothing.

Change: the node beside a server reports each crash with the fingerprints of the requests in service, except those that this start of the server had answered before. Nodes exchange the reports by gossip (a hash in every digest, the reports to peers whose hash differs). A register at each node, the same function of the reports everywhere, withholds a request after three crashes: refused at its entry node and at the upstream's node as 503 quarantined, not run, and not retried. A request that is answered anywhere is acquitted. A crash that a withheld request explains is no evidence against the others in service; two that were in service at the same crashes are told apart by one trial. Crashes that count against withheld requests are stored in the table, and read after a restart, after a crash of the own server, and while another domain is unreachable. Requests are withheld for requests.quarantine, an hour, after their crashes.

Why this works: what all nodes need to know is small (a few hundred bytes a crash), and the only way to a server is the node beside it, which refuses what an entry node has not heard of yet.

--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -208,6 +208,9 @@
 	ColdMilliseconds int64 `json:"cold_milliseconds"`
 	ColdPassed       int   `json:"cold_passed"`
 	ColdRefused      int   `json:"cold_refused"`
+	// Quarantined are the fingerprints of the requests that are withheld because
+	// they have crashed backend servers.
+	Quarantined []string `json:"quarantined"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -240,9 +243,18 @@
 		ColdMilliseconds:  cold.Remaining.Milliseconds(),
 		ColdPassed:        cold.Admitted,
 		ColdRefused:       cold.Refused,
+		Quarantined:       quarantinedTexts(n),
 	}
 }
 
+func quarantinedTexts(n *node.Node) []string {
+	texts := []string{}
+	for _, f := range n.Quarantined() {
+		texts = append(texts, f.String())
+	}
+	return texts
+}
+
 // serve writes this node's metrics and those of the whole process as JSON.
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -52,6 +52,9 @@
 	case f["full"] != "":
 		return fmt.Sprintf("it needs service %s, whose servers request that a fraction of %s of the demand be refused (reported %s ago), so requests with a rank above %s are refused and this one has rank %s%s",
 			f["full"], f["excess"], f["age"], f["limit"], f["rank"], coldTime(refused, "; so many of these servers are cold, for another %s, that the service can handle little"))
+	case kind == coltsfootward.RefusalQuarantined:
+		return fmt.Sprintf("%s. Requests with this fingerprint are withheld; the lines backend_crashed that name it show which servers crashed and when",
+			f["detail"])
 	case kind == coltsfootward.RefusalNoUpstream && f["known"] != "":
 		return fmt.Sprintf("of %s known backend servers of %s, %s were tried, %s are ejected after failures, %s suspected, %s unreachable%s",
 			f["known"], f["service"], f["tried"], f["ejected"], f["suspected"], f["unreachable"], outOfService(refused))
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -49,6 +49,8 @@
 			func(s *Settings) *time.Duration { return &s.Node.MaximumTimeout }),
 		integer("requests.maximum_body", "bytes", "Bounds a request's body; larger ones are refused as too_large.", 1, 64<<20,
 			func(s *Settings) *int64 { return &s.MaximumBody }),
+		duration("requests.quarantine", "How long requests that have crashed several backend servers are refused after the crashes.", time.Minute, 24*time.Hour,
+			func(s *Settings) *time.Duration { return &s.Node.Quarantine }),
 
 		duration("configuration.poll_interval", "The time between two reads of the configuration from the platform.", 50*time.Millisecond, time.Minute,
 			func(s *Settings) *time.Duration { return &s.Node.PollInterval }),
--- a/core/message/configuration.go
+++ b/core/message/configuration.go
@@ -19,6 +19,8 @@
 	// TableAge is the age of the latest read of the platform's table that the sender
 	// knows of, by itself or, through gossip, by any other node.
 	TableAge time.Duration `msgpack:"table_age"`
+	// Crashes is a hash of the crash reports that the sender holds.
+	Crashes uint64 `msgpack:"crashes,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/core/message/membership.go
+++ b/core/message/membership.go
@@ -93,6 +93,8 @@
 	Updates []MemberUpdate `msgpack:"news"`
 	// Digest summarises the sender's configuration.
 	Digest ConfigurationDigest `msgpack:"digest"`
+	// Crashes contains reports of crashes that the receiver may not have.
+	Crashes []CrashReport `msgpack:"crashes,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -213,6 +213,7 @@
 		TableAge:  p.contact.tableAge(p.node.now),
 
 		OutOfService: p.node.domains.current,
+		Crashes:      p.node.quarantine.register.Digest(),
 	}
 }
 
@@ -220,6 +221,7 @@
 func (p *configurationComponent) digestReceived(e MessageArrived, m message.ConfigurationDigest) {
 	p.contact.noteTableRead(p.node.now.Expiry - e.Age - max(m.TableAge, 0))
 	p.node.domains.adopt(m.OutOfService)
+	p.node.quarantine.reconcile(e.From, m.Crashes)
 	for _, digest := range m.Withdrawn {
 		p.markWithdrawn(digest)
 	}
--- a/core/node/crash.go
+++ b/core/node/crash.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"coltsfootward/core/quarantine"
 	"coltsfootward/core/record"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -43,13 +46,27 @@
 	lastCheck time.Duration
 	// start identifies the server's current start, if it reports one.
 	start string
+	// answered holds requests that the server has answered since its start. They
+	// cannot have crashed it.
+	answered *simplelru.LRU[quarantine.Fingerprint, struct{}]
+}
+
+// maxAnswered bounds the answered requests that are remembered.
+const maxAnswered = 2048
+
+func newCrashDetector(n *Node) crashDetector {
+	answered, _ := simplelru.NewLRU[quarantine.Fingerprint, struct{}](maxAnswered, nil) // fails only for a size below 1
+	return crashDetector{node: n, answered: answered}
 }
 
 // dispatchEnded processes the end of a request at the server.
-func (p *crashDetector) dispatchEnded(call *upstreamCall, kind DispatchKind) {
+func (p *crashDetector) dispatchEnded(call *upstreamCall, e DispatchEnded) {
 	now := p.node.now.Monotonic
-	switch kind {
+	switch e.Kind {
 	case DispatchAnswered, DispatchRejected:
+		if e.Kind == DispatchAnswered && !e.Failed {
+			p.answered.Add(call.fingerprint, struct{}{})
+		}
 		if !p.lost && call.dispatchedAt > p.brokenAt {
 			p.broken = nil
 		}
@@ -76,6 +93,13 @@
 	p.lost, p.lostAt = true, p.node.now.Monotonic
 }
 
+// responded processes that the server has answered a health check.
+func (p *crashDetector) responded() {
+	if !p.lost {
+		p.broken = nil
+	}
+}
+
 // announced processes the start that the server belongs to. Requests that were in
 // service at an earlier start have broken off, even if their connections have
 // not.
@@ -117,13 +141,28 @@
 
 // report reports the crash, if any request was in service.
 func (p *crashDetector) report() {
-	suspects := p.broken
+	suspects := p.suspects()
 	p.lost, p.broken = false, nil
+	p.answered.Purge()
 	if len(suspects) == 0 || p.lostAt-p.brokenAt > maxCrashDelay {
 		return
 	}
 	p.node.report(record.BackendCrashed, field("service", string(p.node.options.Service)),
-		field("running", number(len(suspects))), field("fingerprints", joinFingerprints(suspects)))
+		field("suspects", number(len(suspects))), field("fingerprints", joinFingerprints(suspects)))
+	p.node.quarantine.crashed(suspects)
+}
+
+// suspects returns the requests in service at the crash that may have caused it.
+func (p *crashDetector) suspects() []quarantine.Fingerprint {
+	var suspects []quarantine.Fingerprint
+	for _, f := range p.broken {
+		if !p.answered.Contains(f) {
+			suspects = append(suspects, f)
+		}
+	}
+	slices.Sort(suspects)
+	suspects = slices.Compact(suspects)
+	return suspects[:min(len(suspects), quarantine.MaxSuspects)]
 }
 
 // maxCrashDelay is the longest time between the end of the requests in service
--- a/core/node/domains.go
+++ b/core/node/domains.go
@@ -31,7 +31,7 @@
 	own := p.node.configuration.ownDigest()
 	for _, to := range p.node.configuration.pushTargets() {
 		p.node.act(Send{To: to, Message: &message.ConfigurationDigest{
-			Revision: own.Revision, TableAge: own.TableAge, OutOfService: own.OutOfService,
+			Revision: own.Revision, TableAge: own.TableAge, OutOfService: own.OutOfService, Crashes: own.Crashes,
 		}})
 	}
 }
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"coltsfootward"
@@ -123,6 +124,10 @@
 	}
 	call.fingerprint = quarantine.FingerprintOf(call.head, e.Body)
 	p.calls[call.id] = call
+	if r := p.node.quarantine.entryRefusal(call.fingerprint); r != nil {
+		p.finish(call, *r, field("method", call.head.Method), field("path", pathWithoutQuery(call.head.Path)))
+		return
+	}
 	if p.shedAtEntry(call) {
 		return
 	}
@@ -133,6 +138,12 @@
 	p.claimGranted(call)
 }
 
+// pathWithoutQuery returns a path for the log. Queries often hold personal data.
+func pathWithoutQuery(path string) string {
+	path, _, _ = strings.Cut(path, "?")
+	return path
+}
+
 // open authenticates and validates a request and returns the call to serve.
 func (p *entryComponent) open(e RequestArrived) (*entryCall, *coltsfootward.Refusal) {
 	if e.Routed {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,7 +45,9 @@
 	ledger   *ledgerComponent
 	entry    *entryComponent
 	upstream *upstreamComponent
-	table    *tableComponent
+	// quarantine withholds requests that crash backend servers.
+	quarantine *quarantineComponent
+	table      *tableComponent
 }
 
 // New returns a node that has no configuration yet and knows no peer. All
@@ -53,6 +55,7 @@
 func New(options Options, source *rand.Rand, now coltsfootward.Instant) *Node {
 	n := &Node{options: options.WithDefaults(), source: source, now: now}
 	n.table = newTableComponent(n)
+	n.quarantine = newQuarantineComponent(n)
 	n.configuration = newConfigurationComponent(n)
 	n.confirmation = newConfirmationComponent(n)
 	n.domains = domainsComponent{node: n}
@@ -110,6 +113,7 @@
 	case BackendAnnounced:
 		n.membership.backendAnnounced(e)
 	case BackendChecked:
+		n.upstream.crashes.responded()
 		n.upstream.cold.checked(e)
 	case DrainRequested:
 		n.drain()
@@ -159,6 +163,7 @@
 	}
 	n.rate.tick()
 	n.upstream.tick()
+	n.quarantine.tick()
 	n.entry.tick()
 }
 
@@ -171,6 +176,7 @@
 	n.configuration.requestDocument(e.From)
 	switch m := e.Message.(type) {
 	case *message.Gossip:
+		n.quarantine.gossipReceived(e, m)
 		n.configuration.digestReceived(e, m.Digest)
 	case *message.Probe:
 		n.configuration.digestReceived(e, m.Gossip.Digest)
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -84,6 +84,9 @@
 	// on the isolated side for as long. A failure domain in Domains that has no
 	// running node counts as unreachable. The default is 10 min.
 	KeyGrace time.Duration
+	// Quarantine is how long a request that has crashed several backend servers is
+	// withheld after the crashes. The default is 1 h.
+	Quarantine time.Duration
 }
 
 // Default values of Options.
@@ -94,6 +97,7 @@
 	DefaultPollInterval   = time.Second
 	DefaultSlots          = 4
 	DefaultKeyGrace       = 10 * time.Minute
+	DefaultQuarantine     = time.Hour
 
 	DefaultConfigurationSpread = 13 * time.Second
 	DefaultRetryBurst          = 48
@@ -135,6 +139,9 @@
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
+	if o.Quarantine <= 0 {
+		o.Quarantine = DefaultQuarantine
+	}
 	return o
 }
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -61,7 +61,7 @@
 func newUpstreamComponent(n *Node) *upstreamComponent {
 	p := &upstreamComponent{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
 	p.cold = coldTracker{node: n, startedAt: n.now.Monotonic}
-	p.crashes = crashDetector{node: n}
+	p.crashes = newCrashDetector(n)
 	if n.options.Routed {
 		p.admission.FixLimit()
 		p.admission.LetDeepWait()
@@ -116,7 +116,11 @@
 			return
 		}
 		call := p.calls[CallID(next.ID)]
-		if r := p.checkDeadlines(call); r != nil {
+		r := p.checkDeadlines(call)
+		if r == nil && !p.node.quarantine.startTrial(call) {
+			r = p.node.quarantine.refusal(call.fingerprint)
+		}
+		if r != nil {
 			p.admission.Unsent(next.ID)
 			p.refuse(call, *r)
 			continue
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -13,7 +13,10 @@
 	}
 	p.observeLoad()
 	p.cold.dispatchEnded(e.Kind)
-	p.crashes.dispatchEnded(call, e.Kind)
+	p.crashes.dispatchEnded(call, e)
+	if e.Kind == DispatchAnswered && !e.Failed {
+		p.node.quarantine.answered(call.fingerprint)
+	}
 	p.node.ledger.close(call)
 	p.addInFlight(call, -1)
 	if call.head.Route != "" {
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -164,6 +164,9 @@
 	return b.ColdRate > 0 && b.Cold() > 0 && float64(b.MaxArrivalsPerSecond(b.member.rig.Now()-time.Second)) > 2*b.ColdRate
 }
 
+// Crash simulates a crash of the server for a reason other than its requests.
+func (b *Backend) Crash() { b.crash() }
+
 // crash aborts all requests and stops listening for crashDowntime. Unless the
 // node has restarted by then, the server then announces itself as cold.
 func (b *Backend) crash() {
--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -1,6 +1,7 @@
 package nodetest_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -111,6 +112,222 @@
 	}
 }
 
+// crashLoad sends a crashing request and five others at random members every 100 ms
+// for the given time. It returns the others and the time of the third crash, or zero.
+func crashLoad(r *nodetest.Rig, members []*nodetest.Member, length time.Duration, send func(*nodetest.Member)) (sent []*nodetest.Outcome, third time.Duration) {
+	for end := r.Now() + length; r.Now() < end; {
+		send(members[r.Source().IntN(len(members))])
+		for range 5 {
+			sent = append(sent, get(members[r.Source().IntN(len(members))]))
+		}
+		r.Run(100 * time.Millisecond)
+		if third == 0 && crashCount(members) >= 3 {
+			third = r.Now()
+		}
+	}
+	return sent, third
+}
+
+// Guards against a crashing request that the caller may not have run twice: each of
+// its attempts is a new request.
+func TestUnrepeatableRequestThatCrashesServersIsWithheld(t *testing.T) {
+	document := routedDocument(2, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes")
+	routes := document.Routes()
+	routes[0].Unrepeatable = true
+	r, members := newCrashRig(1, 2, "north", "south")
+	for _, m := range members {
+		m.ReadConfiguration(document.WithRoutes(routes))
+	}
+	_, third := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	checkWithheld(t, members, third)
+}
+
+// Guards against a call of a backend server that ends the whole service below it.
+func TestCallThatCrashesServersIsWithheld(t *testing.T) {
+	r, members := newCrashRig(1, 4, "north", "south")
+	document := routedDocument(2, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes", "ledger")
+	routes := document.Routes()
+	routes[1].Public = true
+	document = document.WithRoutes(routes)
+	for i, m := range members {
+		m.ReadConfiguration(document)
+		if i%2 == 1 {
+			m.Announce("ledger", 40)
+			continue
+		}
+		m.Backend.CrashOn = nil
+		m.Backend.RespondsOnFailure = true
+		m.Backend.Children = func(call message.Call) []nodetest.Request {
+			if crashes(call) {
+				return []nodetest.Request{{Host: routedHost, Path: "/ledger/crash"}}
+			}
+			return nil
+		}
+	}
+	inLedger := func(call message.Call) bool { return call.Path == "/ledger/crash" }
+	for _, m := range members {
+		if m.Backend.CrashOn != nil {
+			m.Backend.CrashOn = inLedger
+		}
+	}
+	r.Run(time.Second)
+	_, third := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	if third == 0 {
+		t.Fatal("the servers did not crash three times")
+	}
+	if got := runsSince(members, third+contactTime, inLedger); got > maxLateRuns {
+		t.Errorf("the call reached servers %d times later than %v after its third crash, want at most %d", got, contactTime, maxLateRuns)
+	}
+}
+
+// Guards against a node that passes a withheld request on after its restart.
+func TestRestartedNodeWithholdsCrashingRequest(t *testing.T) {
+	r, members := newCrashRig(1, 2, "north", "south")
+	_, third := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	for _, m := range members {
+		m.Kill()
+		r.Run(500 * time.Millisecond)
+		m.Restart()
+		m.ReadConfiguration(routedDocument(1, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes"))
+		m.Announce("quotes", 40)
+		r.Run(2 * time.Second)
+		crashLoad(r, members, time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	}
+	checkWithheld(t, members, third)
+}
+
+// Guards against a crashing request that is forgotten when all nodes lose power.
+func TestCrashingRequestIsWithheldAfterAllNodesRestarted(t *testing.T) {
+	r, members := newCrashRig(1, 2, "north", "south")
+	_, third := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	for _, m := range members {
+		m.Kill()
+	}
+	r.Run(time.Second)
+	for _, m := range members {
+		m.Restart()
+		m.ReadConfiguration(routedDocument(1, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes"))
+		m.Announce("quotes", 40)
+	}
+	r.Run(contactTime)
+	crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	checkWithheld(t, members, third)
+}
+
+// Guards against a failure domain that lets a request crash its servers because the
+// nodes that know the request cannot reach it.
+func TestDomainThatIsCutOffWithholdsCrashingRequest(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newCrashRig(seed, 4, "north", "south")
+		r.Run(5 * time.Second)
+		r.PartitionDomain("south", false)
+		r.Run(10 * time.Second)
+		north, south := members[:4], members[4:]
+		_, third := crashLoad(r, north, 5*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+		if third == 0 {
+			t.Fatal("the servers did not crash three times")
+		}
+		crashLoad(r, south, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+		if got := runsSince(south, 0, crashes); got > maxLateRuns {
+			t.Errorf("seed %d: the request reached servers of the domain that is cut off %d times, want at most %d", seed, got, maxLateRuns)
+		}
+	}
+}
+
+// Guards against equal requests that are withheld although they crash nothing, while
+// servers crash for another reason.
+func TestEqualRequestsAreServedWhileServersCrashForAnotherReason(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newCrashRig(seed, 2, "north", "south")
+		for _, m := range members {
+			m.Backend.ServiceTime = func(message.Call) time.Duration { return 50 * time.Millisecond }
+		}
+		var sent []*nodetest.Outcome
+		for i := range 300 {
+			for _, m := range members {
+				sent = append(sent, get(m))
+			}
+			r.Run(100 * time.Millisecond)
+			if i%10 == 0 {
+				r.Run(20 * time.Millisecond)
+				members[i/10%len(members)].Backend.Crash()
+			}
+		}
+		r.Run(time.Second)
+		for _, m := range members {
+			if found := records(m, record.RequestQuarantined); len(found) > 0 {
+				t.Errorf("seed %d: %s withheld %v", seed, m.Instance.ID, found[0].Fields)
+			}
+		}
+		if got := answeredShare(sent); got < 0.95 {
+			t.Errorf("seed %d: %.3f answered, want 0.95", seed, got)
+		}
+	}
+}
+
+// Guards against a request that stays withheld because it was in service together
+// with the one that crashes servers.
+func TestRequestSuspectedWithAnotherIsReleased(t *testing.T) {
+	r, members := newCrashRig(1, 2, "north", "south")
+	for _, m := range members {
+		m.Backend.ServiceTime = func(message.Call) time.Duration { return 50 * time.Millisecond }
+	}
+	for i := range 3 {
+		sendCrashing(members[i])
+		members[i].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/beside"})
+		r.Run(2 * time.Second)
+	}
+	var sent []*nodetest.Outcome
+	for i := range 30 {
+		sendCrashing(members[i%len(members)])
+		sent = append(sent, members[i%len(members)].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/beside"}))
+		r.Run(time.Second)
+	}
+	if got := answeredShare(sent[len(sent)/2:]); got < 1 {
+		t.Errorf("%.3f of the requests beside the crashing one answered, want all", got)
+	}
+	if got := runsSince(members, r.Now()-20*time.Second, crashes); got > 1 {
+		t.Errorf("the crashing request ran %d times in 20 s, want at most one trial", got)
+	}
+}
+
+// Guards against unbounded state and refusals of other requests under many different
+// crashing requests.
+func TestManyCrashingRequestsAreWithheld(t *testing.T) {
+	r, members := newCrashRig(1, 4, "north", "south")
+	for _, m := range members {
+		m.Backend.CrashOn = func(call message.Call) bool { return strings.HasPrefix(call.Path, "/quotes/crash") }
+	}
+	number := 0
+	crashLoad(r, members, 60*time.Second, func(m *nodetest.Member) {
+		number++
+		m.Send(nodetest.Request{Key: key, Host: routedHost, Path: fmt.Sprintf("/quotes/crash%d", number%5)})
+	})
+	before := crashCount(members)
+	sent, _ := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) {
+		number++
+		m.Send(nodetest.Request{Key: key, Host: routedHost, Path: fmt.Sprintf("/quotes/crash%d", number%5)})
+	})
+	if got := crashCount(members) - before; got > 0 {
+		t.Errorf("servers crashed %d times after a minute, want none", got)
+	}
+	if got := answeredShare(sent); got < 0.99 {
+		t.Errorf("%.3f of the other requests answered, want 0.99", got)
+	}
+}
+
+// checkWithheld fails the test if the crashing request has reached servers too often
+// after its third crash.
+func checkWithheld(t *testing.T, members []*nodetest.Member, third time.Duration) {
+	t.Helper()
+	if third == 0 {
+		t.Fatal("the servers did not crash three times")
+	}
+	if got := runsSince(members, third+contactTime, crashes); got > maxLateRuns {
+		t.Errorf("the request reached servers %d times later than %v after its third crash, want at most %d", got, contactTime, maxLateRuns)
+	}
+}
+
 func crashCount(members []*nodetest.Member) int {
 	count := 0
 	for _, m := range members {
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"strconv"
 
 	"coltsfootward/core/message"
 )
@@ -17,6 +18,15 @@
 // String returns the fingerprint as it appears in logs.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint parses the text that String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("quarantine: fingerprint %q: give 16 hexadecimal digits as in the log: %w", text, err)
+	}
+	return Fingerprint(f), nil
+}
+
 // FingerprintOf returns the fingerprint of a request, given the digest of its
 // body. The node that a request arrives at and the service beside it are not part
 // of the fingerprint, since equal requests may arrive anywhere.
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -35,6 +35,9 @@
 	BackendCold         Code = 310
 	BackendUnchecked    Code = 311
 	BackendCrashed      Code = 312
+	RequestQuarantined  Code = 313
+	RequestReleased     Code = 314
+	RequestTried        Code = 315
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -96,7 +99,10 @@
 	{GateMoved, "gate_moved", "info", "The node changed the fraction of the demand for a service that it admits. excess is the fraction that the service's servers ask entry nodes to refuse, age the age of that report."},
 	{BackendCold, "backend_cold", "info", "A backend server is cold, either as it reported itself or as the node observed. Until it is warm, it gets only as many requests as a cold server can handle."},
 	{BackendUnchecked, "backend_unchecked", "info", "A backend server that may have restarted did not answer a health check; it is treated as cold for its service's cold time."},
-	{BackendCrashed, "backend_crashed", "warn", "The backend server ended while it was running requests and had not announced its end. running is the number of these requests, fingerprints names the first of them. Equal requests have the same fingerprint; one that occurs in several such records may have crashed the servers."},
+	{BackendCrashed, "backend_crashed", "warn", "The backend server ended while it was running requests and had not announced its end. suspects is the number of different requests among them that it had not answered before, fingerprints names the first of these. Equal requests have the same fingerprint; one that occurs in several such records may have crashed the servers."},
+	{RequestQuarantined, "request_quarantined", "warn", "Requests with this fingerprint were in service at crashes backend servers; equal ones are refused for the time given. shared means that another request was in service at the same crashes; one request is then tried later. The lines request_refused with kind quarantined name route, organisation and path. Correct the service that crashes."},
+	{RequestReleased, "request_released", "info", "Requests with this fingerprint are served again: an equal one was answered, another request explains the crashes, or the crashes are older than the setting requests.quarantine."},
+	{RequestTried, "request_tried", "info", "A request that is withheld only together with others was sent to the backend server as a trial."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
--- a/refusal.go
+++ b/refusal.go
@@ -49,6 +49,7 @@
 	RefusalConnectionLost  RefusalKind = "connection_lost"
 	RefusalUpstreamFailed  RefusalKind = "upstream_failed"
 	RefusalCancelled       RefusalKind = "cancelled"
+	RefusalQuarantined     RefusalKind = "quarantined"
 )
 
 type refusalText struct {
@@ -80,6 +81,7 @@
 	RefusalConnectionLost:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
 	RefusalUpstreamFailed:  {http.StatusBadGateway, "ask for the outcome before sending it again if it must not run twice"},
 	RefusalCancelled:       {499, "the caller has left; nothing is to be done"},
+	RefusalQuarantined:     {http.StatusServiceUnavailable, "do not send it again; have the cause of the crashes corrected in the service"},
 }
 
 // RefusalKinds returns the HTTP status of every kind. A test compares the result with
