cmd/soak, cmd/endtoend: a request that crashes backend servers, with real processes

The state machine's tests report the end of a server by themselves. With real sockets it has to follow from resets, refused connections, health checks and the heartbeats of a new start.

Change: the stand-in backend server can crash and start anew under another ID.

--- a/cmd/endtoend/hosted_test.go
+++ b/cmd/endtoend/hosted_test.go
@@ -27,6 +27,43 @@
 	backend *hosting.Backend
 	callers string
 	ready   string
+
+	mu     sync.Mutex
+	server *http.Server
+	wait   sync.WaitGroup
+}
+
+// serve serves the backend server at its address.
+func (n *hostedNode) serve(listener net.Listener) {
+	server := &http.Server{Handler: n.backend}
+	n.mu.Lock()
+	n.server = server
+	n.mu.Unlock()
+	n.wait.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
+}
+
+// closeServer closes the backend server's listener and connections.
+func (n *hostedNode) closeServer() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.server.Close()
+}
+
+// crash ends the backend server without notice and starts it again after downtime.
+func (n *hostedNode) crash(t testing.TB, downtime time.Duration) {
+	if !n.backend.Crash() {
+		return
+	}
+	n.closeServer()
+	time.AfterFunc(downtime, func() {
+		listener, err := net.Listen("tcp", n.backend.Address)
+		if err != nil {
+			t.Errorf("restart of the backend server: %v", err)
+			return
+		}
+		n.backend.Restart()
+		n.serve(listener)
+	})
 }
 
 const hostedDocument = `{"version":"r%d","services":[{"name":"quotes","health_path":"/health","max_connections":20}],
@@ -92,20 +129,18 @@
 	}
 	addresses := d.Addresses()
 	backend := hosting.NewBackend(fmt.Sprintf("i-%d", i), "quotes", address, addresses.Backend, 4)
-	server := &http.Server{Handler: backend}
-	var wait sync.WaitGroup
-	wait.Go(func() { _ = server.Serve(listener) }) // returns when the test closes the server
+	n := &hostedNode{daemon: d, backend: backend, callers: addresses.Callers, ready: "http://" + addresses.Ready + "/ready"}
+	n.serve(listener)
 	backend.Start()
 	var once sync.Once
-	n := &hostedNode{daemon: d, backend: backend, callers: addresses.Callers, ready: "http://" + addresses.Ready + "/ready"}
 	t.Cleanup(func() {
 		once.Do(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			_ = d.Stop(ctx) // the test may have stopped the node already
 			backend.Close()
-			server.Close()
-			wait.Wait()
+			n.closeServer()
+			n.wait.Wait()
 		})
 	})
 	return n
--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -86,10 +86,7 @@
 		o.notConnected = true
 		return
 	}
-	request.Host = host
-	request.Header.Set(fields.Request, id)
-	request.Header.Set(fields.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	request.Header.Set("Authorization", "Bearer key-of-"+organisation)
+	setFields(request, id, organisation)
 	response, err := client.Do(request)
 	if err != nil {
 		var opError *net.OpError
@@ -104,3 +101,11 @@
 	o.status = response.StatusCode
 	o.complete = string(text) == "answer to "+id && response.Header.Get(fields.Stamp) != ""
 }
+
+// setFields sets the fields that each request carries.
+func setFields(request *http.Request, id, organisation string) {
+	request.Host = host
+	request.Header.Set(fields.Request, id)
+	request.Header.Set(fields.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Bearer key-of-"+organisation)
+}
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -37,6 +37,7 @@
 	store    *hosting.Store
 	platform *httptest.Server
 	nodes    []*node
+	ledger   *ledger
 }
 
 // node is one node process with its backend server and the proxies in front of the
@@ -49,19 +50,19 @@
 }
 
 // newSoakFleet starts count nodes of the program in two failure domains, with their
-// settings and logs in directory. onRun is called for every request that a backend
-// server runs.
-func newSoakFleet(program, directory string, count int, onRun func(*http.Request)) (*soakFleet, error) {
-	f := &soakFleet{store: hosting.NewStore()}
+// settings and logs in directory. The ledger records the requests that backend servers
+// run.
+func newSoakFleet(program, directory string, count int, l *ledger) (*soakFleet, error) {
+	f := &soakFleet{store: hosting.NewStore(), ledger: l}
 	f.platform = httptest.NewServer(f.store)
-	if err := f.start(program, directory, count, onRun); err != nil {
+	if err := f.start(program, directory, count); err != nil {
 		f.close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *soakFleet) start(program, directory string, count int, onRun func(*http.Request)) error {
+func (f *soakFleet) start(program, directory string, count int) error {
 	if err := f.configure(3); err != nil {
 		return err
 	}
@@ -70,7 +71,7 @@
 		return err
 	}
 	for i := range count {
-		n, err := f.newNode(program, directory, i, ports[i], onRun)
+		n, err := f.newNode(program, directory, i, ports[i])
 		if err != nil {
 			return err
 		}
@@ -98,10 +99,15 @@
 	})
 }
 
-func (f *soakFleet) newNode(program, directory string, i int, ports fleet.Ports, onRun func(*http.Request)) (*node, error) {
+func (f *soakFleet) newNode(program, directory string, i int, ports fleet.Ports) (*node, error) {
 	n := &node{backend: hosting.NewBackend(fmt.Sprintf("i-%d", i), serviceName, "", ports.Backend, backendSlots)}
 	n.backend.Serve = func(w http.ResponseWriter, r *http.Request) {
-		onRun(r)
+		if r.URL.Path == crashPath {
+			f.ledger.recordCrash(i, r.Header.Get(fields.Request))
+			n.crash()
+			panic(http.ErrAbortHandler)
+		}
+		f.ledger.recordRun(r)
 		time.Sleep(5 * time.Millisecond)
 		fmt.Fprintf(w, "answer to %s", r.Header.Get(fields.Request))
 	}
@@ -123,6 +129,18 @@
 	return n, err
 }
 
+// crash ends the backend server without notice. It starts anew after crashDowntime.
+func (n *node) crash() {
+	if !n.backend.Crash() {
+		return
+	}
+	n.backendProxy.stopListening()
+	time.AfterFunc(crashDowntime, func() {
+		n.backend.Restart()
+		_ = n.backendProxy.listenAgain() // the port may have been taken; the run then reports that the fleet has not recovered
+	})
+}
+
 // close ends every process that the fleet started and closes the stand-ins.
 func (f *soakFleet) close() {
 	for _, n := range f.nodes {
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -19,6 +19,10 @@
 	runs     map[string]int
 	poorRuns []time.Duration
 	findings []string
+	// crashes holds the runs of the request that crashes backend servers, and
+	// lastFault when the last other fault ended.
+	crashes   []crashRun
+	lastFault time.Duration
 }
 
 // outcome is the result of one request as its caller saw it.
@@ -99,6 +103,7 @@
 		l.checkRequest(id, o, stops)
 	}
 	l.checkRate()
+	l.checkCrashes()
 	slices.Sort(l.findings)
 	return l.findings
 }
--- a/cmd/soak/ledger_test.go
+++ b/cmd/soak/ledger_test.go
@@ -33,6 +33,15 @@
 			run("poor-urea-1-1", "/urea/poor-urea-1-1", "poor", "")(l)
 		}
 	}
+	crashes := func(l *ledger) {
+		for i := range 3 + maxLateCrashes + 1 {
+			at := time.Duration(i) * time.Millisecond
+			if i >= 3 {
+				at += contactTime
+			}
+			l.crashes = append(l.crashes, crashRun{at: at, id: quote})
+		}
+	}
 	for _, test := range []struct {
 		name, want string
 		steps      []func(*ledger)
@@ -48,6 +57,7 @@
 		{"other organisation", `organisation "poor"`, []func(*ledger){run(quote, "/urea/"+quote, "poor", "")}},
 		{"path changed", "ran with path", []func(*ledger){run(quote, "/urea/other", "farm", "")}},
 		{"above the rate", "limited organisation", []func(*ledger){flood}},
+		{"servers crash again and again", "crashes backend servers", []func(*ledger){crashes}},
 	} {
 		l := newLedger()
 		for _, step := range test.steps {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -30,14 +30,15 @@
 // proxy is a TCP proxy in front of a server, on the loopback interface. Create it with
 // newProxy.
 type proxy struct {
-	listener net.Listener
-	target   string
-	done     chan struct{}
-	wait     sync.WaitGroup
+	listenAddress, target string
+
+	done chan struct{}
+	wait sync.WaitGroup
 
-	mu    sync.Mutex
-	fault ConnectionFault
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	fault    ConnectionFault
+	conns    map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -45,18 +46,47 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, done: make(chan struct{}), fault: FaultNone, conns: make(map[net.Conn]struct{})}
-	p.wait.Go(p.accept)
+	p := &proxy{
+		listenAddress: listener.Addr().String(), target: target, listener: listener,
+		done: make(chan struct{}), fault: FaultNone, conns: make(map[net.Conn]struct{}),
+	}
+	p.wait.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
 
 func (p *proxy) close() {
 	close(p.done)
+	p.stopListening()
+	p.wait.Wait()
+}
+
+// stopListening refuses new connections and resets the open ones, as the end of the
+// server's process does.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
 	p.listener.Close()
+	p.mu.Unlock()
 	p.resetAll()
-	p.wait.Wait()
+}
+
+// listenAgain accepts connections again after stopListening.
+func (p *proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	listener, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	p.wait.Go(func() { p.accept(listener) })
+	return nil
 }
 
 // setFault changes the fault, also for open connections.
@@ -86,11 +116,11 @@
 	return p.fault
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
-			return // the proxy is closed
+			return // the listener is closed
 		}
 		p.wait.Go(func() { p.serve(client) })
 	}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -85,7 +85,7 @@
 		options.Duration = 15 * time.Second
 	}
 	r := &run{options: options, source: rand.New(rand.NewPCG(options.Seed, 1)), ledger: newLedger(), faults: make(map[string]int), version: 3}
-	fleet, err := newSoakFleet(options.Program, options.Directory, options.Nodes, r.ledger.recordRun)
+	fleet, err := newSoakFleet(options.Program, options.Directory, options.Nodes, r.ledger)
 	if err != nil {
 		return Report{}, fmt.Errorf("soak: start the fleet: %w", err)
 	}
@@ -108,6 +108,9 @@
 		}
 		r.injectFault()
 	}
+	if !plannedOnly {
+		r.sendCrashingRequests()
+	}
 	r.wait.Wait()
 	if !r.awaitReady() {
 		r.addFinding("not all nodes were ready %v after the last fault", readyTimeout)
@@ -234,6 +237,7 @@
 		r.wait.Go(func() {
 			time.Sleep(duration)
 			f()
+			r.ledger.faultEnded()
 		})
 	}
 	faults := []ConnectionFault{FaultDelay, FaultSilence, FaultOneWay, FaultReset}
@@ -255,7 +259,10 @@
 	case 3:
 		// Another fault may pause the node meanwhile, so an exit within the grace
 		// period is not required; the node only has to be restarted.
-		r.wait.Go(func() { r.stopAndRestart(n, 2*grace) })
+		r.wait.Go(func() {
+			r.stopAndRestart(n, 2*grace)
+			r.ledger.faultEnded()
+		})
 	case 4, 5:
 		r.countFault("backend server: " + string(fault))
 		n.backendProxy.setFault(fault)
--- a/standin/hosting/backend.go
+++ b/standin/hosting/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -30,6 +31,9 @@
 	mu       sync.Mutex
 	sequence uint64
 	draining bool
+	// crashed is set from Crash until Restart. starts counts the calls of Restart.
+	crashed bool
+	starts  int
 	// coldUntil is when the server becomes warm.
 	coldUntil         time.Time
 	startMilliseconds int64
@@ -66,6 +70,36 @@
 	b.wait.Wait()
 }
 
+// Crash stops the heartbeats, as the end of the process does. The caller has to end its
+// connections. It returns false if the server has crashed already.
+func (b *Backend) Crash() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.crashed {
+		return false
+	}
+	b.crashed = true
+	return true
+}
+
+// Restart begins a new start of the server after Crash, under a new ID.
+func (b *Backend) Restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starts++
+	b.sequence = 0
+	b.startMilliseconds = time.Now().UnixMilli()
+	b.crashed = false
+}
+
+// currentID returns the ID of the current start. It must be called with the lock held.
+func (b *Backend) currentID() string {
+	if b.starts == 0 {
+		return b.ID
+	}
+	return fmt.Sprintf("%s-%d", b.ID, b.starts)
+}
+
 // Drain sends a heartbeat with the state draining. It returns an error unless the node
 // acknowledges it.
 func (b *Backend) Drain() error {
@@ -92,6 +126,11 @@
 // it.
 func (b *Backend) SendHeartbeat() error {
 	b.mu.Lock()
+	if b.crashed {
+		b.mu.Unlock()
+		return errors.New("hosting: the backend server has crashed")
+	}
+	id := b.currentID()
 	b.sequence++
 	state := "ready"
 	if b.draining {
@@ -106,7 +145,7 @@
 		return err
 	}
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Post("http://"+b.NodeAddress+"/instances/"+b.ID+"/heartbeat", "application/json", bytes.NewReader(body))
+	response, err := client.Post("http://"+b.NodeAddress+"/instances/"+id+"/heartbeat", "application/json", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -127,18 +166,18 @@
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	draining, cold := b.draining, b.coldMilliseconds()
+	id, draining, cold := b.currentID(), b.draining, b.coldMilliseconds()
 	b.mu.Unlock()
 	if r.URL.Path == "/health" {
 		w.Header().Set("Coltsfootward-Cold-Remaining-Ms", strconv.FormatInt(cold, 10))
-		w.Header().Set("Coltsfootward-Instance-Id", b.ID)
+		w.Header().Set("Coltsfootward-Instance-Id", id)
 		w.Header().Set("Coltsfootward-Server-Load", fmt.Sprintf("0,0,%d", b.Slots))
 		if draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	if expected := r.Header.Get("Coltsfootward-Expect-Instance"); expected != "" && expected != b.ID {
+	if expected := r.Header.Get("Coltsfootward-Expect-Instance"); expected != "" && expected != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -148,10 +187,10 @@
 		b.mu.Unlock()
 	}
 	w.Header().Set("Coltsfootward-Request-Id", r.Header.Get("Coltsfootward-Request-Id"))
-	w.Header().Set("Coltsfootward-Response-Stamp", "stamp-of-"+b.ID)
+	w.Header().Set("Coltsfootward-Response-Stamp", "stamp-of-"+id)
 	if b.Serve != nil {
 		b.Serve(w, r)
 		return
 	}
-	fmt.Fprintf(w, "answer of %s to %s", b.ID, r.URL.RequestURI())
+	fmt.Fprintf(w, "answer of %s to %s", id, r.URL.RequestURI())
 }
