--- a/core/node/crash.go
+++ b/core/node/crash.go
@@ -74,6 +74,9 @@
 		if !p.lost && now-p.brokenAt > breakWindow {
 			p.broken, p.checked = nil, false
 		}
+		if len(p.broken) == quarantine.MaxSuspects {
+			p.broken = p.broken[1:]
+		}
 		p.broken = append(p.broken, call.fingerprint)
 		p.brokenAt = now
 	}
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -210,9 +210,6 @@
 // budget, as it costs the servers nothing. The number of such retries is still
 // limited, because each one is a hop under load.
 func (p *entryComponent) mayRetry(call *entryCall, refused coltsfootward.Refusal, unseen bool) bool {
-	if p.node.quarantine.refusal(call.fingerprint) != nil {
-		return false
-	}
 	if call.routed {
 		return p.mayRetryRouted(call, refused, unseen)
 	}
--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Guards against a crash that goes unnoticed because the server listens again before the
+// next request.
+func TestCrashWithQuickRestartIsReported(t *testing.T) {
+	r, members := newCrashRig(1, 1, "north")
+	only := members[0]
+	only.AnnounceStart("first")
+	sendCrashing(only)
+	r.Run(5 * time.Millisecond)
+	only.Backend.AbortAll()
+	only.AnnounceStart("second")
+	r.Run(time.Second)
+	if got := len(records(only, record.BackendCrashed)); got != 1 {
+		t.Errorf("got %d records of a crash, want 1", got)
+	}
+}
+
 // Guards against a crash report about a server that was stopped as announced.
 func TestAnnouncedStopIsNoCrash(t *testing.T) {
 	r, members := newCrashRig(1, 1, "north")
@@ -128,6 +144,29 @@
 	return sent, third
 }
 
+// Guards against verdicts that spread through a large failure domain more slowly than
+// the request arrives again.
+func TestVerdictReachesAllNodesWithinContactTime(t *testing.T) {
+	r, members := newCrashRig(1, 40, "north", "south")
+	withholds := func() bool {
+		for _, m := range members {
+			if len(m.Node().Quarantined()) == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	for crashCount(members) < 3 {
+		sendCrashing(members[r.Source().IntN(len(members))])
+		r.Run(20 * time.Millisecond)
+	}
+	from := r.Now()
+	if !r.RunUntil(contactTime, withholds) {
+		t.Errorf("some nodes do not withhold the request %v after its third crash", contactTime)
+	}
+	t.Logf("all nodes withhold the request after %v", r.Now()-from)
+}
+
 // Guards against a crashing request that the caller may not have run twice: each of
 // its attempts is a new request.
 func TestUnrepeatableRequestThatCrashesServersIsWithheld(t *testing.T) {
@@ -180,22 +219,49 @@
 	}
 }
 
-// Guards against a node that passes a withheld request on after its restart.
+// Guards against a node that passes a withheld request on after its restart, also while
+// the platform is away.
 func TestRestartedNodeWithholdsCrashingRequest(t *testing.T) {
 	r, members := newCrashRig(1, 2, "north", "south")
 	_, third := crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	r.Table.Outage = true
 	for _, m := range members {
 		m.Kill()
 		r.Run(500 * time.Millisecond)
 		m.Restart()
 		m.ReadConfiguration(routedDocument(1, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes"))
 		m.Announce("quotes", 40)
-		r.Run(2 * time.Second)
-		crashLoad(r, members, time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+		r.Run(contactTime)
+		o := sendCrashing(m)
+		r.Run(time.Second)
+		if o.Refusal == nil || o.Refusal.Kind != coltsfootward.RefusalQuarantined || o.Attempts > 0 {
+			t.Errorf("%s: got %v after %d attempts, want a refusal as quarantined without any", m.Instance.ID, o.Refusal, o.Attempts)
+		}
 	}
 	checkWithheld(t, members, third)
 }
 
+// Guards against a crashing request that reaches servers through an entry node that has
+// not heard of the crashes.
+func TestUpstreamNodeWithholdsCrashingRequest(t *testing.T) {
+	r, members := newCrashRig(1, 2, "north", "south")
+	entry := members[0]
+	r.DropMessage = func(_, to coltsfootward.Instance) bool { return to.ID == entry.Instance.ID }
+	r.Table.Outage = true
+	crashLoad(r, members[1:], time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	before := crashCount(members[1:])
+	entry.Announce("", 0)
+	r.Run(time.Second)
+	o := sendCrashing(entry)
+	r.Run(time.Second)
+	if got := crashCount(members[1:]) - before; got > 0 {
+		t.Errorf("servers crashed %d times more, want none", got)
+	}
+	if o.Refusal == nil || o.Refusal.Kind != coltsfootward.RefusalQuarantined || o.Refusal.Execution != coltsfootward.ExecutionNotRun {
+		t.Errorf("got %v, want a refusal as quarantined and not run", o.Refusal)
+	}
+}
+
 // Guards against a crashing request that is forgotten when all nodes lose power.
 func TestCrashingRequestIsWithheldAfterAllNodesRestarted(t *testing.T) {
 	r, members := newCrashRig(1, 2, "north", "south")
@@ -234,6 +300,25 @@
 	}
 }
 
+// Guards against servers of a failure domain that has just been cut off, and whose nodes
+// do not know that yet.
+func TestDomainThatHasJustBeenCutOffWithholdsCrashingRequest(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newCrashRig(seed, 4, "north", "south")
+		r.Run(5 * time.Second)
+		north, south := members[:4], members[4:]
+		r.PartitionDomain("south", false)
+		_, third := crashLoad(r, north, contactTime, func(m *nodetest.Member) { sendCrashing(m) })
+		if third == 0 {
+			t.Fatal("the servers did not crash three times")
+		}
+		crashLoad(r, south, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+		if got := runsSince(south, 0, crashes); got > maxLateRuns {
+			t.Errorf("seed %d: the request reached servers of the domain that is cut off %d times, want at most %d", seed, got, maxLateRuns)
+		}
+	}
+}
+
 // Guards against equal requests that are withheld although they crash nothing, while
 // servers crash for another reason.
 func TestEqualRequestsAreServedWhileServersCrashForAnotherReason(t *testing.T) {
@@ -268,26 +353,60 @@
 // Guards against a request that stays withheld because it was in service together
 // with the one that crashes servers.
 func TestRequestSuspectedWithAnotherIsReleased(t *testing.T) {
-	r, members := newCrashRig(1, 2, "north", "south")
-	for _, m := range members {
-		m.Backend.ServiceTime = func(message.Call) time.Duration { return 50 * time.Millisecond }
+	r, members := newCrashRig(1, 1, "north")
+	only := members[0]
+	only.Backend.ServiceTime = func(message.Call) time.Duration { return 50 * time.Millisecond }
+	sendBeside := func() *nodetest.Outcome {
+		return only.Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/beside"})
 	}
-	for i := range 3 {
-		sendCrashing(members[i])
-		members[i].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/beside"})
+	for range 3 {
+		sendCrashing(only)
+		sendBeside()
 		r.Run(2 * time.Second)
 	}
+	if got := len(only.Node().Quarantined()); got != 2 {
+		t.Fatalf("got %d requests withheld, want both", got)
+	}
 	var sent []*nodetest.Outcome
-	for i := range 30 {
-		sendCrashing(members[i%len(members)])
-		sent = append(sent, members[i%len(members)].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/quotes/beside"}))
-		r.Run(time.Second)
+	for range 40 {
+		sendCrashing(only)
+		r.Run(500 * time.Millisecond)
+		sent = append(sent, sendBeside())
+		r.Run(500 * time.Millisecond)
 	}
 	if got := answeredShare(sent[len(sent)/2:]); got < 1 {
 		t.Errorf("%.3f of the requests beside the crashing one answered, want all", got)
 	}
-	if got := runsSince(members, r.Now()-20*time.Second, crashes); got > 1 {
-		t.Errorf("the crashing request ran %d times in 20 s, want at most one trial", got)
+	if got := only.Backend.Crashes; got > 4 {
+		t.Errorf("the server crashed %d times, want at most one trial after the three", got)
+	}
+}
+
+// Guards against a frequent request that is withheld because it was in service whenever
+// another one crashed a server.
+func TestFrequentRequestIsServedBesideCrashingRequest(t *testing.T) {
+	for seed := range uint64(5) {
+		r, members := newCrashRig(seed, 2, "north", "south")
+		for _, m := range members {
+			m.Backend.ServiceTime = func(message.Call) time.Duration { return 50 * time.Millisecond }
+		}
+		for i := range 300 {
+			if i >= 100 && i < 104 {
+				sendCrashing(members[i%len(members)])
+			}
+			for _, m := range members {
+				get(m)
+			}
+			r.Run(10 * time.Millisecond)
+		}
+		var sent []*nodetest.Outcome
+		for _, m := range members {
+			sent = append(sent, get(m))
+		}
+		r.Run(time.Second)
+		if got := answeredShare(sent); crashCount(members) < 3 || got < 1 {
+			t.Errorf("seed %d: %.3f of the frequent requests answered after %d crashes, want all", seed, got, crashCount(members))
+		}
 	}
 }
 
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -246,6 +246,14 @@
 	m.deliver(func() node.Event { return node.BackendAnnounced{Service: service, Slots: slots} })
 }
 
+// AnnounceStart delivers an announcement of the backend server that names its current
+// start.
+func (m *Member) AnnounceStart(start string) {
+	m.deliver(func() node.Event {
+		return node.BackendAnnounced{Service: m.Backend.service, Slots: m.Backend.Slots, Start: start}
+	})
+}
+
 // AnnounceCold makes the backend server cold for the given time and delivers an
 // announcement that reports the remaining cold time with the service and the slots.
 func (m *Member) AnnounceCold(service coltsfootward.ServiceName, slots int, cold time.Duration) {
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -12,39 +12,64 @@
 // request crashes servers later.
 func (r *Register) judge() {
 	clear(r.withheld)
+	candidates := r.candidates()
+	if len(candidates) == 0 {
+		return
+	}
 	ids := r.sortedIDs()
 	evidence := make(map[Fingerprint][]time.Duration)
 	for i, id := range ids {
 		c := r.crashes[id]
-		if explained := r.addToWithheld(c); explained {
+		if r.addToWithheld(c) {
 			continue
 		}
-		for f, acquitted := range c.acquitted {
-			if !acquitted {
-				evidence[f] = append(evidence[f], c.at)
-			}
-		}
+		c.addTo(evidence, candidates)
 		culprits := r.culprits(c, evidence, ids[i+1:])
 		for _, f := range culprits {
 			r.withheld[f] = r.verdict(evidence[f], len(culprits) > 1)
 		}
 		if len(culprits) > 0 {
-			evidence = r.unexplained(ids[:i+1])
+			evidence = r.unexplained(ids[:i+1], candidates)
 		}
 	}
 }
 
+// candidates returns the requests with evidence of enough crashes against them, if
+// no crash is explained by another request.
+func (r *Register) candidates() []Fingerprint {
+	var found []Fingerprint
+	for f, count := range r.suspected {
+		if count >= crashThreshold {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+// addTo adds the crash to the evidence against the candidates among its suspects.
+func (c *crash) addTo(evidence map[Fingerprint][]time.Duration, candidates []Fingerprint) {
+	for _, f := range candidates {
+		if c.suspects(f) {
+			evidence[f] = append(evidence[f], c.at)
+		}
+	}
+}
+
+// suspects reports whether the crash is evidence against a request.
+func (c *crash) suspects(f Fingerprint) bool {
+	acquitted, ok := c.acquitted[f]
+	return ok && !acquitted
+}
+
 // addToWithheld adds a crash to the verdicts on the withheld requests among its
 // suspects. It reports whether there are any.
 func (r *Register) addToWithheld(c *crash) bool {
 	explained := false
-	for f, acquitted := range c.acquitted {
-		verdict, ok := r.withheld[f]
-		if !ok || acquitted {
-			continue
+	for f, verdict := range r.withheld {
+		if c.suspects(f) {
+			explained = true
+			r.withheld[f] = r.verdict(append(verdict.times, c.at), verdict.Shared)
 		}
-		explained = true
-		r.withheld[f] = r.verdict(append(verdict.times, c.at), verdict.Shared)
 	}
 	return explained
 }
@@ -55,17 +80,17 @@
 func (r *Register) culprits(c *crash, evidence map[Fingerprint][]time.Duration, later []CrashID) []Fingerprint {
 	var found []Fingerprint
 	most := 0
-	for f, acquitted := range c.acquitted {
-		count := len(evidence[f])
-		if acquitted || count < crashThreshold {
+	for f, times := range evidence {
+		if len(times) < crashThreshold {
 			continue
 		}
+		count := len(times)
 		for _, id := range later {
 			next := r.crashes[id]
 			if next.at > c.at+reactionTime {
 				break
 			}
-			if acquitted, suspect := next.acquitted[f]; suspect && !acquitted {
+			if next.suspects(f) {
 				count++
 			}
 		}
@@ -85,27 +110,22 @@
 	return Verdict{times: times, until: times[len(times)-crashThreshold] + r.lifetime, Shared: shared}
 }
 
-// unexplained returns the evidence of the given crashes against requests that are
-// not withheld.
-func (r *Register) unexplained(ids []CrashID) map[Fingerprint][]time.Duration {
+// unexplained returns the evidence of the given crashes against candidates that
+// are not withheld.
+func (r *Register) unexplained(ids []CrashID, candidates []Fingerprint) map[Fingerprint][]time.Duration {
 	evidence := make(map[Fingerprint][]time.Duration)
 	for _, id := range ids {
-		c := r.crashes[id]
-		if r.hasWithheld(c) {
-			continue
-		}
-		for f, acquitted := range c.acquitted {
-			if !acquitted {
-				evidence[f] = append(evidence[f], c.at)
-			}
+		if c := r.crashes[id]; !r.hasWithheld(c) {
+			c.addTo(evidence, candidates)
 		}
 	}
 	return evidence
 }
 
+// hasWithheld reports whether a crash is evidence against a withheld request.
 func (r *Register) hasWithheld(c *crash) bool {
-	for f, acquitted := range c.acquitted {
-		if _, withheld := r.withheld[f]; withheld && !acquitted {
+	for f := range r.withheld {
+		if c.suspects(f) {
 			return true
 		}
 	}
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -17,9 +17,9 @@
 	// withheld. One or two may be chance: each server has many requests in
 	// service when it crashes for a reason of its own.
 	crashThreshold = 3
-	// maxMarks bounds the suspects of all crashes in a register together. At 24
-	// bytes each, they need less than 1 MB.
-	maxMarks = 16 << 10
+	// maxMarks bounds the suspects of all crashes in a register together, and
+	// thereby its memory and the time of a judgement.
+	maxMarks = 4 << 10
 	// MaxSuspects is the largest number of suspects of one crash.
 	MaxSuspects = 512
 )
@@ -41,8 +41,11 @@
 type Register struct {
 	lifetime time.Duration
 	crashes  map[CrashID]*crash
-	marks    int
-	digest   uint64
+	// suspected counts the crashes that are evidence against each request. marks
+	// is the number of suspects of all crashes, acquitted ones included.
+	suspected map[Fingerprint]int
+	marks     int
+	digest    uint64
 	// withheld maps each withheld request to its verdict.
 	withheld map[Fingerprint]Verdict
 }
@@ -79,10 +82,14 @@
 // NewRegister returns an empty register that holds each report until the crash is
 // older than lifetime.
 func NewRegister(lifetime time.Duration) *Register {
-	return &Register{lifetime: lifetime, crashes: make(map[CrashID]*crash), withheld: make(map[Fingerprint]Verdict)}
+	return &Register{
+		lifetime: lifetime, crashes: make(map[CrashID]*crash), suspected: make(map[Fingerprint]int), withheld: make(map[Fingerprint]Verdict),
+	}
 }
 
-// Add merges reports and returns the parts of them that are new.
+// Add merges reports and returns the parts of them that are new. A report that the
+// register has no room for is not new, or nodes would send it to each other for
+// ever.
 func (r *Register) Add(now time.Duration, reports ...message.CrashReport) []message.CrashReport {
 	var added []message.CrashReport
 	for _, report := range reports {
@@ -104,11 +111,14 @@
 			added = append(added, fresh)
 		}
 	}
-	if len(added) > 0 {
-		r.evict()
+	if len(added) == 0 {
+		return nil
+	}
+	r.judge()
+	if r.evict() {
 		r.judge()
 	}
-	return added
+	return slices.DeleteFunc(added, func(report message.CrashReport) bool { return !r.Has(CrashID(report.ID)) })
 }
 
 // mark records a suspect of a crash and reports whether that is new.
@@ -130,13 +140,27 @@
 	}
 	c.acquitted[f] = acquitted
 	r.digest ^= markDigest(id, f, acquitted)
+	switch {
+	case !acquitted:
+		r.suspected[f]++
+	case known:
+		r.unsuspect(f)
+	}
 	return true
 }
 
+// unsuspect removes one crash from the evidence against a request.
+func (r *Register) unsuspect(f Fingerprint) {
+	r.suspected[f]--
+	if r.suspected[f] == 0 {
+		delete(r.suspected, f)
+	}
+}
+
 // Answered acquits a request of all crashes, since an equal one has been answered.
 // It returns what has changed.
 func (r *Register) Answered(now time.Duration, f Fingerprint) []message.CrashReport {
-	if len(r.crashes) == 0 {
+	if r.suspected[f] == 0 {
 		return nil
 	}
 	var acquittals []message.CrashReport
@@ -161,20 +185,20 @@
 // Digest returns a hash of the register's content without the ages.
 func (r *Register) Digest() uint64 { return r.digest }
 
-// Reports returns the youngest reports that have up to limit suspects together,
-// and at least one report.
-func (r *Register) Reports(now time.Duration, limit int) []message.CrashReport {
+// Page returns the reports from position from on, the youngest first, that have up to
+// limit suspects together, and at least one report. It also returns the position
+// of the next page, which is zero after the last one.
+func (r *Register) Page(now time.Duration, from, limit int) (reports []message.CrashReport, next int) {
 	ids := r.sortedIDs()
 	slices.Reverse(ids)
-	var reports []message.CrashReport
-	for _, id := range ids {
-		limit -= len(r.crashes[id].acquitted)
+	for i := min(from, len(ids)); i < len(ids); i++ {
+		limit -= len(r.crashes[ids[i]].acquitted)
 		if limit < 0 && len(reports) > 0 {
-			break
+			return reports, i
 		}
-		reports = append(reports, r.report(now, id))
+		reports = append(reports, r.report(now, ids[i]))
 	}
-	return reports
+	return reports, 0
 }
 
 func (r *Register) report(now time.Duration, id CrashID) message.CrashReport {
@@ -226,20 +250,41 @@
 	}
 }
 
-// evict removes the oldest crashes while there are more than maxMarks suspects.
-func (r *Register) evict() {
-	for _, id := range r.sortedIDs() {
+// evict removes crashes while there are more than maxMarks suspects: the oldest
+// first, and those that are evidence against withheld requests last. It reports
+// whether it has removed any.
+func (r *Register) evict() bool {
+	if r.marks <= maxMarks {
+		return false
+	}
+	ids := r.sortedIDs()
+	evidence := func(id CrashID) bool { return r.hasWithheld(r.crashes[id]) }
+	slices.SortStableFunc(ids, func(a, b CrashID) int {
+		switch {
+		case evidence(a) == evidence(b):
+			return 0
+		case evidence(b):
+			return -1
+		default:
+			return 1
+		}
+	})
+	for _, id := range ids {
 		if r.marks <= maxMarks {
-			return
+			break
 		}
 		r.remove(id)
 	}
+	return true
 }
 
 func (r *Register) remove(id CrashID) {
 	c := r.crashes[id]
 	for f, acquitted := range c.acquitted {
 		r.digest ^= markDigest(id, f, acquitted)
+		if !acquitted {
+			r.unsuspect(f)
+		}
 	}
 	r.marks -= len(c.acquitted)
 	delete(r.crashes, id)
--- a/core/quarantine/register_test.go
+++ b/core/quarantine/register_test.go
@@ -53,6 +53,14 @@
 			"two requests in service at the same crashes",
 			[]message.CrashReport{report(1, 3, 7, 8), report(2, 2, 7, 8), report(3, 1, 7, 8)}, []quarantine.Fingerprint{7, 8},
 		},
+		{
+			"another request in service at later crashes",
+			[]message.CrashReport{
+				report(1, 9*time.Second, 7), report(2, 8*time.Second, 7), report(3, 7*time.Second, 7),
+				report(4, 3*time.Second, 7, 8), report(5, 2*time.Second, 7, 8), report(6, time.Second, 7, 8),
+			},
+			[]quarantine.Fingerprint{7},
+		},
 		{
 			"a second request that crashes servers after the first is withheld",
 			[]message.CrashReport{
@@ -99,7 +107,11 @@
 			t.Errorf("seed %d: got %v and %v withheld, want the same", seed, first.All(), second.All())
 		}
 		third := quarantine.NewRegister(lifetime)
-		third.Add(lifetime, first.Reports(lifetime, 1<<20)...)
+		for next := -1; next != 0; {
+			var page []message.CrashReport
+			page, next = first.Page(lifetime, max(next, 0), 5)
+			third.Add(lifetime, page...)
+		}
 		if !slices.Equal(first.All(), third.All()) || first.Digest() != third.Digest() {
 			t.Errorf("seed %d: got %v from the reports of a node that withholds %v", seed, third.All(), first.All())
 		}
@@ -137,10 +149,72 @@
 		r.Add(0, report(id, 0, suspects...))
 	}
 	total := 0
-	for _, c := range r.Reports(0, 1<<20) {
+	all, _ := r.Page(0, 0, 1<<20)
+	for _, c := range all {
 		total += len(c.Suspects)
 	}
-	if total > 16<<10 {
-		t.Errorf("got %d suspects, want at most %d", total, 16<<10)
+	if total > 4<<10 {
+		t.Errorf("got %d suspects, want at most %d", total, 4<<10)
+	}
+}
+
+// Guards against nodes that send an old report to each other for ever because none of
+// them has room for it, and against verdicts that are lost under many crashes.
+func TestFullRegisterKeepsVerdictsAndRefusesOldReports(t *testing.T) {
+	r := quarantine.NewRegister(lifetime)
+	r.Add(0, report(1, time.Minute, 7), report(2, time.Minute, 7), report(3, time.Minute, 7))
+	suspect := uint64(100)
+	for id := range uint64(50) {
+		c := report(1000+id, 0)
+		for range quarantine.MaxSuspects {
+			suspect++
+			c.Suspects = append(c.Suspects, suspect)
+		}
+		r.Add(0, c)
+	}
+	if got := r.All(); !slices.Equal(got, []quarantine.Fingerprint{7}) {
+		t.Errorf("got %v withheld, want 7", got)
+	}
+	old := report(4, time.Minute)
+	for range quarantine.MaxSuspects {
+		suspect++
+		old.Suspects = append(old.Suspects, suspect)
+	}
+	if added := r.Add(0, old); len(added) > 0 {
+		t.Errorf("got %v, want an old report to be dropped", added)
+	}
+}
+
+func BenchmarkAnswered(b *testing.B) {
+	r := fullRegister()
+	for b.Loop() {
+		r.Answered(0, 1<<40)
+	}
+}
+
+func BenchmarkAdd(b *testing.B) {
+	r := fullRegister()
+	for id := uint64(1 << 40); b.Loop(); id++ {
+		r.Add(0, report(id, 0, id, 1, 2))
+	}
+}
+
+// fullRegister returns a register with as many crashes as it holds, of 30 suspects each.
+func fullRegister() *quarantine.Register {
+	r := quarantine.NewRegister(lifetime)
+	for id := range uint64(140) {
+		c := report(id, 0)
+		for i := range uint64(30) {
+			c.Suspects = append(c.Suspects, id*30+i)
+		}
+		r.Add(0, c)
+	}
+	return r
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	head := message.Call{Organisation: "traders", Host: "quotes.example", Method: "GET", Path: "/quotes/urea/2026-12-03?page=2"}
+	for b.Loop() {
+		quarantine.FingerprintOf(head, 1)
 	}
 }
