core/node: a new start of the backend server forgets what the earlier one answered

A request that an earlier start had answered was no suspect at a crash of the next one, so a version that crashes on it was not found out until the request had left the list of answered ones. TestAnswerOfEarlierStartDoesNotClear failed before (no record of a crash).

--- a/core/node/crash.go
+++ b/core/node/crash.go
@@ -19,6 +19,12 @@
 	// server and the ends of its requests are observed independently of each
 	// other.
 	crashSettleTime = 100 * time.Millisecond
+	// maxCrashDelay is the longest time between the end of the requests in service
+	// and the observation that the server is gone. It is longer than a restart
+	// takes.
+	maxCrashDelay = 10 * time.Second
+	// maxAnswered bounds the answered requests that are remembered.
+	maxAnswered = 2048
 	// maxLoggedSuspects limits the fingerprints in a record.
 	maxLoggedSuspects = 16
 )
@@ -51,9 +57,6 @@
 	answered *simplelru.LRU[quarantine.Fingerprint, struct{}]
 }
 
-// maxAnswered bounds the answered requests that are remembered.
-const maxAnswered = 2048
-
 func newCrashDetector(n *Node) crashDetector {
 	answered, _ := simplelru.NewLRU[quarantine.Fingerprint, struct{}](maxAnswered, nil) // fails only for a size below 1
 	return crashDetector{node: n, answered: answered}
@@ -119,6 +122,9 @@
 		}
 	}
 	p.start = start
+	if !p.lost {
+		p.answered.Purge()
+	}
 }
 
 func (p *crashDetector) tick() {
@@ -168,10 +174,6 @@
 	return suspects[:min(len(suspects), quarantine.MaxSuspects)]
 }
 
-// maxCrashDelay is the longest time between the end of the requests in service
-// and the observation that the server is gone. It is longer than a restart takes.
-const maxCrashDelay = 10 * time.Second
-
 // joinFingerprints formats the first fingerprints for a record.
 func joinFingerprints(fingerprints []quarantine.Fingerprint) string {
 	var texts []string
--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -82,6 +82,25 @@
 	}
 }
 
+// Guards against a request that is never suspected because an earlier start of the
+// server, of another version perhaps, has answered it.
+func TestAnswerOfEarlierStartDoesNotClear(t *testing.T) {
+	r, members := newCrashRig(1, 1, "north")
+	only := members[0]
+	only.AnnounceStart("first")
+	only.Backend.CrashOn = nil
+	sendCrashing(only)
+	r.Run(time.Second)
+	only.DrainBackend()
+	only.AnnounceStart("second")
+	only.Backend.CrashOn = crashes
+	sendCrashing(only)
+	r.Run(time.Second)
+	if got := len(records(only, record.BackendCrashed)); got != 1 {
+		t.Errorf("got %d records of a crash, want 1", got)
+	}
+}
+
 // Guards against a crash report about a server that was stopped as announced.
 func TestAnnouncedStopIsNoCrash(t *testing.T) {
 	r, members := newCrashRig(1, 1, "north")
