--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -200,6 +200,26 @@
 	checkWithheld(t, members, third)
 }
 
+// Guards against a crashing request in a deployment without routes, where operators'
+// services take the place of hosts.
+func TestOwnDeploymentWithholdsCrashingRequest(t *testing.T) {
+	r, north, south := newPair(1)
+	south.Backend.CrashOn = func(call message.Call) bool { return call.Path == "/crash" }
+	var last *nodetest.Outcome
+	for range 50 {
+		last = north.Send(nodetest.Request{Key: key, Service: "quotes", Path: "/crash"})
+		r.Run(100 * time.Millisecond)
+		north.Send(nodetest.Request{Key: key, Service: "quotes", Path: "/urea"})
+		r.Run(500 * time.Millisecond)
+	}
+	if got := south.Backend.Crashes; got != 3 {
+		t.Errorf("the server crashed %d times, want 3", got)
+	}
+	if last.Refusal == nil || last.Refusal.Kind != coltsfootward.RefusalQuarantined {
+		t.Errorf("got %v, want a refusal as quarantined", last.Refusal)
+	}
+}
+
 // Guards against a call of a backend server that ends the whole service below it.
 func TestCallThatCrashesServersIsWithheld(t *testing.T) {
 	r, members := newCrashRig(1, 4, "north", "south")
