cmd/explain: say which request is withheld

The explanation of a quarantined request named the fingerprint only; the refusal of its entry node holds method, path, organisation and route.

--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -53,8 +53,7 @@
 		return fmt.Sprintf("it needs service %s, whose servers request that a fraction of %s of the demand be refused (reported %s ago), so requests with a rank above %s are refused and this one has rank %s%s",
 			f["full"], f["excess"], f["age"], f["limit"], f["rank"], coldTime(refused, "; so many of these servers are cold, for another %s, that the service can handle little"))
 	case kind == coltsfootward.RefusalQuarantined:
-		return fmt.Sprintf("%s. Requests with this fingerprint are withheld; the lines backend_crashed that name it show which servers crashed and when",
-			f["detail"])
+		return quarantineReason(refused)
 	case kind == coltsfootward.RefusalNoUpstream && f["known"] != "":
 		return fmt.Sprintf("of %s known backend servers of %s, %s were tried, %s are ejected after failures, %s suspected, %s unreachable%s",
 			f["known"], f["service"], f["tried"], f["ejected"], f["suspected"], f["unreachable"], outOfService(refused))
@@ -71,6 +70,17 @@
 	return f["detail"]
 }
 
+// quarantineReason describes a withheld request. A node that refuses it on behalf of its
+// backend server does not log method and path.
+func quarantineReason(refused Line) string {
+	f := refused.Fields
+	text := f["detail"]
+	if f["path"] != "" {
+		text += fmt.Sprintf("; it is %s %s of organisation %q on route %q", f["method"], f["path"], f["organisation"], f["route"])
+	}
+	return text + "; equal requests are withheld, and the lines backend_crashed with the fingerprint show which servers crashed and when"
+}
+
 // backendLoad describes the load of the backend server that refused a call.
 func backendLoad(refused Line) string {
 	f := refused.Fields
--- a/cmd/explain/explain_test.go
+++ b/cmd/explain/explain_test.go
@@ -30,6 +30,7 @@
 {"level":"info","ts":1700000006.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-slow","instance":"south-1","kind":"draining","execution":"not_run","detail":"the backend server takes no new work","service":"quotes","hop":"1","took":"3ms"}
 {"level":"info","ts":1700000007.000,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-slow","kind":"timeout","execution":"unknown","detail":"the caller's time ran out","retry_after":"0s","service":"quotes","waited":"1s","hops":"2","instance":"south-2"}
 {"level":"info","ts":1700000008.000,"msg":"attempt_failed","node":"north-2","domain":"north","code":202,"request":"r-saved","instance":"south-1","kind":"upstream_failed","execution":"unknown","detail":"the backend server broke off","service":"quotes","hop":"1","took":"30ms"}
+{"level":"info","ts":1700000008.400,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-crash","kind":"quarantined","execution":"not_run","detail":"4 backend servers have crashed while they ran a request equal to this one (4984dbdd9171f5d4)","retry_after":"58m1s","fingerprint":"4984dbdd9171f5d4","service":"quotes","route":"r-1","organisation":"traders","waited":"0s","hops":"0","method":"GET","path":"/quotes/crash"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"203","count":"17"}
 {"level":"info","ts":1700000108.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"202","count":"4"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"north-2","domain":"north","code":106,"of":"901","count":"9"}
@@ -44,7 +45,7 @@
 
 func TestCauses(t *testing.T) {
 	var page strings.Builder
-	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved"} {
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash"} {
 		search := explain.NewSearch(request)
 		read(t, search.Add)
 		found, ok := search.Result()
