core/node: repeat the first read of the stored crashes until it succeeds

If the platform was away when all nodes started again, the one read of the stored crashes failed and was not repeated, so a request that had crashed three servers stayed unknown after the platform's return, until a domain was cut off.

Found by reading the change once more.

--- a/core/node/quarantine.go
+++ b/core/node/quarantine.go
@@ -42,7 +42,7 @@
 	lastRead   time.Duration
 	nextWrite  time.Duration
 	nextExpiry time.Duration
-	// hasRead is set once the stored crashes were to be read after the start.
+	// hasRead is set once the stored crashes have been read.
 	hasRead bool
 	// writtenDigest is the digest of the register for which no row is left to be
 	// written.
--- a/core/node/quarantine_table.go
+++ b/core/node/quarantine_table.go
@@ -64,15 +64,13 @@
 	}
 }
 
-// shouldRead reports whether this node reads the stored crashes: once after its start,
-// and for as long as another failure domain is unreachable, whose reports arrive
+// shouldRead reports whether this node reads the stored crashes: until it has done so
+// once, and for as long as another failure domain is unreachable, whose reports arrive
 // through the table only.
 func (p *quarantineComponent) shouldRead() bool {
-	first := !p.hasRead
-	p.hasRead = true
 	m := p.node.membership.machine
 	partitioned := slices.ContainsFunc(m.Domains(), func(d coltsfootward.FailureDomain) bool { return !m.Reachable(d) })
-	return (first || partitioned) && m.Rank(crashReaders) >= 0
+	return (!p.hasRead || partitioned) && m.Rank(crashReaders) >= 0
 }
 
 // brokeOff processes that everything that the local backend server was running has
@@ -97,6 +95,7 @@
 	p.node.table.scan(CrashPrefix, "", crashScanLimit, func(rows []coltsfootward.Row, err error) {
 		p.busy = false
 		if err == nil {
+			p.hasRead = true
 			p.rowsRead(rows)
 		}
 	})
--- a/core/nodetest/crash_test.go
+++ b/core/nodetest/crash_test.go
@@ -319,6 +319,30 @@
 	checkWithheld(t, members, third)
 }
 
+// Guards against a crashing request that stays forgotten because the platform was away
+// when all nodes started again.
+func TestStoredCrashesAreReadOncePlatformReturns(t *testing.T) {
+	r, members := newCrashRig(1, 2, "north", "south")
+	crashLoad(r, members, 10*time.Second, func(m *nodetest.Member) { sendCrashing(m) })
+	r.Table.Outage = true
+	for _, m := range members {
+		m.Kill()
+	}
+	r.Run(time.Second)
+	for _, m := range members {
+		m.Restart()
+		m.ReadConfiguration(routedDocument(1, coltsfootward.Rate{PerSecond: 100000, Burst: 100000}, "quotes"))
+	}
+	r.Run(5 * time.Second)
+	r.Table.Outage = false
+	r.Run(contactTime)
+	for _, m := range members {
+		if len(m.Node().Quarantined()) == 0 {
+			t.Errorf("%s does not withhold the request %v after the platform's return", m.Instance.ID, contactTime)
+		}
+	}
+}
+
 // Guards against a failure domain that lets a request crash its servers because the
 // nodes that know the request cannot reach it.
 func TestDomainThatIsCutOffWithholdsCrashingRequest(t *testing.T) {
