--- /dev/null
+++ b/core/demand/summary.go
@@ -0,0 +1,62 @@
+package demand
+
+import (
+	"time"
+
+	"coltsfootward"
+)
+
+// Bands is the number of importance bands: four priorities with four secondary
+// priorities each. Band 0 is the most important.
+const Bands = 16
+
+// ByBand is demand in slot seconds per second, by importance band.
+type ByBand [Bands]float64
+
+// Total returns the demand of all bands.
+func (b ByBand) Total() float64 {
+	total := 0.0
+	for _, d := range b {
+		total += d
+	}
+	return total
+}
+
+// Organisation is the demand of one organisation.
+type Organisation struct {
+	Name   coltsfootward.OrganisationName
+	Demand ByBand
+}
+
+// Domain is the demand that entered in one failure domain.
+type Domain struct {
+	Name   coltsfootward.FailureDomain
+	Demand float64
+}
+
+// Summary is the demand of the whole fleet for one service, before refusals, as far as
+// the collector that made it knows. The zero value is invalid.
+type Summary struct {
+	Service coltsfootward.ServiceName
+	// At is when the summary arrived, by Instant.Monotonic of the node that holds it.
+	At time.Duration
+	// Total is the demand of all organisations.
+	Total ByBand
+	// Organisations holds the organisations with the most demand, Others the demand of
+	// all further ones and OtherCount their number, as far as it is known.
+	Organisations []Organisation
+	Others        ByBand
+	OtherCount    int
+	// Domains holds the demand by the failure domain in which it entered.
+	Domains []Domain
+	// Entries is the number of entry nodes whose demand is included.
+	Entries int
+}
+
+// Lifetime is how long a summary is used.
+const Lifetime = 2 * time.Second
+
+// Valid reports whether the summary may be used at now.
+func (s Summary) Valid(now time.Duration) bool {
+	return s.Service != "" && now-s.At <= Lifetime
+}
--- a/core/message/codec.go
+++ b/core/message/codec.go
@@ -13,16 +13,22 @@
 // struct as an array of its fields, without field names and without the cost of
 // reflection.
 
-// The number of array elements of each type on the wire.
+// The number of array elements of each type on the wire. An extended type has further
+// elements, which are sent only if one of them is not zero, so that nodes that do not use
+// them understand each other whatever their version.
 const (
-	callFields        = 21
-	loadFields        = 8
-	pressureFields    = 3
-	responseFields    = 4
-	responseEndFields = 2
-	drawFields        = 7
-	grantFields       = 8
-	instanceFields    = 5
+	callFields             = 21
+	extendedCallFields     = callFields + 3
+	loadFields             = 8
+	extendedLoadFields     = loadFields + 3
+	pressureFields         = 3
+	extendedPressureFields = pressureFields + 1
+	responseFields         = 4
+	extendedResponseFields = responseFields + 1
+	responseEndFields      = 2
+	drawFields             = 7
+	grantFields            = 8
+	instanceFields         = 5
 )
 
 // writer encodes fields and retains the first error.
@@ -43,6 +49,16 @@
 func (w *writer) flag(value bool)          { w.setError(w.encoder.EncodeBool(value)) }
 func (w *writer) fraction(value float64)   { w.setError(w.encoder.EncodeFloat64(value)) }
 func (w *writer) duration(d time.Duration) { w.number(int64(d)) }
+
+// extendable writes the number of fields that follow and returns extended.
+func (w *writer) extendable(extended bool, base, count int) bool {
+	if extended {
+		base = count
+	}
+	w.fields(base)
+	return extended
+}
+
 func (w *writer) header(h map[string][]string) {
 	w.setError(w.encoder.EncodeMapLen(len(h)))
 	for name, values := range h {
@@ -83,6 +99,16 @@
 	}
 }
 
+// extendable reads the number of fields that follow, which must be base or extended. It
+// reports whether the extended fields are present.
+func (r *reader) extendable(base, extended int) bool {
+	got := r.length()
+	if r.err == nil && got != base && got != extended {
+		r.err = fmt.Errorf("message: got %d fields, want %d or %d: check that both nodes run the same version", got, base, extended)
+	}
+	return got == extended
+}
+
 // length reads the number of elements that follow.
 func (r *reader) length() int { return max(read(r, r.decoder.DecodeArrayLen), 0) }
 
@@ -137,7 +163,7 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (c *Call) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	w := writer{encoder: encoder}
-	w.fields(callFields)
+	extended := w.extendable(c.Account != "" || c.Attributed || c.Sends != 0, callFields, extendedCallFields)
 	w.text(string(c.Request))
 	w.text(string(c.Organisation))
 	w.text(string(c.Service))
@@ -159,13 +185,18 @@
 	w.text(string(c.Route))
 	w.text(c.Host)
 	w.text(string(c.Caller))
+	if extended {
+		w.text(string(c.Account))
+		w.flag(c.Attributed)
+		w.number(int64(c.Sends))
+	}
 	return w.err
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (c *Call) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	r := reader{decoder: decoder}
-	r.fields(callFields)
+	extended := r.extendable(callFields, extendedCallFields)
 	c.Request = coltsfootward.RequestID(r.text())
 	c.Organisation = coltsfootward.OrganisationName(r.text())
 	c.Service = coltsfootward.ServiceName(r.text())
@@ -187,13 +218,19 @@
 	c.Route = coltsfootward.RouteName(r.text())
 	c.Host = r.text()
 	c.Caller = coltsfootward.ServiceName(r.text())
+	c.Account, c.Attributed, c.Sends = "", false, 0
+	if extended {
+		c.Account = coltsfootward.OrganisationName(r.text())
+		c.Attributed = r.flag()
+		c.Sends = int(r.number())
+	}
 	return r.err
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (l *Load) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	w := writer{encoder: encoder}
-	w.fields(loadFields)
+	extended := w.extendable(l.Slowdown != 0 || l.SlowdownAge != 0 || l.Wait != 0, loadFields, extendedLoadFields)
 	w.number(int64(l.Running))
 	w.number(int64(l.Queued))
 	w.number(int64(l.Limit))
@@ -203,10 +240,18 @@
 	w.fraction(l.Cost)
 	w.fields(len(l.Downstream))
 	for _, downstream := range l.Downstream {
-		w.fields(pressureFields)
+		named := w.extendable(downstream.Resource != "", pressureFields, extendedPressureFields)
 		w.text(string(downstream.Service))
 		w.fraction(downstream.Excess)
 		w.fraction(downstream.Cost)
+		if named {
+			w.text(string(downstream.Resource))
+		}
+	}
+	if extended {
+		w.fraction(l.Slowdown)
+		w.duration(l.SlowdownAge)
+		w.duration(l.Wait)
 	}
 	return w.err
 }
@@ -214,7 +259,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (l *Load) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	r := reader{decoder: decoder}
-	r.fields(loadFields)
+	extended := r.extendable(loadFields, extendedLoadFields)
 	l.Running = int(r.number())
 	l.Queued = int(r.number())
 	l.Limit = int(r.number())
@@ -224,20 +269,29 @@
 	l.Cost = r.fraction()
 	l.Downstream = nil
 	for range r.length() {
-		r.fields(pressureFields)
+		named := r.extendable(pressureFields, extendedPressureFields)
 		downstream := Pressure{Service: coltsfootward.ServiceName(r.text()), Excess: r.fraction(), Cost: r.fraction()}
+		if named {
+			downstream.Resource = Resource(r.text())
+		}
 		if r.err != nil {
 			return r.err
 		}
 		l.Downstream = append(l.Downstream, downstream)
 	}
+	l.Slowdown, l.SlowdownAge, l.Wait = 0, 0, 0
+	if extended {
+		l.Slowdown = r.fraction()
+		l.SlowdownAge = r.duration()
+		l.Wait = r.duration()
+	}
 	return r.err
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (resp *Response) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	w := writer{encoder: encoder}
-	w.fields(responseFields)
+	w.extendable(resp.RetryGranted, responseFields, extendedResponseFields)
 	w.number(int64(resp.Status))
 	w.header(resp.Header)
 	w.flag(resp.Refusal != nil)
@@ -245,13 +299,16 @@
 		w.setError(encoder.Encode(resp.Refusal))
 	}
 	w.setError(resp.Load.EncodeMsgpack(encoder))
+	if resp.RetryGranted {
+		w.flag(resp.RetryGranted)
+	}
 	return w.err
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (resp *Response) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	r := reader{decoder: decoder}
-	r.fields(responseFields)
+	extended := r.extendable(responseFields, extendedResponseFields)
 	resp.Status = int(r.number())
 	resp.Header = r.header()
 	resp.Refusal = nil
@@ -262,6 +319,7 @@
 	if r.err == nil {
 		r.err = resp.Load.DecodeMsgpack(decoder)
 	}
+	resp.RetryGranted = extended && r.flag()
 	return r.err
 }
 
--- a/core/message/codec_test.go
+++ b/core/message/codec_test.go
@@ -106,3 +106,31 @@
 		_ = msgpack.Unmarshal(data, &message.Response{})
 	})
 }
+
+// Guards against a node that peers of an older version can't understand although it uses
+// nothing new.
+func TestUnusedExtendedFieldsAreNotSent(t *testing.T) {
+	for _, test := range []struct {
+		value any
+		want  int
+	}{
+		{&message.Call{Route: "orders"}, 21},
+		{&message.Call{Sends: 1}, 24},
+		{&message.Load{Running: 1}, 8},
+		{&message.Load{Slowdown: 2}, 11},
+		{&message.Response{Status: 200}, 4},
+		{&message.Response{RetryGranted: true}, 5},
+	} {
+		encoded, err := msgpack.Marshal(test.value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fields []any
+		if err := msgpack.Unmarshal(encoded, &fields); err != nil {
+			t.Fatal(err)
+		}
+		if len(fields) != test.want {
+			t.Errorf("%+v: got %d fields, want %d", test.value, len(fields), test.want)
+		}
+	}
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -130,6 +130,14 @@
 	// Caller is the service of the backend server beside the node at which a routed
 	// request entered.
 	Caller coltsfootward.ServiceName `msgpack:"caller,omitempty"`
+	// Account is the organisation whose share of a service a child call counts against.
+	// It comes from an estimate, so it is never sent to a backend server and never used
+	// for identity, keys or rates.
+	Account coltsfootward.OrganisationName `msgpack:"account,omitempty"`
+	// Attributed is set for a routed child call that was attributed to its parent request.
+	Attributed bool `msgpack:"attributed,omitempty"`
+	// Sends is how often this call has been sent to backend servers before.
+	Sends int `msgpack:"sends,omitempty"`
 }
 
 // Load is the load report that an upstream's node sends with every Response.
@@ -155,14 +163,34 @@
 	// Downstream contains the excess and the cost for each downstream service that
 	// requests of this class call, directly or indirectly.
 	Downstream []Pressure `msgpack:"below,omitempty"`
+	// Slowdown is how many times as long as usual work takes at the backend server, as
+	// the server stated; zero if it states nothing. SlowdownAge is the time since then.
+	Slowdown    float64       `msgpack:"slowdown,omitempty"`
+	SlowdownAge time.Duration `msgpack:"slowdown_age,omitempty"`
+	// Wait is how long a request that arrived now would wait for the backend server.
+	Wait time.Duration `msgpack:"wait,omitempty"`
 }
 
+// Resource names what a service is short of.
+type Resource string
+
+// The resources.
+const (
+	// ResourceSlots are the slots of the service's backend servers.
+	ResourceSlots Resource = ""
+	// ResourceRetries are the retries that the service's retry budget allows.
+	ResourceRetries Resource = "retries"
+)
+
 // Pressure is the fraction of the demand for a service that entry nodes should refuse,
 // and the slot time in seconds that one request of a class uses at that service.
 type Pressure struct {
 	Service coltsfootward.ServiceName `msgpack:"service"`
 	Excess  float64                   `msgpack:"excess"`
 	Cost    float64                   `msgpack:"cost"`
+	// Resource is what the service is short of. For ResourceRetries, Cost is the expected
+	// number of retries that one request needs.
+	Resource Resource `msgpack:"resource,omitempty"`
 }
 
 // Response is the head of the response to a Call: the backend server's status and
@@ -172,6 +200,9 @@
 	Header  map[string][]string    `msgpack:"header"`
 	Refusal *coltsfootward.Refusal `msgpack:"refusal"`
 	Load    Load                   `msgpack:"load"`
+	// RetryGranted is set in a refusal if the refusing node permits one more attempt out
+	// of its part of the service's retry budget.
+	RetryGranted bool `msgpack:"retry_granted,omitempty"`
 }
 
 // ResponseEnd terminates a response after its body. A response without a ResponseEnd is
