io/wire: parser for the load that backend servers state

parseSlots read a load field with a fourth figure as no slots. One parser beside Condition now returns an immutable BackendLoad; a bad figure invalidates only itself and is named in the error, and further figures are ignored.

--- a/io/upstream/health.go
+++ b/io/upstream/health.go
@@ -5,15 +5,14 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/io/wire"
 )
 
-// healthTimeout limits the duration of a health check. Like any request, a health
-// check may have to wait for a slot of the backend server.
+// healthTimeout limits the duration of a health check. Backend servers of earlier versions
+// let a health check wait for a slot, like any request.
 const healthTimeout = 500 * time.Millisecond
 
 // defaultHealthPath is used if the configuration sets no path.
@@ -51,7 +50,8 @@
 		return Health{}, fmt.Errorf("upstream: health check: %w", err)
 	}
 	defer response.Body.Close()
-	slots := parseSlots(response.Header.Get(fields.Load))
+	load, _ := fields.BackendLoad(response.Header) // a figure that cannot be used counts as missing, like the condition below
+	slots, _ := load.Slots()
 	id := response.Header.Get(fields.Backend)
 	condition, _ := fields.Condition(response.Header) // an unreadable field counts as missing: the next response has it, too
 	return Health{
@@ -70,17 +70,3 @@
 	}
 	return time.Duration(milliseconds) * time.Millisecond
 }
-
-// parseSlots returns the slots from a load field with the format "running, waiting,
-// slots". It returns zero for an invalid field.
-func parseSlots(load string) int {
-	parts := strings.Split(load, ",")
-	if len(parts) != 3 {
-		return 0
-	}
-	slots, err := strconv.Atoi(strings.TrimSpace(parts[2]))
-	if err != nil || slots < 0 {
-		return 0
-	}
-	return slots
-}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -24,7 +24,8 @@
 	// Backend identifies the backend server that sent a response.
 	Backend string
 	// Load carries the numbers of running requests, waiting requests and slots of a
-	// backend server, separated by commas.
+	// backend server and how long work takes there in percent of the usual duration,
+	// separated by commas. Further figures may follow.
 	Load string
 	// NotRun is set in a response if the backend server did not execute the request.
 	NotRun string
