core/node, io/upstream: pass the stated load on with DispatchEnded

The load field of responses was not read. Its figures now reach the state machine with the end of the dispatch, without an event of their own. standin/hosting states its load in every response, the fourth figure on request.

--- a/core/node/event.go
+++ b/core/node/event.go
@@ -161,6 +161,10 @@
 	Kind DispatchKind
 	// Failed is set if the upstream's response reports a failure.
 	Failed bool
+	// Load is the load that the response states. UnusableLoad names the figures of it
+	// that could not be used; empty if there are none.
+	Load         coltsfootward.BackendLoad
+	UnusableLoad string
 }
 
 // BackendAnswered reports what the local backend server states about itself in the
--- a/io/upstream/condition.go
+++ b/io/upstream/condition.go
@@ -20,3 +20,21 @@
 		d.server.loop.Post(event)
 	}
 }
+
+// readLoad reads the load that the response states. It reaches the state machine with the
+// end of the dispatch. A response with another request's ID is a surplus one, and status 421
+// comes from another server.
+func (d *dispatch) readLoad(response *http.Response) {
+	fields := d.server.options.Routed
+	if fields == nil || response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if id := response.Header.Get(fields.Request); id != "" && id != string(d.head.Request) {
+		return
+	}
+	load, err := fields.BackendLoad(response.Header)
+	d.load = load
+	if err != nil {
+		d.unusableLoad = err.Error()
+	}
+}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -186,6 +186,9 @@
 	buffered *completeResponse
 	// failed is set if the response has a status of 500 or more.
 	failed bool
+	// load is the load that the response states, and unusableLoad names its bad figures.
+	load         coltsfootward.BackendLoad
+	unusableLoad string
 	// reusable is set once the connection may carry another request.
 	reusable  bool
 	keepAlive time.Duration
@@ -207,6 +210,7 @@
 	if err != nil {
 		return d.finish(d.failureKind(ctx, err))
 	}
+	d.readLoad(response)
 	if d.server.options.Routed != nil {
 		if d.rejected(response) {
 			return d.finish(node.DispatchRejected)
@@ -249,7 +253,7 @@
 // finish reports the end of the dispatch to the state machine. It returns true if no
 // further action of the state machine follows.
 func (d *dispatch) finish(kind node.DispatchKind) bool {
-	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind, Failed: d.failed})
+	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind, Failed: d.failed, Load: d.load, UnusableLoad: d.unusableLoad})
 	return kind == node.DispatchCancelled || kind == node.DispatchTruncated
 }
 
--- a/standin/hosting/backend.go
+++ b/standin/hosting/backend.go
@@ -38,10 +38,13 @@
 	coldUntil time.Time
 	// limit is the value of the field with which responses name a limit; empty without
 	// one. leaving is set if responses say that the server leaves.
-	limit             string
-	leaving           bool
+	limit   string
+	leaving bool
+	// slowdown is the fourth figure of the load field; empty without one.
+	slowdown          string
 	startMilliseconds int64
 	runs              []*http.Request
+	running           int
 	done              chan struct{}
 	wait              sync.WaitGroup
 }
@@ -92,7 +95,7 @@
 	defer b.mu.Unlock()
 	b.starts++
 	b.sequence = 0
-	b.limit, b.leaving = "", false
+	b.limit, b.leaving, b.slowdown = "", false, ""
 	b.startMilliseconds = time.Now().UnixMilli()
 	b.crashed = false
 }
@@ -143,6 +146,14 @@
 	b.leaving = leaving
 }
 
+// SetSlowdown makes the server state in all its responses how long work takes, in percent of
+// the usual duration. The text is not checked, so that tests can state bad figures.
+func (b *Backend) SetSlowdown(percent string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slowdown = percent
+}
+
 // setCondition sets the fields in which the server states its condition. It must be
 // called with the lock held.
 func (b *Backend) setCondition(h http.Header) {
@@ -152,6 +163,11 @@
 	if b.leaving {
 		h.Set("Server-Leaving", "1")
 	}
+	load := fmt.Sprintf("%d,0,%d", b.running, b.Slots)
+	if b.slowdown != "" {
+		load += "," + b.slowdown
+	}
+	h.Set("Coltsfootward-Server-Load", load)
 }
 
 // coldMilliseconds returns the remaining cold time. It must be called with the lock
@@ -210,7 +226,6 @@
 	if r.URL.Path == "/health" {
 		w.Header().Set("Coltsfootward-Cold-Remaining-Ms", strconv.FormatInt(cold, 10))
 		w.Header().Set("Coltsfootward-Instance-Id", id)
-		w.Header().Set("Coltsfootward-Server-Load", fmt.Sprintf("0,0,%d", b.Slots))
 		if draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -220,11 +235,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !b.DiscardRuns {
-		b.mu.Lock()
-		b.runs = append(b.runs, r)
-		b.mu.Unlock()
-	}
+	b.countRun(r)
+	defer b.countEnd()
 	w.Header().Set("Coltsfootward-Request-Id", r.Header.Get("Coltsfootward-Request-Id"))
 	w.Header().Set("Coltsfootward-Response-Stamp", "stamp-of-"+id)
 	if b.Serve != nil {
@@ -233,3 +245,19 @@
 	}
 	fmt.Fprintf(w, "answer of %s to %s", id, r.URL.RequestURI())
 }
+
+// countRun records that a request runs.
+func (b *Backend) countRun(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running++
+	if !b.DiscardRuns {
+		b.runs = append(b.runs, r)
+	}
+}
+
+func (b *Backend) countEnd() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+}
