--- a/core/node/draw.go
+++ b/core/node/draw.go
@@ -112,7 +112,7 @@
 // the expected demand is below one token, because that token would mostly
 // expire unspent.
 func (p *rateComponent) prefetchCount(a *account) int64 {
-	target := int64(a.demand.PerSecond(p.node.now) * a.tokenLifetime.Seconds() / prefetchDivisor)
+	target := int64(a.demand.PerSecond(p.node.now.Monotonic) * a.tokenLifetime.Seconds() / prefetchDivisor)
 	available := a.tokenCache.Tokens(p.node.now)
 	if available > target/2 {
 		return 0
--- a/core/node/rate.go
+++ b/core/node/rate.go
@@ -44,7 +44,7 @@
 	limit      coltsfootward.Rate
 	division   rate.DivisionTracker
 	tokenCache rate.TokenCache
-	demand     rate.Demand
+	demand     rate.Meter
 	// creationSeen is set if the organisation was created while this node was
 	// running.
 	creationSeen bool
@@ -96,7 +96,7 @@
 		w.overRate(0, nil)
 		return
 	}
-	a.demand.RecordRequest(p.node.now)
+	a.demand.Record(p.node.now.Monotonic)
 	a.waiters = append(a.waiters, w)
 	p.serveWaiters(a)
 	p.drawForWaiters(a)
--- a/core/rate/purse.go
+++ b/core/rate/token_cache.go
@@ -1,7 +1,6 @@
 package rate
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -65,25 +64,3 @@
 func (c *TokenCache) expire(now coltsfootward.Instant) {
 	c.batches = slices.DeleteFunc(c.batches, func(batch Batch) bool { return batch.Expires <= now.Expiry })
 }
-
-// demandWindow is the time constant with which the demand estimate decays.
-const demandWindow = time.Second
-
-// Demand estimates the rate of arriving requests as an exponentially decaying
-// average. The zero value is ready for use. It is not safe for concurrent use.
-type Demand struct {
-	perSecond   float64
-	lastRequest time.Duration
-}
-
-// RecordRequest counts one request.
-func (d *Demand) RecordRequest(now coltsfootward.Instant) {
-	d.perSecond = d.PerSecond(now) + 1/demandWindow.Seconds()
-	d.lastRequest = now.Monotonic
-}
-
-// PerSecond returns the estimated request rate at now, in requests per second.
-func (d *Demand) PerSecond(now coltsfootward.Instant) float64 {
-	elapsed := now.Monotonic - d.lastRequest
-	return d.perSecond * math.Exp(-elapsed.Seconds()/demandWindow.Seconds())
-}
