core/completion, core/placement: expected completion at servers that state a slowdown

Occupancy does not show that a machine is slow, so an eighth of the requests went to the slow server of eight. Where servers state a slowdown, the two candidates are compared by expected completion: wait plus slot time, times the stated slowdown, whose excess decays with 600 ms. One placement in 16 compares as before, so that a false figure leaves a server an eighth of its usual share. core/admission divides measured durations by the slowdown.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -260,14 +260,25 @@
 // Done records the end of a request's service. aborted is set if the service was ended
 // early.
 func (c *Controller) Done(now time.Duration, id RequestID, aborted bool) {
+	c.DoneAtSlowdown(now, id, aborted, 0)
+}
+
+// DoneAtSlowdown is like Done for a server that has stated that work takes slowdown times as
+// long as usual; zero means that it has stated nothing. Estimates are of the usual duration, since a slowdown ends within a second.
+func (c *Controller) DoneAtSlowdown(now time.Duration, id RequestID, aborted bool, slowdown float64) {
 	r, ok := c.running[id]
 	if !ok {
 		return
 	}
 	delete(c.running, id)
-	c.limiter.Observe(Sample{Class: r.request.Class, Began: r.began, Ended: now, Running: r.concurrency, Aborted: aborted})
+	c.limiter.Observe(Sample{
+		Class: r.request.Class, Began: r.began, Ended: now, Running: r.concurrency, Aborted: aborted, Slowdown: slowdown,
+	})
 }
 
+// DoneUnmeasured records the end of a request whose duration says nothing about others.
+func (c *Controller) DoneUnmeasured(id RequestID) { delete(c.running, id) }
+
 // Withdraw removes a waiting request whose caller has cancelled it. It reports
 // whether the request was waiting.
 func (c *Controller) Withdraw(id RequestID) bool { return c.queue.Remove(id) }
--- a/core/admission/knee.go
+++ b/core/admission/knee.go
@@ -137,7 +137,7 @@
 		k.classes[s.Class] = stats
 	}
 	k.samples++
-	took := (s.Ended - s.Began).Seconds()
+	took := s.usualDuration().Seconds()
 	if k.phase == kneeFull {
 		stats.fullCount++
 		stats.fullSum += took
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -132,12 +132,24 @@
 	// Aborted is set if service was ended early, so that the request would have taken
 	// longer.
 	Aborted bool
+	// Slowdown is how many times as long as usual work took at the server, as it stated; zero
+	// if it stated nothing.
+	Slowdown float64
+}
+
+// usualDuration returns how long the request would have taken without the slowdown.
+func (s Sample) usualDuration() time.Duration {
+	took := s.Ended - s.Began
+	if s.Slowdown <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) / s.Slowdown)
 }
 
 // Observe processes a completed request.
 func (l *Limiter) Observe(s Sample) {
 	c := l.class(s.Class)
-	latency := (s.Ended - s.Began).Seconds()
+	latency := s.usualDuration().Seconds()
 	if s.Aborted && latency <= c.estimate {
 		return
 	}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/completion"
 	"coltsfootward/core/message"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,6 +53,11 @@
 	levels        shedLevels
 	// limited is set while some server may have a share; see SetShare.
 	limited bool
+	// expected holds what requests cost at the service. statedAt is when a server last
+	// stated a slowdown, and stated is set if one has.
+	expected completion.Service
+	statedAt time.Duration
+	stated   bool
 }
 
 // NewPool returns an empty pool for the node self. reachable reports whether a
@@ -77,6 +83,7 @@
 	if restarted {
 		u.slowStartedAt = now
 		u.hasLoad = false
+		u.completion.Forget()
 	}
 	u.slots = slots
 }
@@ -195,24 +202,29 @@
 	// Urgency, 0 to 1, is the importance of the request. At a server that names a limit,
 	// the more urgent of two requests has room first.
 	Urgency float64
+	// Class is the class of requests by which slot times are known; empty if there is none.
+	Class string
+	// byCompletion is set if candidates are compared by expected completion.
+	byCompletion bool
 }
 
 // Choose returns the server for an attempt, or false if every reachable server was
 // tried or has no room.
 func (p *Pool) Choose(now time.Duration, source *rand.Rand, r Request) (coltsfootward.Instance, bool) {
 	p.updateSubset()
+	r.byCompletion = p.comparesCompletion(now, source)
 	near := p.bestOfTwo(now, source, p.own, r)
 	if near != nil && near.occupancy(now) < spillOccupancy {
 		return near.instance, true
 	}
 	far := p.bestOfTwo(now, source, p.other, r)
-	if best := lessLoaded(now, near, far); best != nil {
+	if best := p.better(now, r, near, far); best != nil {
 		return best.instance, true
 	}
 	return p.fallback(now, r)
 }
 
-// bestOfTwo returns the less loaded of two servers picked at random. An ejected
+// bestOfTwo returns the better of two servers picked at random. An ejected
 // server that is due for a trial request is a candidate like the others: it gets
 // a single request, so its share is bounded.
 func (p *Pool) bestOfTwo(now time.Duration, source *rand.Rand, from []*upstream, r Request) *upstream {
@@ -220,7 +232,7 @@
 	if first == nil {
 		return nil
 	}
-	return lessLoaded(now, first, p.pickRandom(now, source, from, r, first))
+	return p.better(now, r, first, p.pickRandom(now, source, from, r, first))
 }
 
 // pickRandom returns the first available server other than exclude, starting at a
@@ -360,6 +372,8 @@
 func (p *Pool) ObserveLoad(now time.Duration, id coltsfootward.InstanceID, kind RequestKind, load message.Load) {
 	if u, ok := p.upstreams[id]; ok {
 		u.observeLoad(now, load)
+		p.observeStatement(now, u, load)
+		p.expected.ObserveCost(&u.completion, kind.Class, load.Cost)
 		p.levels.observe(now, kind, load.ShedLevel)
 	}
 }
@@ -377,6 +391,7 @@
 func (p *Pool) ConnectionLost(id coltsfootward.InstanceID) {
 	if u, ok := p.upstreams[id]; ok {
 		u.hasLoad = false
+		u.completion.Forget()
 	}
 }
 
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/completion"
 	"coltsfootward/core/message"
 	"coltsfootward/core/rate"
 )
@@ -71,6 +72,10 @@
 	// until shareExpires.
 	share        rate.Pacer
 	shareExpires time.Duration
+	// completion is what the server stated about its speed, and sent the rate of this node's
+	// requests for it.
+	completion completion.Server
+	sent       rate.Meter
 	// wantedAt is when the server was last considered for a request.
 	wantedAt time.Duration
 	// latency is the smoothed response time in seconds.
@@ -142,6 +147,7 @@
 func (u *upstream) attemptSent(now time.Duration) {
 	u.inFlight++
 	u.share.Record(now)
+	u.sent.Record(now)
 	if u.ejected {
 		u.trialInFlight = true
 	}
