core/node: keep the stated load, send load_notice when it changes

The node beside a server adds the stated slowdown, its age and the wait to its load reports, and notifies the entry nodes of the last 2 s when the slowdown changes by a quarter or waiting begins or ends. Events 320 to 322.

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -276,7 +276,9 @@
 }
 
 func (h *hosted) postHealth(health upstream.Health) {
-	h.components.loop.Post(node.BackendChecked{Cold: health.ColdRemaining, Condition: health.Condition})
+	h.components.loop.Post(node.BackendChecked{
+		Cold: health.ColdRemaining, Condition: health.Condition, Load: health.Load, UnusableLoad: health.UnusableLoad,
+	})
 }
 
 func (h *hosted) readyRouter() *mux.Router {
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -59,6 +59,7 @@
 	KindDraw:                 func() Message { return &Draw{} },
 	KindGrant:                func() Message { return &Grant{} },
 	KindSlotOffer:            func() Message { return &SlotOffer{} },
+	KindLoadNotice:           func() Message { return &LoadNotice{} },
 	KindConfigurationPage:    func() Message { return &ConfigurationPage{} },
 	KindFullConfiguration:    func() Message { return &FullConfiguration{} },
 	KindConfirmation:         func() Message { return &Confirmation{} },
--- a/core/node/condition.go
+++ b/core/node/condition.go
@@ -73,6 +73,7 @@
 func (p *conditionTracker) reset() {
 	p.current.Leaving = false
 	p.endLimit()
+	p.node.upstream.stated.reset()
 }
 
 // leaving reports whether the server has said that it leaves.
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -209,6 +209,9 @@
 	Cold time.Duration
 	// Condition is what the response states.
 	Condition coltsfootward.BackendCondition
+	// Load and UnusableLoad are as in DispatchEnded.
+	Load         coltsfootward.BackendLoad
+	UnusableLoad string
 }
 
 // DrainRequested makes the node drain: it accepts no new work and stops when
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -151,6 +151,7 @@
 	if p.condition.limited() {
 		fields = append(fields, field("named_limit", decimal(p.condition.current.Limit)))
 	}
+	fields = p.stated.evidence(fields)
 	return coldField(fields, p.coldRemaining())
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -120,6 +120,7 @@
 		n.upstream.crashes.responded()
 		n.upstream.cold.checked(e)
 		n.upstream.condition.stated(e.Condition)
+		n.upstream.stated.observed(e.Load, e.UnusableLoad)
 	case DrainRequested:
 		n.drain()
 	case TableResult:
@@ -202,6 +203,8 @@
 	case *message.FullConfiguration:
 		n.domains.adopt(m.OutOfService)
 		n.configuration.adopt(m.Configuration())
+	case *message.LoadNotice:
+		n.placement.noticeReceived(e.From, e.Age, m.Load)
 	case *message.Draw:
 		n.rate.drawReceived(*m)
 	case *message.Grant:
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -108,7 +108,7 @@
 	if call.head.Depth == 0 {
 		urgency -= float64(call.head.ShedRank) / shedRanks
 	}
-	return placement.Request{Tried: call.tried, Urgency: urgency}
+	return placement.Request{Tried: call.tried, Urgency: urgency, Class: string(call.head.Route)}
 }
 
 // countDemand counts a request for the service, whether it is sent or not.
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -30,6 +30,8 @@
 	token CallToken
 	// dispatchedAt is when the call was dispatched, by Instant.Monotonic.
 	dispatchedAt time.Duration
+	// mark holds the slowdown that the backend server stated before that.
+	mark slowdownMark
 	// budget holds the attempts that child calls may still use.
 	budget *attempt.Budget
 	// childRefused is set once a child call of the request was refused;
@@ -49,6 +51,7 @@
 	cold      coldTracker
 	crashes   crashDetector
 	condition conditionTracker
+	stated    statedLoad
 	// checkDue is set while a health check waits until it may be made.
 	checkDue bool
 	// inFlight counts the requests that the backend server is processing;
@@ -66,6 +69,7 @@
 	p.cold = coldTracker{node: n, startedAt: n.now.Monotonic}
 	p.crashes = newCrashDetector(n)
 	p.condition = conditionTracker{node: n}
+	p.stated = statedLoad{node: n}
 	if n.options.Routed {
 		p.admission.FixLimit()
 		p.admission.LetDeepWait()
@@ -99,10 +103,12 @@
 		p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
 	}
 	p.node.limits.callArrived(e.From)
+	p.stated.notifier.Used(p.node.now.Monotonic, e.From)
 	p.restrictQueue()
 	p.admission.Offer(now, p.request(call))
 	p.dispatchQueued()
 	p.refuseShed()
+	p.stated.notify()
 }
 
 // dispatchQueued dispatches queued calls while the backend server has capacity.
@@ -212,6 +218,7 @@
 	call.token = p.node.newCallToken()
 	p.node.ledger.open(call)
 	call.dispatchedAt = p.node.now.Monotonic
+	call.mark = p.stated.mark()
 	p.addInFlight(call, 1)
 	p.cold.recordStart()
 	p.condition.recordStart()
@@ -287,6 +294,7 @@
 	p.crashes.tick()
 	p.reportOverload()
 	p.reportLimit()
+	p.stated.notify()
 }
 
 func (n *Node) newCallToken() CallToken {
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -12,6 +12,7 @@
 		return
 	}
 	p.observeLoad()
+	p.stated.observed(e.Load, e.UnusableLoad)
 	p.cold.dispatchEnded(e.Kind)
 	if e.Kind == DispatchAnswered && !e.Failed {
 		p.node.quarantine.answered(call.fingerprint)
@@ -22,11 +23,7 @@
 	if call.head.Route != "" {
 		p.node.callees.RequestEnded(p.node.now.Monotonic, call.dispatchedAt, call.head.Route, e.Failed)
 	}
-	if e.Kind == DispatchUnsent {
-		p.admission.Unsent(admissioncontrol.RequestID(call.id))
-	} else {
-		p.admission.Done(p.node.now.Expiry, admissioncontrol.RequestID(call.id), e.Kind != DispatchAnswered)
-	}
+	p.recordDone(call, e.Kind)
 	switch e.Kind {
 	case DispatchUnsent:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
@@ -46,6 +43,22 @@
 	}
 	p.dispatchQueued()
 	p.refuseShed()
+	p.stated.notify()
+}
+
+// recordDone records the end of a dispatched call with admission control.
+func (p *upstreamComponent) recordDone(call *upstreamCall, kind DispatchKind) {
+	id := admissioncontrol.RequestID(call.id)
+	if kind == DispatchUnsent {
+		p.admission.Unsent(id)
+		return
+	}
+	slowdown, usable := p.stated.during(call.dispatchedAt, call.mark)
+	if !usable {
+		p.admission.DoneUnmeasured(id)
+		return
+	}
+	p.admission.DoneAtSlowdown(p.node.now.Expiry, id, kind != DispatchAnswered, slowdown)
 }
 
 // refuseRejected answers a call that the backend server reported not to have
--- a/core/node/upstream_load.go
+++ b/core/node/upstream_load.go
@@ -74,7 +74,7 @@
 	for _, r := range p.node.gates.ReportsFor(p.node.now.Monotonic, p.node.callees.Of(p.node.now.Monotonic, head.Route)) {
 		load.Downstream = append(load.Downstream, message.Pressure{Service: r.Service, Excess: r.Excess, Cost: r.Cost})
 	}
-	return load
+	return p.stated.addTo(load)
 }
 
 // Load returns the load of the node's own upstream, without a shed level.
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,9 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	BackendSlowdown     Code = 320
+	BackendLoadUnusable Code = 321
+	LoadNoticeReceived  Code = 322
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -109,6 +112,9 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{BackendSlowdown, "backend_slowdown", "info", "The backend server states that work takes slowdown times as long as usual on its machine; reported at most once a second, when entry nodes were notified. before is the figure reported last, notified the number of entry nodes. While it is high, entry nodes prefer other servers. If it stays high, check the machine."},
+	{BackendLoadUnusable, "backend_load_unusable", "warn", "A response of the backend server states its load with a figure that cannot be used; only that figure is ignored. Reported at most once a minute. Correct the server's responses."},
+	{LoadNoticeReceived, "load_notice_received", "info", "The node of a backend server reported a change of the server's load: its stated slowdown and its age, and the wait there. age is the age of the notice. Reported at most once a second."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
--- a/io/upstream/health.go
+++ b/io/upstream/health.go
@@ -30,6 +30,10 @@
 	ColdRemaining time.Duration
 	// Condition is what the backend server states about itself.
 	Condition coltsfootward.BackendCondition
+	// Load is the load that the backend server states. UnusableLoad names the figures of it
+	// that could not be used; empty if there are none.
+	Load         coltsfootward.BackendLoad
+	UnusableLoad string
 }
 
 // CheckHealth sends a health check to the backend server at address. It returns an
@@ -50,15 +54,20 @@
 		return Health{}, fmt.Errorf("upstream: health check: %w", err)
 	}
 	defer response.Body.Close()
-	load, _ := fields.BackendLoad(response.Header) // a figure that cannot be used counts as missing, like the condition below
+	load, loadErr := fields.BackendLoad(response.Header)
 	slots, _ := load.Slots()
 	id := response.Header.Get(fields.Backend)
 	condition, _ := fields.Condition(response.Header) // an unreadable field counts as missing: the next response has it, too
-	return Health{
+	health := Health{
 		ID: id, Ready: response.StatusCode == http.StatusOK && id != "" && slots > 0 && !condition.Leaving, Slots: slots,
 		ColdRemaining: parseCold(response.Header.Get(fields.Cold)),
 		Condition:     condition,
-	}, nil
+		Load:          load,
+	}
+	if loadErr != nil {
+		health.UnusableLoad = loadErr.Error()
+	}
+	return health, nil
 }
 
 // parseCold parses a number of milliseconds. It returns zero for a missing or invalid
