--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// Meters returns the deployment of a service whose eight backend servers are asked 0.76 of their
+// capacity. Requests have three times their mean service time.
+func Meters() Deployment {
+	return Deployment{
+		Name:     "meters",
+		Domains:  []coltsfootward.FailureDomain{"north", "south"},
+		Services: []Service{{Name: "meters", Upstreams: 8, Slots: 60, Speeds: []float64{1}}},
+		Classes: []Class{
+			{Name: "read", Service: "meters", PerSecond: 2432, Work: 150 * time.Millisecond, Objective: 300 * time.Millisecond, Deadline: 450 * time.Millisecond, Timeout: 450 * time.Millisecond, Worth: 1, LateWorth: 0.3, Priority: coltsfootward.PriorityNormal},
+		},
+		RetryShare: 0.2, RetryBurst: 48,
+	}
+}
+
 // Fleet returns the deployment of a publisher of price bulletins on many small
 // instances. Each instance gets about three callers' requests per second, so it
 // seldom receives load reports of the services that those requests need.
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -66,6 +66,13 @@
 	// LeavingAt on.
 	LeavingServers int
 	LeavingAt      time.Duration
+	// Slowdown, if not zero, is how many times as long as usual work takes at one of its backend
+	// servers during SlowSpan. Another server is slow after each SlowTurn. StatesLoad makes all
+	// its servers state their load.
+	Slowdown   float64
+	SlowTurn   time.Duration
+	SlowSpan   Span
+	StatesLoad bool
 }
 
 // Run runs a deployment with traffic for the given length of time and returns
@@ -84,6 +91,7 @@
 	w.trafficStart = w.rig.Now()
 	w.scheduleLosses()
 	w.scheduleConditions()
+	w.scheduleSlowdowns()
 	for _, c := range d.Classes {
 		if c.PerSecond > 0 {
 			w.scheduleArrival(c)
@@ -213,6 +221,26 @@
 	}
 }
 
+// scheduleSlowdowns makes one backend server after the other slow, in a random order.
+func (w *world) scheduleSlowdowns() {
+	d := w.disturbance
+	var servers []*nodetest.Member
+	for _, m := range w.members {
+		if w.services[m].Name == d.Service {
+			m.Backend.StatesLoad = d.StatesLoad
+			servers = append(servers, m)
+		}
+	}
+	if d.Slowdown == 0 || d.SlowTurn <= 0 {
+		return
+	}
+	for from := d.SlowSpan.From; from < d.SlowSpan.To; from += d.SlowTurn {
+		slow := servers[w.source.IntN(len(servers))].Backend
+		w.rig.After(from, func() { slow.Slowdown = d.Slowdown })
+		w.rig.After(from+d.SlowTurn-1, func() { slow.Slowdown = 1 })
+	}
+}
+
 // countArrivals records how many requests reached the backend servers.
 func (w *world) countArrivals() {
 	for _, m := range w.members {
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -1,6 +1,7 @@
 package nodetest
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -65,6 +66,12 @@
 	ColdTime time.Duration
 	// Condition is what the server states about itself with each response.
 	Condition coltsfootward.BackendCondition
+	// Slowdown multiplies the service times of requests whose service begins now; zero means 1.
+	Slowdown float64
+	// StatesLoad makes the server state its load with each response. The slowdown that it states
+	// is StatedSlowdown, which may be false, or Slowdown if that is zero.
+	StatesLoad     bool
+	StatedSlowdown float64
 	// Crashes counts the server's crashes.
 	Crashes int
 	// Runs holds every request that reached the server, in order of arrival.
@@ -119,7 +126,8 @@
 	if b.Reject != nil && b.Reject(p.head.Head) {
 		b.Rejected = append(b.Rejected, b.member.rig.Now())
 		b.stateCondition(a.Call)
-		b.member.deliver(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchRejected} })
+		load := b.load()
+		b.member.deliver(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchRejected, Load: load} })
 		return
 	}
 	if b.down {
@@ -254,6 +262,7 @@
 	if b.ServiceTime != nil {
 		d = b.ServiceTime(j.run.Head)
 	}
+	d = time.Duration(float64(d) * cmp.Or(b.Slowdown, 1))
 	b.member.rig.After(d, func() {
 		switch {
 		case j.stopped:
@@ -306,11 +315,21 @@
 	j.run.Ended = b.member.rig.Now()
 	if ended.Kind == node.DispatchAnswered {
 		b.stateCondition(j.call)
+		ended.Load = b.load()
 	}
 	b.member.deliver(func() node.Event { return ended })
 	b.startQueued()
 }
 
+// load returns the load that the server states with a response.
+func (b *Backend) load() coltsfootward.BackendLoad {
+	if !b.StatesLoad {
+		return coltsfootward.BackendLoad{}
+	}
+	return coltsfootward.BackendLoad{}.WithRunning(b.Running()).WithWaiting(b.Queued()).WithSlots(b.Slots).
+		WithSlowdown(cmp.Or(b.StatedSlowdown, b.Slowdown, 1))
+}
+
 // stateCondition delivers the condition that the response to a call states.
 func (b *Backend) stateCondition(call node.CallID) {
 	condition := b.Condition
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -53,7 +53,9 @@
 		return
 	}
 	m.Backend.Checked = append(m.Backend.Checked, m.rig.Now())
-	m.deliver(func() node.Event { return node.BackendChecked{Cold: m.Backend.Cold(), Condition: m.Backend.Condition} })
+	m.deliver(func() node.Event {
+		return node.BackendChecked{Cold: m.Backend.Cold(), Condition: m.Backend.Condition, Load: m.Backend.load()}
+	})
 }
 
 func (m *Member) send(a node.Send) {
