--- a/core/node/stated_load.go
+++ b/core/node/stated_load.go
@@ -7,6 +7,7 @@
 	"coltsfootward"
 	"coltsfootward/core/completion"
 	"coltsfootward/core/message"
+	"coltsfootward/core/placement"
 	"coltsfootward/core/record"
 )
 
@@ -182,6 +183,15 @@
 		field("age", rounded(age)))
 }
 
+// Servers describes the backend servers of a service as this node sees them.
+func (n *Node) Servers(service coltsfootward.ServiceName) []placement.ServerView {
+	s, ok := n.placement.pools[service]
+	if !ok {
+		return nil
+	}
+	return s.pool.Servers(n.now.Monotonic)
+}
+
 // StatedLoad describes what the local backend server states, and the load notices of the node.
 type StatedLoad struct {
 	// Slowdown is how many times as long as usual work takes, as stated Age ago; zero if
