--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -214,6 +214,13 @@
 	NamedLimit   float64 `json:"named_limit"`
 	LimitPassed  int     `json:"limit_passed"`
 	LimitRefused int     `json:"limit_refused"`
+	// Slowdown is how many times as long as usual work takes at the local backend server, as it
+	// stated SlowdownAgeMilliseconds ago; 0 if it states nothing.
+	Slowdown                float64 `json:"slowdown"`
+	SlowdownAgeMilliseconds int64   `json:"slowdown_age_milliseconds"`
+	// LoadNoticesSent and LoadNoticesReceived count the load notices of this node.
+	LoadNoticesSent     int `json:"load_notices_sent"`
+	LoadNoticesReceived int `json:"load_notices_received"`
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
@@ -232,6 +239,7 @@
 
 func readGauges(n *node.Node) gauges {
 	status, load, cold, limit := n.Status(), n.Load(), n.Cold(), n.Limit()
+	stated := n.StatedLoad()
 	namedLimit := -1.0
 	if limit.Named {
 		namedLimit = limit.PerSecond
@@ -257,6 +265,11 @@
 		LimitPassed:       limit.Passed,
 		LimitRefused:      limit.Refused,
 		Quarantined:       quarantinedTexts(n),
+
+		Slowdown:                stated.Slowdown,
+		SlowdownAgeMilliseconds: stated.Age.Milliseconds(),
+		LoadNoticesSent:         stated.NoticesSent,
+		LoadNoticesReceived:     stated.NoticesReceived,
 	}
 }
 
--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -89,7 +89,7 @@
 func backendLoad(refused Line) string {
 	f := refused.Fields
 	return fmt.Sprintf("at %s, with %s requests running (limit %s), %s queued (%s of work) and %s left until the request's deadline: %s%s",
-		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"], namedLimit(refused)+coldTime(refused, "; it is cold for another %s"))
+		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"], namedLimit(refused)+statedSlowdown(refused)+coldTime(refused, "; it is cold for another %s"))
 }
 
 // namedLimit states the limit that the backend server names, if it names one.
@@ -101,6 +101,15 @@
 	return fmt.Sprintf("; it names a limit of %s requests per second", limit)
 }
 
+// statedSlowdown states the slowdown that the backend server stated, if it stated one.
+func statedSlowdown(refused Line) string {
+	slowdown := refused.Fields["slowdown"]
+	if slowdown == "" {
+		return ""
+	}
+	return fmt.Sprintf("; %s before, it stated that work takes %s times as long as usual", refused.Fields["slowdown_age"], slowdown)
+}
+
 // limitShortfall states that the limits which the servers of a service name have no room
 // for the demand. It returns "" if the refusal was not due to limits.
 func limitShortfall(refused Line) string {
--- a/cmd/explain/explain_test.go
+++ b/cmd/explain/explain_test.go
@@ -34,6 +34,8 @@
 {"level":"info","ts":1700000008.410,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-limits","kind":"overloaded","execution":"not_run","detail":"every backend server of the service gets as many requests as the limit that it names allows","retry_after":"160ms","service":"quotes","waited":"0s","hops":"0","known":"4","tried":"0","ejected":"0","suspected":"0","unreachable":"0","limited":"4"}
 {"level":"info","ts":1700000008.420,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-limit-gate","kind":"overloaded","execution":"not_run","detail":"service \"feeds\", which the request needs, has no room for requests of this importance","retry_after":"150ms","service":"quotes","waited":"0s","hops":"0","full":"feeds","passed":"0.40","excess":"0.00","age":"20ms","rank":"900","limit":"5","limit_shortfall":"0.60"}
 {"level":"info","ts":1700000008.430,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-limit","kind":"overloaded","execution":"not_run","detail":"the backend server gets as many requests as the limit that it names allows","running":"2","limit":"19","queued":"1","backlog":"40ms","left":"310ms","service":"quotes","named_limit":"16.50"}
+{"level":"info","ts":1700000008.440,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-stated","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","running":"40","limit":"40","queued":"9","backlog":"400ms","left":"30ms","service":"quotes","slowdown":"2.50","slowdown_age":"12ms"}
+{"level":"info","ts":1700000008.441,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-stated","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","retry_after":"120ms","service":"quotes","waited":"3ms","left":"308ms","hops":"1","instance":"south-1"}
 {"level":"info","ts":1700000008.431,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-limit","kind":"overloaded","execution":"not_run","detail":"the backend server gets as many requests as the limit that it names allows","retry_after":"120ms","service":"quotes","waited":"3ms","left":"308ms","hops":"1","instance":"south-1"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"203","count":"17"}
 {"level":"info","ts":1700000108.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"202","count":"4"}
@@ -49,7 +51,7 @@
 
 func TestCauses(t *testing.T) {
 	var page strings.Builder
-	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit"} {
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit", "r-stated"} {
 		search := explain.NewSearch(request)
 		read(t, search.Add)
 		found, ok := search.Result()
--- a/core/completion/notifier.go
+++ b/core/completion/notifier.go
@@ -119,17 +119,24 @@
 	if !n.messages.Limited() {
 		n.messages.SetInterval(now-messageBurst, messageInterval)
 	}
-	ids := make([]coltsfootward.InstanceID, 0, len(n.users))
-	for id := range n.users {
-		ids = append(ids, id)
+	type candidate struct {
+		id        coltsfootward.InstanceID
+		perSecond float64
 	}
-	slices.SortFunc(ids, func(a, b coltsfootward.InstanceID) int {
-		return cmp.Or(cmp.Compare(n.users[b].rate.PerSecond(now), n.users[a].rate.PerSecond(now)), cmp.Compare(a, b))
+	candidates := make([]candidate, 0, len(n.users))
+	for id, u := range n.users {
+		candidates = append(candidates, candidate{id, u.rate.PerSecond(now)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.perSecond, a.perSecond), cmp.Compare(a.id, b.id))
 	})
-	count := 0
-	for count < min(len(ids), maximumReceivers) && n.messages.Wait(now, messageBurst) == 0 {
+	var ids []coltsfootward.InstanceID
+	for _, c := range candidates[:min(len(candidates), maximumReceivers)] {
+		if n.messages.Wait(now, messageBurst) > 0 {
+			break
+		}
 		n.messages.Record(now)
-		count++
+		ids = append(ids, c.id)
 	}
-	return ids[:count]
+	return ids
 }
