coltsfootctl service show: speed, stated slowdown and share of each server

Operators had no view of why a server gets more or fewer requests than the others. Status carries the learned speed, the stated slowdown with its age, and the server's share of the node's requests.

--- a/core/node/stated_load.go
+++ b/core/node/stated_load.go
@@ -192,6 +192,17 @@
 	return s.pool.Servers(n.now.Monotonic)
 }
 
+// serverViews returns the views of all backend servers.
+func (n *Node) serverViews() map[coltsfootward.InstanceID]placement.ServerView {
+	views := make(map[coltsfootward.InstanceID]placement.ServerView)
+	for service := range n.placement.pools {
+		for _, v := range n.Servers(service) {
+			views[v.Instance.ID] = v
+		}
+	}
+	return views
+}
+
 // StatedLoad describes what the local backend server states, and the load notices of the node.
 type StatedLoad struct {
 	// Slowdown is how many times as long as usual work takes, as stated Age ago; zero if
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"coltsfootward"
 	"coltsfootward/core/message"
+	"coltsfootward/core/placement"
 )
 
 // UpstreamStatus is the state of a backend server as seen by this node.
@@ -10,6 +11,8 @@
 	Announcement message.Announcement
 	State        message.MemberState
 	Load         message.Load
+	// View holds the speed, the stated slowdown and the share of this node's requests.
+	View placement.ServerView
 }
 
 // Status is the node's state as reported to operators.
@@ -36,6 +39,7 @@
 		PlatformAvailable: !n.table.unavailable,
 		KeysStopped:       n.configuration.contact.stopped,
 	}
+	views := n.serverViews()
 	for _, member := range n.membership.machine.All() {
 		instance := member.Announcement.Instance
 		if member.Announcement.Service != "" {
@@ -43,6 +47,7 @@
 				Announcement: member.Announcement,
 				State:        member.State,
 				Load:         n.loadOf(instance.ID),
+				View:         views[instance.ID],
 			})
 		}
 		running := member.State == message.MemberAlive || member.State == message.MemberSuspected
--- a/io/operator/node.go
+++ b/io/operator/node.go
@@ -37,6 +37,12 @@
 			Running:  int32(u.Load.Running),
 			Queued:   int32(u.Load.Queued),
 			Limit:    int32(u.Load.Limit),
+
+			Speed:    u.View.Speed,
+			Slowdown: u.View.Slowdown,
+
+			SlowdownAgeMilliseconds: u.View.SlowdownAge.Milliseconds(),
+			Share:                   u.View.Share,
 		})
 	}
 	return connect.NewResponse(response), nil
