core/completion: keep messages free for notices of a slowdown

Waits that begin and end near full occupancy used up the messages of the node, and a notice for which none was left counted as sent.

--- a/core/completion/notifier.go
+++ b/core/completion/notifier.go
@@ -30,9 +30,11 @@
 	maximumUsers = 256
 	// messageInterval bounds the messages to 100 a second on average: at about 80 bytes each
 	// they take half of the 15 KB/s that a node has for control. messageBurst is by how much
-	// messages may be early: three full notices.
+	// messages may be early: three full notices. Only one of them may be about a wait alone: near full
+	// occupancy, waits begin and end so often that no message would be left for a slowdown.
 	messageInterval = 10 * time.Millisecond
-	messageBurst    = 3 * maximumReceivers * messageInterval
+	waitBurst       = maximumReceivers * messageInterval
+	messageBurst    = 3 * waitBurst
 )
 
 // Notifier decides when the node of a backend server tells entry nodes about the load of the
@@ -96,29 +98,43 @@
 		n.waitedAt = now
 	}
 	waiting := load.Wait >= waitBegins || n.waiting && now-n.waitedAt < waitEnds
-	if !n.isNews(load.Slowdown, waiting) || n.noticed && now-n.noticedAt < noticeInterval {
+	tolerance := waitBurst
+	switch {
+	case n.noticed && now-n.noticedAt < noticeInterval:
 		return nil
+	case n.hasChanged(load.Slowdown):
+		tolerance = messageBurst
+	case waiting == n.waiting:
+		return nil
+	}
+	receivers := n.receivers(now, tolerance)
+	if len(receivers) > 0 {
+		n.slowdown, n.waiting, n.noticedAt, n.noticed = load.Slowdown, waiting, now, true
 	}
-	n.slowdown, n.waiting, n.noticedAt, n.noticed = load.Slowdown, waiting, now, true
-	return n.receivers(now)
+	return receivers
 }
 
 // Reset makes the next statement count as the first one, after the server has restarted.
 func (n *Notifier) Reset() { n.slowdown, n.waiting = 0, false }
 
-func (n *Notifier) isNews(slowdown float64, waiting bool) bool {
+func (n *Notifier) hasChanged(slowdown float64) bool {
 	before := n.slowdown
 	if before == 0 {
 		before = 1 // entry nodes take a server without a statement to be as fast as usual
 	}
-	return waiting != n.waiting || math.Abs(slowdown-before) >= changeStep*before
+	return math.Abs(slowdown-before) >= changeStep*before
 }
 
-func (n *Notifier) receivers(now time.Duration) []coltsfootward.InstanceID {
-	n.expire(now)
+// receivers returns the nodes to be notified and counts the messages to them, which may be early by
+// tolerance.
+func (n *Notifier) receivers(now, tolerance time.Duration) []coltsfootward.InstanceID {
 	if !n.messages.Limited() {
 		n.messages.SetInterval(now-messageBurst, messageInterval)
 	}
+	if n.messages.Wait(now, tolerance) > 0 {
+		return nil
+	}
+	n.expire(now)
 	type candidate struct {
 		id        coltsfootward.InstanceID
 		perSecond float64
@@ -132,7 +148,7 @@
 	})
 	var ids []coltsfootward.InstanceID
 	for _, c := range candidates[:min(len(candidates), maximumReceivers)] {
-		if n.messages.Wait(now, messageBurst) > 0 {
+		if n.messages.Wait(now, tolerance) > 0 {
 			break
 		}
 		n.messages.Record(now)
