--- a/core/completion/completion.go
+++ b/core/completion/completion.go
@@ -166,6 +166,6 @@
 // place the next ones in its queue.
 func meanWait(use Use) float64 {
 	limit := max(use.Limit, 1)
-	utilisation := min(use.Occupancy, maximumUtilisation)
+	utilisation := min(max(use.Occupancy-1/limit, 0), maximumUtilisation) // of those that are there already
 	return math.Pow(utilisation, math.Sqrt(2*(limit+1))-1) / (limit * (1 - utilisation))
 }
