--- a/io/upstream/health.go
+++ b/io/upstream/health.go
@@ -5,15 +5,14 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/io/wire"
 )
 
-// healthTimeout limits the duration of a health check. Like any request, a health
-// check may have to wait for a slot of the backend server.
+// healthTimeout limits the duration of a health check. Backend servers of earlier versions
+// let a health check wait for a slot, like any request.
 const healthTimeout = 500 * time.Millisecond
 
 // defaultHealthPath is used if the configuration sets no path.
@@ -31,6 +30,10 @@
 	ColdRemaining time.Duration
 	// Condition is what the backend server states about itself.
 	Condition coltsfootward.BackendCondition
+	// Load is the load that the backend server states. UnusableLoad names the figures of it
+	// that could not be used; empty if there are none.
+	Load         coltsfootward.BackendLoad
+	UnusableLoad string
 }
 
 // CheckHealth sends a health check to the backend server at address. It returns an
@@ -51,14 +54,20 @@
 		return Health{}, fmt.Errorf("upstream: health check: %w", err)
 	}
 	defer response.Body.Close()
-	slots := parseSlots(response.Header.Get(fields.Load))
+	load, loadErr := fields.BackendLoad(response.Header)
+	slots, _ := load.Slots()
 	id := response.Header.Get(fields.Backend)
 	condition, _ := fields.Condition(response.Header) // an unreadable field counts as missing: the next response has it, too
-	return Health{
+	health := Health{
 		ID: id, Ready: response.StatusCode == http.StatusOK && id != "" && slots > 0 && !condition.Leaving, Slots: slots,
 		ColdRemaining: parseCold(response.Header.Get(fields.Cold)),
 		Condition:     condition,
-	}, nil
+		Load:          load,
+	}
+	if loadErr != nil {
+		health.UnusableLoad = loadErr.Error()
+	}
+	return health, nil
 }
 
 // parseCold parses a number of milliseconds. It returns zero for a missing or invalid
@@ -70,17 +79,3 @@
 	}
 	return time.Duration(milliseconds) * time.Millisecond
 }
-
-// parseSlots returns the slots from a load field with the format "running, waiting,
-// slots". It returns zero for an invalid field.
-func parseSlots(load string) int {
-	parts := strings.Split(load, ",")
-	if len(parts) != 3 {
-		return 0
-	}
-	slots, err := strconv.Atoi(strings.TrimSpace(parts[2]))
-	if err != nil || slots < 0 {
-		return 0
-	}
-	return slots
-}
