core/node, core/admission: child calls inherit the rank of their request

A service below sees calls without importance, so that under overload the calls of all requests have equal chances and most requests lose one of theirs. With the setting calls.attribution at deadline, a call attributed uniquely inherits priorities, rank, account, retry mark and depth. The queue orders such calls by rank in the lanes of their request's priority. The backend server is told the spaced deadline; the node itself waits until the true one. core/nodetest makes calls that expire with their parent, core/emulation runs with them.

--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/attribution"
 	"coltsfootward/core/node"
 	"coltsfootward/io/loop"
 
@@ -217,6 +218,9 @@
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
+	// Attributions counts the child calls of the local backend server by whether they
+	// were attributed to one of its requests.
+	Attributions attribution.Counts `json:"attributions"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -257,6 +261,7 @@
 		LimitPassed:       limit.Passed,
 		LimitRefused:      limit.Refused,
 		Quarantined:       quarantinedTexts(n),
+		Attributions:      n.Attributions(),
 	}
 }
 
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"coltsfootward/core/node"
+)
 
 // Fields returns all settings, in the order in which docs/OPERATIONS.md lists them. A new
 // setting is added only here.
@@ -65,6 +69,8 @@
 			func(s *Settings) *float64 { return &s.Node.RetryShare }),
 		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
 			func(s *Settings) *float64 { return &s.Node.RetryBurst }),
+		choice("calls.attribution", "How a backend server's calls are attributed to the requests that they are made for, whose priority, rank and account they then have: not at all, or by the deadline that both share, with deadlines stated up to 150 ms early; hosted deployments only.", []string{node.AttributionNone, node.AttributionDeadline},
+			func(s *Settings) *string { return &s.Node.Attribution }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -208,10 +208,11 @@
 	return queueFactor*c.Limit() + free
 }
 
-// assignRank sets the shed rank of a deep request if deepWaits is set. It reports
-// whether the request is placed before all others in its lane.
+// assignRank sets the shed rank of a deep request if deepWaits is set, unless the request
+// has that of its root request. It reports whether the request is placed before all
+// others in its lane.
 func (c *Controller) assignRank(r *Request) bool {
-	if !c.deepWaits || !r.Deep {
+	if !c.deepWaits || !r.Deep || r.Attributed {
 		return false
 	}
 	length := c.Backlog() / time.Duration(max(c.Limit(), 1))
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -20,7 +20,10 @@
 	ShedRank uint32
 	// Deep is set for child calls, which another request in service waits for.
 	// Requests without it are root requests.
-	Deep         bool
+	Deep bool
+	// Attributed is set for a deep request whose Priority and ShedRank are those of the
+	// root request that led to it.
+	Attributed   bool
 	Organisation coltsfootward.OrganisationName
 	// Weight is the organisation's weight relative to others; zero means 1.
 	Weight float64
@@ -235,11 +238,30 @@
 // costAhead returns the expected slot time, in seconds, of the requests that leave
 // before r. first is set if r is placed before all others in its lane.
 func (q *Queue) costAhead(r Request, first bool) float64 {
-	lanes := laneOf(r) + 1
-	if first {
-		lanes--
+	lane := laneOf(r)
+	switch {
+	case r.Attributed:
+		return q.costOfLanes(lane) + q.lanes[lane].costBefore(r)
+	case first:
+		return q.costOfLanes(lane)
+	default:
+		return q.costOfLanes(lane + 1)
 	}
-	return q.costOfLanes(lanes)
+}
+
+// costBefore returns the expected slot time, in seconds, of the requests in the lane that
+// rank before r.
+func (l *lane) costBefore(r Request) float64 {
+	total := 0.0
+	for _, f := range l.flows {
+		for _, waiting := range f.waiting {
+			if waiting.ShedRank >= r.ShedRank {
+				break
+			}
+			total += waiting.slotTime()
+		}
+	}
+	return total
 }
 
 // costOfLanes returns the expected slot time, in seconds, of the requests in the
--- a/core/admission/turns.go
+++ b/core/admission/turns.go
@@ -11,7 +11,7 @@
 const initialRank = 1 << 31
 
 // adaptiveLIFO orders deep requests whose ranks are random because the calls do not
-// name their parent request.
+// name their parent request and were not attributed to one.
 //
 // The design load is requests that each make four such calls, one after the other. If
 // each call had a random rank, the call with the worst rank of the four would wait
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -58,6 +58,19 @@
 	Classes  []Class
 	// RetryShare and RetryBurst limit the retries of each service.
 	RetryShare, RetryBurst float64
+	// CallsExpireWithParent makes child calls expire at their parent's deadline, or at
+	// the Deadline of their class after the start of their parent if that is earlier,
+	// instead of at the Deadline of their class after they are made.
+	CallsExpireWithParent bool
+	// Attribution is the node.Options.Attribution of all nodes.
+	Attribution string
+}
+
+// WithAttribution returns a copy whose child calls expire with their parent and are
+// attributed in the given way.
+func (d Deployment) WithAttribution(a string) Deployment {
+	d.CallsExpireWithParent, d.Attribution = true, a
+	return d
 }
 
 // class returns the class with the given name, or the zero value if there is
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -34,6 +34,8 @@
 	Seconds []Counts
 
 	arrivals map[coltsfootward.ServiceName]int
+	// attributions counts the child calls that reached backend servers, by route.
+	attributions map[coltsfootward.RouteName]Attributions
 	// limitSpanRates holds, for each backend server of the disturbed service, the
 	// requests per second that reached it while servers of the service named limits.
 	limitSpanRates map[coltsfootward.InstanceID]float64
@@ -46,6 +48,7 @@
 		Seconds:    make([]Counts, int(length.Seconds())+1),
 		arrivals:   make(map[coltsfootward.ServiceName]int),
 
+		attributions:   make(map[coltsfootward.RouteName]Attributions),
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
 	}
 	for _, c := range d.Classes {
@@ -107,6 +110,15 @@
 // Arrivals returns how many requests reached a service's backend servers.
 func (o *Outcome) Arrivals(service coltsfootward.ServiceName) int { return o.arrivals[service] }
 
+// Attributions counts child calls that reached backend servers. Right and Wrong are those
+// that were attributed to a request of the right and of another root request.
+type Attributions struct{ Calls, Right, Wrong int }
+
+// Attributions returns the counts of the child calls of a route.
+func (o *Outcome) Attributions(route coltsfootward.RouteName) Attributions {
+	return o.attributions[route]
+}
+
 // LimitedRates returns, for each backend server of the disturbed service, the requests
 // per second that reached it during the disturbance's LimitSpan.
 func (o *Outcome) LimitedRates() map[coltsfootward.InstanceID]float64 { return o.limitSpanRates }
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"path"
+	"strconv"
 	"time"
 
 	"coltsfootward"
@@ -20,6 +22,9 @@
 	// domain and between two domains.
 	nearDelay = 200 * time.Microsecond
 	farDelay  = 1400 * time.Microsecond
+	// maxTransit is the longest time that a message between a node and its backend
+	// server takes. A call expires up to twice as much later than expected.
+	maxTransit = 500 * time.Microsecond
 	// unlimitedRate is a rate limit that no organisation reaches.
 	unlimitedRate = 100000
 	// slowdownThreshold is the share of busy slots above which a backend server
@@ -121,6 +126,7 @@
 				Self: nodetest.Instance(id, domain), Domains: w.deployment.Domains, Routed: true, Service: s.Name,
 				ConfigurationSpread: 2 * time.Second,
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
+				Attribution: w.deployment.Attribution,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
@@ -166,9 +172,16 @@
 		for i := range children {
 			c := w.deployment.class(calls.Class)
 			children[i] = nodetest.Request{Host: host, Path: pathOf(c), Timeout: c.Deadline}
+			if w.deployment.CallsExpireWithParent {
+				children[i].Path += rootOf(call)
+				children[i].ExpiresWithParent, children[i].ParentLimit = true, c.Deadline
+			}
 		}
 		return children
 	}
+	if w.deployment.CallsExpireWithParent {
+		b.Transit = func() time.Duration { return time.Duration(w.source.Int64N(int64(maxTransit))) }
+	}
 	for _, c := range w.deployment.Classes {
 		b.Parallel = b.Parallel || c.Service == s.Name && c.ChildCalls.Parallel
 	}
@@ -213,11 +226,41 @@
 	}
 }
 
+// rootOf returns the rank of the root request that led to a call. The path of a child
+// call ends in it, so that a run can compare it with the rank that the call was given.
+func rootOf(call message.Call) string {
+	if call.Depth == 0 {
+		return strconv.FormatUint(uint64(call.ShedRank), 10)
+	}
+	return path.Base(call.Path)
+}
+
+// countAttributions records whether a child call was attributed, and to which root
+// request.
+func (w *world) countAttributions(run *nodetest.Run) {
+	if run.Head.Depth == 0 || !w.deployment.CallsExpireWithParent {
+		return
+	}
+	n := w.outcome.attributions[run.Head.Route]
+	n.Calls++
+	switch {
+	case !run.Head.Attributed:
+	case rootOf(run.Head) == strconv.FormatUint(uint64(run.Head.ShedRank), 10):
+		n.Right++
+	default:
+		n.Wrong++
+	}
+	w.outcome.attributions[run.Head.Route] = n
+}
+
 // countArrivals records how many requests reached the backend servers.
 func (w *world) countArrivals() {
 	for _, m := range w.members {
 		service := w.services[m].Name
 		w.outcome.arrivals[service] += len(m.Backend.Runs)
+		for _, run := range m.Backend.Runs {
+			w.countAttributions(run)
+		}
 		if service == w.disturbance.Service {
 			w.outcome.limitSpanRates[m.Instance.ID] = w.rateWithin(m, w.disturbance.LimitSpan)
 		}
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -41,6 +41,9 @@
 	Token CallToken
 	// Deadline is when the response becomes worthless, by Instant.Expiry.
 	Deadline time.Duration
+	// StatedDeadline is the deadline that the backend server is told. It is not later
+	// than Deadline; zero means Deadline.
+	StatedDeadline time.Duration
 	// StartBy is when the admission expires, by Instant.Expiry. The driver
 	// checks it once more just before it sends the first byte. Zero means no
 	// limit.
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/attribution"
 	"coltsfootward/core/message"
 	"coltsfootward/core/quarantine"
 )
@@ -39,6 +40,10 @@
 	// parent is the token of the request in service that made this child call;
 	// empty for requests of callers.
 	parent CallToken
+	// attributedTo is the parent request of a child call without a token, and
+	// attribution the outcome of the search for it; empty if none was searched.
+	attributedTo coltsfootward.RequestID
+	attribution  attribution.Outcome
 	// attempts is the number of attempts used so far.
 	attempts int
 	// budget is the total number of attempts that may be used.
@@ -173,8 +178,8 @@
 // while it serves another request. Its attempts are taken from the parent's
 // budget.
 func (p *entryComponent) openChild(e RequestArrived) (*entryCall, *coltsfootward.Refusal) {
-	parent, ok := p.node.ledger.parent(e.Token)
-	if !ok {
+	parent, outcome := tokenParents{p.node.ledger}.parent(e)
+	if outcome != attribution.OutcomeUnique {
 		return nil, refusal(coltsfootward.RefusalCallToken, "the call token belongs to no request being served")
 	}
 	call, refused := p.newCall(e, parent.head.Organisation)
@@ -192,9 +197,7 @@
 	call.head.NoRetries = parent.head.NoRetries
 	call.deadline = min(call.deadline, parent.deadline)
 	call.head.Request = parent.head.Request
-	call.head.ShedRank = parent.head.ShedRank
-	call.head.Priority = parent.head.Priority
-	call.head.Depth = parent.head.Depth + 1
+	call.inheritImportance(parent)
 	return call, nil
 }
 
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -100,6 +100,7 @@
 	if organisation.Name == "" {
 		call.head.Depth = 1
 		call.head.Retry = p.node.source.Float64() < p.node.upstream.inFlightRetryRatio()
+		p.node.attribution.attribute(call, e)
 		p.node.callees.CallStarted(p.node.now.Monotonic, route.Name)
 	}
 	return call
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -37,7 +37,7 @@
 	if call.target != "" {
 		fields = append(fields, field("instance", string(call.target)))
 	}
-	return fields
+	return append(fields, attributionFields(call)...)
 }
 
 // evidence returns the log fields that show how an organisation's rate was used
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,11 +41,13 @@
 	callees  pressure.Callees
 	gates    pressure.Gates
 
-	claims   *claimsComponent
-	ledger   *ledgerComponent
-	entry    *entryComponent
-	upstream *upstreamComponent
-	limits   *limitsComponent
+	claims *claimsComponent
+	ledger *ledgerComponent
+	// attribution finds the parents of child calls without a token.
+	attribution attributionComponent
+	entry       *entryComponent
+	upstream    *upstreamComponent
+	limits      *limitsComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
 	table      *tableComponent
@@ -71,6 +73,7 @@
 	n.rate = newRateComponent(n)
 	n.claims = newClaimsComponent(n)
 	n.ledger = newLedgerComponent(n)
+	n.attribution = newAttributionComponent(n)
 	n.entry = newEntryComponent(n)
 	n.upstream = newUpstreamComponent(n)
 	n.limits = newLimitsComponent(n)
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -67,6 +67,9 @@
 	// RetryBurst is the largest burst of retries for one service of a routed
 	// deployment, all nodes taken together. The default is 48.
 	RetryBurst float64
+	// Attribution selects how child calls of a routed deployment are attributed to the
+	// requests that made them. The default is AttributionNone.
+	Attribution string
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
@@ -136,6 +139,9 @@
 	if o.RetryBurst <= 0 {
 		o.RetryBurst = DefaultRetryBurst
 	}
+	if o.Attribution == "" {
+		o.Attribution = AttributionNone
+	}
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -216,11 +216,12 @@
 	p.cold.recordStart()
 	p.condition.recordStart()
 	p.node.act(Dispatch{
-		Call:         call.id,
-		Token:        call.token,
-		Deadline:     call.deadline,
-		StartBy:      call.startBy,
-		Unrepeatable: call.head.Unrepeatable,
+		Call:           call.id,
+		Token:          call.token,
+		Deadline:       call.deadline,
+		StatedDeadline: p.node.attribution.dispatched(call),
+		StartBy:        call.startBy,
+		Unrepeatable:   call.head.Unrepeatable,
 
 		ConditionStated: p.condition.current != coltsfootward.BackendCondition{},
 	})
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -17,6 +17,7 @@
 		p.node.quarantine.answered(call.fingerprint)
 	}
 	p.node.ledger.close(call)
+	p.node.attribution.ended(call)
 	p.addInFlight(call, -1)
 	p.crashes.dispatchEnded(call, e)
 	if call.head.Route != "" {
--- a/core/node/upstream_queue.go
+++ b/core/node/upstream_queue.go
@@ -17,6 +17,7 @@
 		Priority:     queuePriority(call.head),
 		ShedRank:     call.head.ShedRank,
 		Deep:         call.head.Depth > 0,
+		Attributed:   call.head.Attributed,
 		Organisation: call.head.Organisation,
 		Weight:       organisation.Rate.PerSecond,
 		Class:        classOf(call.head),
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -1,6 +1,7 @@
 package nodetest
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -45,6 +46,9 @@
 	// not answered with success, the request fails at once and the other child
 	// calls continue.
 	Parallel bool
+	// Transit, if set, returns the time that a message between the node and the server
+	// takes, as far as it affects when child calls expire.
+	Transit func() time.Duration
 	// RespondsOnFailure makes a request end with a response of status 500 if one of
 	// its child calls failed. Without it, the request ends without a response.
 	RespondsOnFailure bool
@@ -91,6 +95,9 @@
 	// pending is the number of parallel child calls that have not ended.
 	pending int
 	stopped bool
+	// deadline is the deadline that the server was told, started when the request got
+	// its slot, both in virtual time.
+	deadline, started time.Duration
 }
 
 func newBackend(m *Member) *Backend {
@@ -129,7 +136,7 @@
 	}
 	run := &Run{Head: p.head.Head, Token: a.Token, Arrived: b.member.rig.Now()}
 	b.Runs = append(b.Runs, run)
-	j := &job{call: a.Call, run: run}
+	j := &job{call: a.Call, run: run, deadline: b.receivedDeadline(a)}
 	if b.Children != nil {
 		j.children = b.Children(run.Head)
 	}
@@ -207,6 +214,7 @@
 		j := b.queue[0]
 		b.queue = b.queue[1:]
 		b.running[j.call] = j
+		j.started = b.member.rig.Now()
 		b.nextStep(j)
 	}
 }
@@ -235,8 +243,7 @@
 	j.pending = len(children)
 	for _, child := range children {
 		child.Token = j.run.Token
-		o := b.member.Send(child)
-		o.OnDone(func() {
+		b.sendChild(j, child, func(o *Outcome) {
 			j.pending--
 			switch {
 			case j.stopped:
@@ -249,6 +256,55 @@
 	}
 }
 
+// receivedDeadline returns the deadline of a request as the server computes it from the
+// whole milliseconds that it is told.
+func (b *Backend) receivedDeadline(a node.Dispatch) time.Duration {
+	stated := cmp.Or(a.StatedDeadline, a.Deadline)
+	remaining := max((stated - b.member.instant().Expiry).Truncate(time.Millisecond), time.Millisecond)
+	return b.member.rig.Now() + b.transit() + remaining
+}
+
+func (b *Backend) transit() time.Duration {
+	if b.Transit == nil {
+		return 0
+	}
+	return b.Transit()
+}
+
+// sendChild sends a child call and calls done when it has ended. A call without time
+// left is not sent.
+func (b *Backend) sendChild(j *job, child Request, done func(*Outcome)) {
+	transit := time.Duration(0)
+	if child.ExpiresWithParent {
+		expires := j.deadline
+		if child.ParentLimit > 0 {
+			expires = min(expires, j.started+child.ParentLimit)
+		}
+		child.Timeout = (expires - b.member.rig.Now()).Truncate(time.Millisecond)
+		if child.Timeout <= 0 {
+			done(&Outcome{Done: true})
+			return
+		}
+		transit = b.transit()
+	}
+	send := func() {
+		o := b.member.Send(child)
+		if !b.Parallel {
+			j.child = o
+		}
+		o.OnDone(func() { done(o) })
+	}
+	if transit == 0 {
+		send()
+		return
+	}
+	b.member.rig.After(transit, func() {
+		if !j.stopped {
+			send()
+		}
+	})
+}
+
 func (b *Backend) serve(j *job) {
 	d := 10 * time.Millisecond
 	if b.ServiceTime != nil {
@@ -266,9 +322,7 @@
 }
 
 func (b *Backend) callChild(j *job, child Request) {
-	outcome := b.member.Send(child)
-	j.child = outcome
-	outcome.OnDone(func() {
+	b.sendChild(j, child, func(outcome *Outcome) {
 		j.child = nil
 		if j.stopped {
 			return
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -76,6 +76,11 @@
 	// Host, if set, makes the node route the request by host and path. Service is
 	// empty then.
 	Host string
+	// ExpiresWithParent makes a child call expire at its parent's deadline, as the
+	// backend server knows it, instead of after Timeout. With a positive ParentLimit the
+	// call expires at the latest that long after the start of its parent.
+	ExpiresWithParent bool
+	ParentLimit       time.Duration
 }
 
 // Outcome is the outcome of a request. Its fields are set as the virtual time
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -318,7 +319,7 @@
 	if _, ok := request.Header["User-Agent"]; !ok {
 		request.Header["User-Agent"] = []string{""}
 	}
-	remaining := d.action.Deadline - d.server.clock.Now().Expiry
+	remaining := cmp.Or(d.action.StatedDeadline, d.action.Deadline) - d.server.clock.Now().Expiry
 	deadline := strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)
 	if fields := d.server.options.Routed; fields != nil {
 		request.Header[fields.Request] = []string{string(d.head.Request)}
