core/attribution, cmd/explain: learn only limits that all calls obey; name parents

Calls with timeouts from when they are made expire a constant time after the start of their parent if they are made at once. With a limit that needs to explain only 0.4 of the unmatched calls, the deadlines of such requests would be capped, which takes time from later calls. Lines about a child call carry its parent request, the outcome and the account, and coltsfootctl explain states them.

--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"coltsfootward"
+	"coltsfootward/core/attribution"
 	"coltsfootward/core/record"
 )
 
@@ -25,10 +26,27 @@
 func cause(lines []Line) string {
 	refused, ok := lastWithCode(lines, record.RequestRefused)
 	if !ok {
-		return notRefused(lines)
+		return notRefused(lines) + parentRequest(lines)
 	}
 	where := fmt.Sprintf("%s refused it after %s as %s", refused.Node, waitTime(refused), refused.Fields["kind"])
-	return where + ": " + refusalReason(lines, refused) + "." + outcome(refused)
+	return where + ": " + refusalReason(lines, refused) + "." + outcome(refused) + parentRequest(lines)
+}
+
+// parentRequest names the request that a child call was attributed to, or states why it
+// was attributed to none. It returns "" if no attribution was logged.
+func parentRequest(lines []Line) string {
+	for _, line := range lines {
+		f := line.Fields
+		switch attribution.Outcome(f["attribution"]) {
+		case attribution.OutcomeUnique:
+			return fmt.Sprintf(" It is a call of request %s (attribution unique) and counts for organisation %q.", f["parent"], f["account"])
+		case attribution.OutcomeAmbiguous:
+			return " It is a call of a backend server that several requests in service may have made (attribution ambiguous)."
+		case attribution.OutcomeNone:
+			return " It is a call of a backend server that no request in service can have made (attribution none)."
+		}
+	}
+	return ""
 }
 
 // notRefused describes a request for which no refusal to its caller was logged.
--- a/cmd/explain/explain_test.go
+++ b/cmd/explain/explain_test.go
@@ -35,6 +35,8 @@
 {"level":"info","ts":1700000008.420,"msg":"request_refused","node":"north-2","domain":"north","code":201,"request":"r-limit-gate","kind":"overloaded","execution":"not_run","detail":"service \"feeds\", which the request needs, has no room for requests of this importance","retry_after":"150ms","service":"quotes","waited":"0s","hops":"0","full":"feeds","passed":"0.40","excess":"0.00","age":"20ms","rank":"900","limit":"5","limit_shortfall":"0.60"}
 {"level":"info","ts":1700000008.430,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-limit","kind":"overloaded","execution":"not_run","detail":"the backend server gets as many requests as the limit that it names allows","running":"2","limit":"19","queued":"1","backlog":"40ms","left":"310ms","service":"quotes","named_limit":"16.50"}
 {"level":"info","ts":1700000008.431,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-limit","kind":"overloaded","execution":"not_run","detail":"the backend server gets as many requests as the limit that it names allows","retry_after":"120ms","service":"quotes","waited":"3ms","left":"308ms","hops":"1","instance":"south-1"}
+{"level":"info","ts":1700000008.440,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-call","kind":"timeout","execution":"unknown","detail":"the caller's time ran out","retry_after":"0s","service":"quotes","waited":"700ms","left":"0s","hops":"1","instance":"south-2","attribution":"unique","parent":"r-order","account":"traders"}
+{"level":"info","ts":1700000008.441,"msg":"attempt_failed","node":"north-1","domain":"north","code":202,"request":"r-orphan","instance":"south-1","kind":"overloaded","execution":"not_run","detail":"the backend server rejected the request without running it","service":"quotes","hop":"1","took":"3ms","attribution":"ambiguous"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"203","count":"17"}
 {"level":"info","ts":1700000108.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"202","count":"4"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"north-2","domain":"north","code":106,"of":"901","count":"9"}
@@ -49,7 +51,7 @@
 
 func TestCauses(t *testing.T) {
 	var page strings.Builder
-	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit"} {
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit", "r-call", "r-orphan"} {
 		search := explain.NewSearch(request)
 		read(t, search.Add)
 		found, ok := search.Result()
--- a/core/attribution/index_test.go
+++ b/core/attribution/index_test.go
@@ -185,6 +185,27 @@
 	})
 }
 
+// Guards against deadlines that are capped although calls have timeouts from when they are
+// made: the first call of a request expires a constant time after the request's start,
+// but a cap would take time from the later one.
+func TestTimeoutsOfCallsAreNoLimit(t *testing.T) {
+	x := attribution.NewIndex()
+	source := rand.New(rand.NewPCG(1, 1))
+	now := time.Duration(0)
+	for i := range 4000 {
+		id := attribution.RequestID(i)
+		now += time.Duration(5+source.IntN(10)) * time.Millisecond
+		x.Begin(attribution.Request{ID: id, Class: "order", Root: attribution.Root{ShedRank: uint32(id)}, Start: now, Deadline: now + 2*time.Second})
+		x.Parent(now, "feed", now+700*time.Millisecond)
+		later := time.Duration(20+source.IntN(60)) * time.Millisecond
+		x.Parent(now, "feed", now+later+700*time.Millisecond)
+		x.End(id - min(id, 10))
+	}
+	if got := x.Changes(); len(got) > 0 {
+		t.Errorf("got %v, want no limit", got)
+	}
+}
+
 // Guards against a limit that is kept after the server has stopped to use it, and against
 // deadlines that stay capped.
 func TestDroppedLimit(t *testing.T) {
--- a/core/attribution/limits.go
+++ b/core/attribution/limits.go
@@ -18,10 +18,16 @@
 	// give the number of votes that the window would hold by chance.
 	windowBins      = 3
 	surroundingBins = 40
-	// minExplained is the fraction of the unmatched calls that a limit must explain, and
-	// minDeviations how many standard deviations of chance its votes must exceed. With
+	// minLimit is the shortest limit that is learned. A shorter one is rather the timeout
+	// of a call that the request can do without, and a deadline capped to it would take
+	// most of the request's time.
+	minLimit = 200 * time.Millisecond
+	// minExplained is the fraction of the unmatched calls that a limit must explain. If
+	// calls have timeouts from when they are made, those that a request makes at once
+	// seem to have a limit, but those that it makes later do not.
+	// minDeviations is how many standard deviations of chance its votes must exceed. With
 	// 4096 windows, four deviations occur by chance now and then.
-	minExplained  = 0.4
+	minExplained  = 0.8
 	minDeviations = 6.0
 	// searchInterval is the number of unmatched calls between two searches, voteWindow
 	// the number of calls after which the votes are halved.
@@ -229,7 +235,7 @@
 // search returns the limit that explains the unmatched calls, if there is one.
 func (r *routeLimit) search() (time.Duration, bool) {
 	best, most := 0, float32(0)
-	for i := 0; i+windowBins <= binCount; i++ {
+	for i := int(minLimit / binWidth); i+windowBins <= binCount; i++ {
 		if sum := r.sum(i, i+windowBins); sum > most {
 			best, most = i, sum
 		}
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -107,12 +107,12 @@
 	unseen := e.Kind == AttemptUnsent || e.Kind == AttemptRefused && e.Refusal.Execution == coltsfootward.ExecutionNotRun && e.Attempts == 0
 	refused := refusalOf(e)
 	call.mayHaveRun = call.mayHaveRun || refused.Execution != coltsfootward.ExecutionNotRun
-	p.node.report(record.AttemptFailed, field("request", string(call.head.Request)),
+	p.node.report(record.AttemptFailed, append(attributionFields(call), field("request", string(call.head.Request)),
 		field("instance", string(call.target)), field("kind", string(refused.Kind)),
 		field("execution", string(refused.Execution)), field("detail", refused.Detail),
 		field("fingerprint", call.fingerprint.String()),
 		field("service", string(call.head.Service)), field("route", string(call.head.Route)),
-		field("hop", number(call.hops)), field("took", rounded(p.node.now.Monotonic-call.sentAt)))
+		field("hop", number(call.hops)), field("took", rounded(p.node.now.Monotonic-call.sentAt)))...)
 	call.lastRefusal = refused
 	call.tried[call.target] = true
 	if !unseen {
