core/attribution, io/caller: more room for late calls

Stated deadlines now lie 0.99 ms instead of 0.75 ms beyond a whole number of milliseconds from the dispatch, and the time at which a call expires counts from the arrival of its head, not from the event.

--- a/cmd/endtoend/hosted_test.go
+++ b/cmd/endtoend/hosted_test.go
@@ -90,7 +90,8 @@
 	return store, nodes
 }
 
-func startHostedNode(t testing.TB, i int, platform string) *hostedNode {
+// startHostedNode starts a node; more is appended to its settings.
+func startHostedNode(t testing.TB, i int, platform string, more ...string) *hostedNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -119,7 +120,7 @@
 grace = "4s"
 notice = "300ms"
 `, i, []string{"north", "south"}[i%2], address, platform)
-	s, err := settings.Parse("node.toml", []byte(text))
+	s, err := settings.Parse("node.toml", []byte(text+strings.Join(more, "\n")))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/attribution/index.go
+++ b/core/attribution/index.go
@@ -17,10 +17,12 @@
 	earliest = -2 * time.Millisecond
 	latest   = 500 * time.Microsecond
 	// phase is the part of a millisecond beyond whole ones that remains until a stated
-	// deadline when the request is sent. The backend server is told whole milliseconds;
-	// with a random phase, the times at which calls expire would spread by another
-	// millisecond. It leaves room for the delay until the request is written.
-	phase = 750 * time.Microsecond
+	// deadline when the request is dispatched. The backend server is told whole
+	// milliseconds; with a random phase, the times at which calls expire would spread by
+	// another millisecond. With nearly a whole one, delays have the most room: a call
+	// expires almost 1 ms early without any delay and with whole milliseconds of its own,
+	// and a request that is written late is told one millisecond less.
+	phase = 990 * time.Microsecond
 	// spacing is the least distance between two stated deadlines. It exceeds the width
 	// of the window, so that windows do not overlap.
 	spacing = 3 * time.Millisecond
--- a/core/attribution/index_test.go
+++ b/core/attribution/index_test.go
@@ -23,7 +23,7 @@
 	fmt.Println(x.Parent(100*time.Millisecond, "feed", b-time.Millisecond))
 	fmt.Println(x.Parent(100*time.Millisecond, "feed", a+time.Millisecond))
 	// Output:
-	// 999.75ms 996.75ms
+	// 999.99ms 996.99ms
 	// 2 unique
 	// 0 none
 }
--- a/core/node/attribution.go
+++ b/core/node/attribution.go
@@ -48,7 +48,7 @@
 		return nil, attribution.OutcomeNone
 	}
 	now := p.node.now.Expiry
-	id, outcome := p.index.Parent(now, s.route, now+e.Timeout)
+	id, outcome := p.index.Parent(now, s.route, cmp.Or(e.Expires, now+e.Timeout))
 	if outcome != attribution.OutcomeUnique {
 		return nil, outcome
 	}
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -48,6 +48,11 @@
 	Attempt int
 	// Timeout is the timeout that the caller requested; zero means none.
 	Timeout time.Duration
+	// Expires is when Timeout ends, by Instant.Expiry, counted from the arrival of the
+	// request's head; zero if the driver has not measured it. Unlike the time at which
+	// the event is handled, it does not depend on the length of the body and of the
+	// event queue.
+	Expires time.Duration
 }
 
 // ConfigurationRead delivers a full configuration that was read from the
--- a/io/caller/routed.go
+++ b/io/caller/routed.go
@@ -70,6 +70,7 @@
 			waited = time.Since(a.Arrived())
 		}
 		e.Timeout = max(time.Duration(milliseconds)*time.Millisecond-waited, time.Millisecond)
+		e.Expires = h.loop.Now().Expiry + e.Timeout
 	}
 	return e, nil
 }
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -95,6 +95,9 @@
 	return l
 }
 
+// Now returns the present instant of the clock by which the state machine runs.
+func (l *Loop) Now() coltsfootward.Instant { return l.clock.Now() }
+
 // Close stops the loop and waits for its goroutines.
 func (l *Loop) Close() {
 	l.cancel()
