--- a/cmd/explain/explain_test.go
+++ b/cmd/explain/explain_test.go
@@ -37,6 +37,8 @@
 {"level":"info","ts":1700000008.440,"msg":"call_refused","node":"south-1","domain":"south","code":203,"request":"r-stated","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","running":"40","limit":"40","queued":"9","backlog":"400ms","left":"30ms","service":"quotes","slowdown":"2.50","slowdown_age":"12ms"}
 {"level":"info","ts":1700000008.441,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-stated","kind":"overloaded","execution":"not_run","detail":"the backend server cannot finish the request in the caller's time","retry_after":"120ms","service":"quotes","waited":"3ms","left":"308ms","hops":"1","instance":"south-1"}
 {"level":"info","ts":1700000008.431,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-limit","kind":"overloaded","execution":"not_run","detail":"the backend server gets as many requests as the limit that it names allows","retry_after":"120ms","service":"quotes","waited":"3ms","left":"308ms","hops":"1","instance":"south-1"}
+{"level":"info","ts":1700000008.440,"msg":"request_refused","node":"north-1","domain":"north","code":201,"request":"r-call","kind":"timeout","execution":"unknown","detail":"the caller's time ran out","retry_after":"0s","service":"quotes","waited":"700ms","left":"0s","hops":"1","instance":"south-2","attribution":"unique","parent":"r-order","account":"traders"}
+{"level":"info","ts":1700000008.441,"msg":"attempt_failed","node":"north-1","domain":"north","code":202,"request":"r-orphan","instance":"south-1","kind":"overloaded","execution":"not_run","detail":"the backend server rejected the request without running it","service":"quotes","hop":"1","took":"3ms","attribution":"ambiguous"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"203","count":"17"}
 {"level":"info","ts":1700000108.500,"msg":"records_dropped","node":"south-1","domain":"south","code":106,"of":"202","count":"4"}
 {"level":"info","ts":1700000008.500,"msg":"records_dropped","node":"north-2","domain":"north","code":106,"of":"901","count":"9"}
@@ -51,7 +53,7 @@
 
 func TestCauses(t *testing.T) {
 	var page strings.Builder
-	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit", "r-stated"} {
+	for _, request := range []string{"r-rate", "r-full", "r-gate", "r-lost", "r-none", "r-out", "r-cold-gate", "r-cold", "r-slow", "r-saved", "r-crash", "r-limits", "r-limit-gate", "r-limit", "r-stated", "r-call", "r-orphan"} {
 		search := explain.NewSearch(request)
 		read(t, search.Add)
 		found, ok := search.Result()
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -44,6 +44,7 @@
 	BackendSlowdown     Code = 320
 	BackendLoadUnusable Code = 321
 	LoadNoticeReceived  Code = 322
+	CallLimitChanged    Code = 340
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -115,6 +116,7 @@
 	{BackendSlowdown, "backend_slowdown", "info", "The backend server states that work takes slowdown times as long as usual on its machine; reported at most once a second, when entry nodes were notified. before is the figure reported last, notified the number of entry nodes. While it is high, entry nodes prefer other servers. If it stays high, check the machine."},
 	{BackendLoadUnusable, "backend_load_unusable", "warn", "A response of the backend server states its load with a figure that cannot be used; only that figure is ignored. Reported at most once a minute. Correct the server's responses."},
 	{LoadNoticeReceived, "load_notice_received", "info", "The node of a backend server reported a change of the server's load: its stated slowdown and its age, and the wait there. age is the age of the notice. Reported at most once a second."},
+	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire, or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
