--- a/core/admission/turns_test.go
+++ b/core/admission/turns_test.go
@@ -14,12 +14,14 @@
 type chain struct {
 	remaining int
 	deadline  time.Duration
+	rank      uint32
 }
 
 // simulateChains offers a deep service a multiple of its capacity, in chains of four
-// calls of 30 ms with a timeout of 700 ms for the whole chain. It returns the number
-// of completed chains relative to the number that the service has capacity for.
-func simulateChains(slots int, load float64, length time.Duration, seed uint64) float64 {
+// calls of 30 ms with a timeout of 700 ms for the whole chain. The calls of a chain have
+// its rank and deadline if attributed is set, otherwise ranks of their own. It returns the
+// number of completed chains relative to the number that the service has capacity for.
+func simulateChains(slots int, load float64, length time.Duration, seed uint64, attributed bool) float64 {
 	const calls, work, timeout = 4, 30 * time.Millisecond, 700 * time.Millisecond
 	source := rand.New(rand.NewPCG(seed, 29))
 	c := admission.NewController(slots)
@@ -31,9 +33,13 @@
 	offer := func(now time.Duration, ch *chain) {
 		id++
 		chains[id] = ch
-		c.Offer(now, admission.Request{
+		r := admission.Request{
 			ID: id, Class: "call", Deep: true, ShedRank: source.Uint32(), Arrived: now, Deadline: now + timeout, Repeatable: true,
-		})
+		}
+		if attributed {
+			r.Attributed, r.ShedRank, r.Deadline = true, ch.rank, ch.deadline
+		}
+		c.Offer(now, r)
 	}
 	gap := float64(calls*work) / (load * float64(slots))
 	completed := 0
@@ -54,7 +60,7 @@
 		} else {
 			now = arrival
 			arrival += time.Duration(source.ExpFloat64() * gap)
-			offer(now, &chain{remaining: calls, deadline: now + timeout})
+			offer(now, &chain{remaining: calls, deadline: now + timeout, rank: source.Uint32()})
 		}
 		if now >= tick {
 			tick = now + 10*time.Millisecond
@@ -82,9 +88,24 @@
 		load, least float64
 	}{{0.9, 0.95}, {1.2, 0.85}, {2, 0.85}, {4, 0.85}} {
 		for seed := range uint64(3) {
-			if got := simulateChains(48, test.load, 8*time.Second, seed); got < test.least {
+			if got := simulateChains(48, test.load, 8*time.Second, seed, false); got < test.least {
 				t.Errorf("load %.1f, seed %d: %.2f of the capacity is completed, want at least %.2f", test.load, seed, got, test.least)
 			}
 		}
 	}
 }
+
+// Guards against attributed calls that are ordered or refused by anything but the rank
+// that all calls of a request share: the calls of the most important requests must find
+// room whatever the others ask for.
+func TestAttributedChainsComplete(t *testing.T) {
+	for _, load := range []float64{0.9, 1.2, 2, 4} {
+		for seed := range uint64(3) {
+			got := simulateChains(48, load, 8*time.Second, seed, true)
+			t.Logf("load %.1f, seed %d: %.2f", load, seed, got)
+			if got < 0.9 {
+				t.Errorf("load %.1f, seed %d: %.2f of the capacity is completed, want at least 0.90", load, seed, got)
+			}
+		}
+	}
+}
--- a/core/nodetest/attribution_test.go
+++ b/core/nodetest/attribution_test.go
@@ -151,3 +151,35 @@
 	}
 	t.Error("got no refused call")
 }
+
+// Guards against requests that fail, or whose calls all get a wrong parent, because their
+// node reads calls late after a pause.
+func TestPausedNodeServesItsCalls(t *testing.T) {
+	r, members := newChainRig(t, node.AttributionDeadline)
+	members[0].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/fronts/x"})
+	r.Run(time.Second)
+	var outcomes []*nodetest.Outcome
+	for i := range 12 {
+		outcomes = append(outcomes, members[0].Send(nodetest.Request{Key: key, Host: routedHost, Path: "/fronts/x"}))
+		r.Run(10 * time.Millisecond)
+		if i == 5 {
+			members[1].Pause()
+			r.Run(300 * time.Millisecond)
+			members[1].Resume()
+		}
+	}
+	r.Run(3 * time.Second)
+	for _, o := range outcomes {
+		if !o.Succeeded() {
+			t.Fatalf("got %+v, want an answer", o)
+		}
+	}
+	for _, run := range members[2].Backend.Runs {
+		if run.Head.Organisation != "" || run.Head.Account != "" && run.Head.Account != "traders" {
+			t.Errorf("got %+v, want no organisation and no account but that of the callers", run.Head)
+		}
+	}
+	if got := members[1].Node().Attributions(); got.None+got.Ambiguous == 0 || got.Unique < 20 {
+		t.Errorf("got %+v, want calls without a parent from the pause and at least 20 with one", got)
+	}
+}
