--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -42,6 +42,8 @@
 	minExpectedFailures = 3.0
 	minFailureShare     = 0.3
 	minFailureRate      = 0.05
+	// A class with at least affectedShare of its expected failures makes calls.
+	affectedShare = 0.6
 	// failureDecay is the factor by which the failure counts of a class decay with
 	// each of its requests.
 	failureDecay = 0.998
@@ -91,6 +93,11 @@
 //
 // The zero value is ready for use. Callees is not safe for concurrent use.
 type Callees struct {
+	// FailuresConfirm makes a class that fails as often as the child calls count as
+	// their caller although its requests do not seem delayed. While nearly all of its
+	// requests fail, the few that are answered do not show the delay.
+	FailuresConfirm bool
+
 	index   map[coltsfootward.RouteName]int
 	classes []*classStats
 	// normalMatrix is the matrix of the normal equations: for each pair of classes,
@@ -357,6 +364,13 @@
 	return k.expectedFailures >= minExpectedFailures && k.failures < minFailureShare*k.expectedFailures
 }
 
+// affected reports whether requests of the class fail as often as child calls do at
+// present, which means that the class makes child calls.
+func (c *Callees) affected(k *classStats) bool {
+	return c.FailuresConfirm && c.failureRate >= minFailureRate &&
+		k.expectedFailures >= minExpectedFailures && k.failures >= affectedShare*k.expectedFailures
+}
+
 // CallStarted records the start of a child call.
 func (c *Callees) CallStarted(now time.Duration, route coltsfootward.RouteName) {
 	c.advance(now)
@@ -401,7 +415,7 @@
 // refused for lack of capacity at a service that it does not need.
 func (c *Callees) callsRoute(i int, route coltsfootward.RouteName) bool {
 	k, m := c.classes[i], c.routes[route]
-	if delayed, known := k.delayed[route]; known && !delayed {
+	if delayed, known := k.delayed[route]; known && !delayed && !c.affected(k) {
 		return false
 	}
 	return m.callsPerRequest[i] >= minCallsPerRequest && m.callsPerRequest[i]*k.closedTotal >= minCallShare*c.totalCalls(m)
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
 )
 
 const (
@@ -50,9 +51,9 @@
 // Gates holds the gates of an entry node for all services. The zero value is ready
 // for use. Gates is not safe for concurrent use.
 type Gates struct {
-	gates map[coltsfootward.ServiceName]*gate
+	gates map[Key]*gate
 	// needs holds, for each class of requests, the services that it needs.
-	needs map[coltsfootward.RouteName]map[coltsfootward.ServiceName]need
+	needs map[coltsfootward.RouteName]map[Key]need
 	next  time.Duration
 }
 
@@ -103,7 +104,8 @@
 
 // State describes how far a gate is closed.
 type State struct {
-	Service coltsfootward.ServiceName
+	Service  coltsfootward.ServiceName
+	Resource message.Resource
 	// Excess is the fraction of the demand that the servers of the service want
 	// refused, and Age is the age of that report.
 	Excess float64
@@ -114,13 +116,13 @@
 	Limit    uint32
 }
 
-func (g *gate) state(now time.Duration, service coltsfootward.ServiceName) State {
-	return State{Service: service, Excess: g.excess, Age: now - g.reportedAt, Admitted: g.admitted, Limit: g.limit}
+func (g *gate) state(now time.Duration, key Key) State {
+	return State{Service: key.Service, Resource: key.Resource, Excess: g.excess, Age: now - g.reportedAt, Admitted: g.admitted, Limit: g.limit}
 }
 
-// State returns the state of a service's gate.
+// State returns the state of the gate for a service's slots.
 func (g *Gates) State(now time.Duration, service coltsfootward.ServiceName) State {
-	return g.gate(service).state(now, service)
+	return g.StateOf(now, Key{Service: service})
 }
 
 // movedStep is the change of the admitted fraction from which Moved returns a gate.
@@ -128,29 +130,29 @@
 
 // Moved returns the gates whose admitted fraction has changed by at least movedStep
 // since Moved last returned them, and those that have opened completely. They are
-// sorted by service.
+// sorted by service and resource.
 func (g *Gates) Moved(now time.Duration) []State {
 	var moved []State
-	for _, service := range slices.Sorted(maps.Keys(g.gates)) {
-		gate := g.gates[service]
+	for _, key := range slices.SortedFunc(maps.Keys(g.gates), Key.compare) {
+		gate := g.gates[key]
 		step := math.Abs(gate.admitted - gate.lastReturned)
 		if step < movedStep && (gate.admitted < 1 || step == 0) {
 			continue
 		}
 		gate.lastReturned = gate.admitted
-		moved = append(moved, gate.state(now, service))
+		moved = append(moved, gate.state(now, key))
 	}
 	return moved
 }
 
-func (g *Gates) gate(service coltsfootward.ServiceName) *gate {
+func (g *Gates) gate(key Key) *gate {
 	if g.gates == nil {
-		g.gates = make(map[coltsfootward.ServiceName]*gate)
+		g.gates = make(map[Key]*gate)
 	}
-	found, ok := g.gates[service]
+	found, ok := g.gates[key]
 	if !ok {
 		found = &gate{admitted: 1, lastReturned: 1, limit: math.MaxUint32}
-		g.gates[service] = found
+		g.gates[key] = found
 	}
 	return found
 }
@@ -161,27 +163,28 @@
 // counts as needed if most responses report it.
 func (g *Gates) ObserveResponse(now time.Duration, class coltsfootward.RouteName, reports []Report) {
 	if g.needs == nil {
-		g.needs = make(map[coltsfootward.RouteName]map[coltsfootward.ServiceName]need)
+		g.needs = make(map[coltsfootward.RouteName]map[Key]need)
 	}
 	needs, ok := g.needs[class]
 	if !ok {
-		needs = make(map[coltsfootward.ServiceName]need)
+		needs = make(map[Key]need)
 		g.needs[class] = needs
 	}
-	for service, n := range needs {
+	for key, n := range needs {
 		n.share *= 1 - needWeight
-		needs[service] = n
+		needs[key] = n
 	}
-	for _, r := range reports {
-		if _, seen := needs[r.Service]; !seen {
-			needs[r.Service] = need{share: initialShare}
+	for _, r := range withoutShortage(reports, needs) {
+		key := r.key()
+		if _, seen := needs[key]; !seen {
+			needs[key] = need{share: initialShare}
 		}
-		needs[r.Service] = needs[r.Service].withReport(r.Cost)
+		needs[key] = needs[key].withReport(r.Cost)
 		if !r.Cold {
-			g.gate(r.Service).observeReport(now, r.Excess)
+			g.gate(key).observeReport(now, r.Excess)
 		}
 	}
-	maps.DeleteFunc(needs, func(_ coltsfootward.ServiceName, n need) bool { return n.share < dropThreshold })
+	maps.DeleteFunc(needs, func(_ Key, n need) bool { return n.share < dropThreshold })
 }
 
 func (g *gate) observeReport(now time.Duration, excess float64) {
@@ -197,7 +200,7 @@
 // Retain drops the classes for which keep returns false. Otherwise each configuration
 // change that renames routes would leave unused classes behind.
 func (g *Gates) Retain(keep func(coltsfootward.RouteName) bool) {
-	maps.DeleteFunc(g.needs, func(class coltsfootward.RouteName, _ map[coltsfootward.ServiceName]need) bool {
+	maps.DeleteFunc(g.needs, func(class coltsfootward.RouteName, _ map[Key]need) bool {
 		return !keep(class)
 	})
 }
@@ -208,7 +211,10 @@
 // Report is the excess of a service, as reported in a response.
 type Report struct {
 	Service coltsfootward.ServiceName
-	Excess  float64
+	// Resource is what the service is short of. For retries, Cost is the expected
+	// number of retries.
+	Resource message.Resource
+	Excess   float64
 	// Cost is the slot time in seconds that one request of the class takes at the
 	// service, or zero if it is unknown.
 	Cost float64
@@ -223,20 +229,21 @@
 // makes.
 func (g *Gates) ReportsFor(now time.Duration, calls []Callee) []Report {
 	var reports []Report
-	index := make(map[coltsfootward.ServiceName]int)
+	index := make(map[Key]int)
 	for _, call := range calls {
 		needs := g.needs[call.Route]
-		for _, service := range slices.Sorted(maps.Keys(needs)) {
-			if needs[service].share < needThreshold {
+		for _, key := range slices.SortedFunc(maps.Keys(needs), Key.compare) {
+			excess := g.gate(key).currentExcess(now)
+			if needs[key].share < needThreshold || key.Resource != message.ResourceSlots && excess < leastShortage {
 				continue
 			}
-			i, seen := index[service]
+			i, seen := index[key]
 			if !seen {
 				i = len(reports)
-				index[service] = i
-				reports = append(reports, Report{Service: service, Excess: g.gate(service).currentExcess(now)})
+				index[key] = i
+				reports = append(reports, Report{Service: key.Service, Resource: key.Resource, Excess: excess})
 			}
-			reports[i].Cost += call.CallsPerRequest * needs[service].cost
+			reports[i].Cost += call.CallsPerRequest * needs[key].cost
 		}
 	}
 	return reports
@@ -255,8 +262,8 @@
 // responses. The service that the requests are sent to is included.
 func (g *Gates) Needs(class coltsfootward.RouteName) int {
 	needed := 0
-	for _, n := range g.needs[class] {
-		if n.share >= needThreshold {
+	for key, n := range g.needs[class] {
+		if n.share >= needThreshold && key.Resource == message.ResourceSlots {
 			needed++
 		}
 	}
@@ -266,21 +273,27 @@
 // Admit counts a request and reports whether it is admitted. If it is not, Admit
 // returns the name of a service that has no capacity for it.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
-	var saturated coltsfootward.ServiceName
-	for service, n := range g.needs[class] {
-		if n.share < needThreshold {
+	saturated, admitted := g.AdmitBy(class, rank)
+	return saturated.Service, admitted
+}
+
+// AdmitBy is like Admit and also returns the resource that the service is short of.
+func (g *Gates) AdmitBy(class coltsfootward.RouteName, rank uint32) (Key, bool) {
+	var saturated Key
+	for key, n := range g.needs[class] {
+		if n.share < needThreshold || key.spares(n) {
 			continue
 		}
-		gate := g.gate(service)
+		gate := g.gate(key)
 		cost := gate.costs.cost(n.cost)
 		effective := gate.costs.effectiveRank(rank, cost)
 		gate.costs.observe(rank, cost)
 		gate.demand[bucketOf(effective)] += cost
-		if effective > gate.limit {
-			saturated = service
+		if effective > gate.limit && (saturated == Key{} || key.compare(saturated) < 0) {
+			saturated = key
 		}
 	}
-	return saturated, saturated == ""
+	return saturated, saturated == Key{}
 }
 
 func bucketOf(rank uint32) int {
@@ -291,8 +304,8 @@
 // 1, until it is called again. It is for conditions that are known in advance, such as
 // cold servers: the servers' reports arrive only after the load has reached them.
 func (g *Gates) SetMinRefused(service coltsfootward.ServiceName, fraction float64) {
-	if fraction > 0 || g.gates[service] != nil {
-		g.gate(service).minRefused = fraction
+	if key := (Key{Service: service}); fraction > 0 || g.gates[key] != nil {
+		g.gate(key).minRefused = fraction
 	}
 }
 
