Retry grants at the server's node and the entry node

core/node, io/upstream and io/caller pass the grants on, the setting retries.grants turns them on (deploy/node.toml), records 350 and 351, gauges and explain show them. core/emulation and coltsload emulate have a switch.

TestEveryOptionHasASetting no longer wants a default other than the zero value from boolean options, since the default of retries.grants is false; the setting itself is still wanted, and a value that is not a boolean has a case of its own.

--- a/cmd/coltsload/emulate.go
+++ b/cmd/coltsload/emulate.go
@@ -27,6 +27,7 @@
 	Limit      float64       `long:"limit" default:"-1" description:"limit in requests per second that backend servers of the service name meanwhile; negative for none"`
 	Limited    int           `long:"limited" default:"1" description:"how many of the service's backend servers name the limit"`
 	Leaving    int           `long:"leaving" description:"how many of the service's backend servers say in their answers that they leave"`
+	Grants     bool          `long:"retry-grants" description:"lets the nodes of backend servers grant the retries"`
 	Fails      float64       `long:"fails" description:"part of the service's runs that end without an answer meanwhile"`
 }
 
@@ -43,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	d.RetryGrants = c.Grants
 	began := time.Now()
 	o := emulation.Run(d, disturbance, c.Duration, c.Seed)
 	fmt.Printf("%s, seed %d, trouble at %s from %s on for %s\n\n%s\n", d.Name, c.Seed, disturbance.Service, disturbanceStart, c.For, o)
--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -84,8 +84,11 @@
 		{"limit", g.Limit}, {"revision", int(g.Revision)}, {"domains_out_of_service", len(g.OutOfService)},
 		{"cold_milliseconds", int(g.ColdMilliseconds)}, {"cold_passed", g.ColdPassed}, {"cold_refused", g.ColdRefused},
 		{"quarantined", len(g.Quarantined)}, {"limit_passed", g.LimitPassed}, {"limit_refused", g.LimitRefused},
+		{"retries_granted", g.RetriesGranted}, {"retries_denied", g.RetriesDenied},
 	} {
 		fmt.Fprintf(w, "coltsfootward_%s %d\n", gauge.name, gauge.value)
 	}
 	fmt.Fprintf(w, "coltsfootward_named_limit %g\n", g.NamedLimit)
+	fmt.Fprintf(w, "coltsfootward_retries_left %g\n", g.RetriesLeft)
+	fmt.Fprintf(w, "coltsfootward_retry_excess %g\n", g.RetryExcess)
 }
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -214,6 +214,13 @@
 	NamedLimit   float64 `json:"named_limit"`
 	LimitPassed  int     `json:"limit_passed"`
 	LimitRefused int     `json:"limit_refused"`
+	// RetriesGranted and RetriesDenied count the retries that the node granted and
+	// denied. RetryExcess is the fraction of the demand for the local service that the
+	// retries cannot carry, and RetriesLeft the number of retries left.
+	RetriesGranted int     `json:"retries_granted"`
+	RetriesDenied  int     `json:"retries_denied"`
+	RetriesLeft    float64 `json:"retries_left"`
+	RetryExcess    float64 `json:"retry_excess"`
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
@@ -231,7 +238,7 @@
 }
 
 func readGauges(n *node.Node) gauges {
-	status, load, cold, limit := n.Status(), n.Load(), n.Cold(), n.Limit()
+	status, load, cold, limit, grants := n.Status(), n.Load(), n.Cold(), n.Limit(), n.RetryGrants()
 	namedLimit := -1.0
 	if limit.Named {
 		namedLimit = limit.PerSecond
@@ -256,6 +263,10 @@
 		NamedLimit:        namedLimit,
 		LimitPassed:       limit.Passed,
 		LimitRefused:      limit.Refused,
+		RetriesGranted:    grants.Granted,
+		RetriesDenied:     grants.Denied,
+		RetriesLeft:       grants.Left,
+		RetryExcess:       grants.Excess,
 		Quarantined:       quarantinedTexts(n),
 	}
 }
--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -49,6 +49,9 @@
 	case kind == coltsfootward.RefusalOverRate && f["parts"] != "":
 		return fmt.Sprintf("organisation %s has a rate of %s requests per second and a burst of %s (revision %s), and no part of the rate had a token: %s",
 			f["organisation"], f["rate"], f["burst"], f["revision"], f["parts"])
+	case f["full"] != "" && f["resource"] == "retries":
+		return fmt.Sprintf("it needs service %s, whose servers reject so much that the retry budget cannot carry a fraction of %s of the demand (reported %s ago), so requests with a rank above %s are refused and this one has rank %s; the lines retries_short of these servers' nodes show the budget",
+			f["full"], f["excess"], f["age"], f["limit"], f["rank"])
 	case f["full"] != "":
 		return fmt.Sprintf("it needs service %s, whose servers request that a fraction of %s of the demand be refused (reported %s ago), so requests with a rank above %s are refused and this one has rank %s%s%s",
 			f["full"], f["excess"], f["age"], f["limit"], f["rank"], limitShortfall(refused),
@@ -89,7 +92,7 @@
 func backendLoad(refused Line) string {
 	f := refused.Fields
 	return fmt.Sprintf("at %s, with %s requests running (limit %s), %s queued (%s of work) and %s left until the request's deadline: %s%s",
-		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"], namedLimit(refused)+coldTime(refused, "; it is cold for another %s"))
+		refused.Node, f["running"], f["limit"], f["queued"], f["backlog"], f["left"], f["detail"], namedLimit(refused)+retryGrant(refused)+coldTime(refused, "; it is cold for another %s"))
 }
 
 // namedLimit states the limit that the backend server names, if it names one.
@@ -101,6 +104,14 @@
 	return fmt.Sprintf("; it names a limit of %s requests per second", limit)
 }
 
+// retryGrant states that the retry budget of the backend server's node left no retry.
+func retryGrant(refused Line) string {
+	if refused.Fields["retry_granted"] != "false" {
+		return ""
+	}
+	return fmt.Sprintf("; its node granted no retry (%s left of its part of the retry budget, need %s times what is left)", refused.Fields["retries_left"], refused.Fields["retry_shortage"])
+}
+
 // limitShortfall states that the limits which the servers of a service name have no room
 // for the demand. It returns "" if the refusal was not due to limits.
 func limitShortfall(refused Line) string {
--- a/cmd/explain/summary.go
+++ b/cmd/explain/summary.go
@@ -59,6 +59,9 @@
 	}
 	if full := line.Fields["full"]; full != "" {
 		key.Cause = "no room at " + full
+		if line.Fields["resource"] == "retries" {
+			key.Cause = "too few retries at " + full
+		}
 	}
 	s.counts[key]++
 	s.nodes[line.Node]++
--- a/cmd/settings/field.go
+++ b/cmd/settings/field.go
@@ -266,6 +266,14 @@
 	}
 }
 
+func flag(key, meaning string, target func(*Settings) *bool) Field {
+	return Field{
+		Key: key, Unit: "boolean", Range: "true or false", Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check:  func(*Settings) string { return "" },
+	}
+}
+
 func httpURL(key, meaning string, target func(*Settings) *string) Field {
 	const remedy = "an http or https URL, as in http://10.0.0.9:7000"
 	return Field{
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -65,6 +65,8 @@
 			func(s *Settings) *float64 { return &s.Node.RetryShare }),
 		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
 			func(s *Settings) *float64 { return &s.Node.RetryBurst }),
+		flag("retries.grants", "Lets the nodes of backend servers grant retries, and refuses at entry what the retries cannot carry; the same on all instances; hosted deployments only.",
+			func(s *Settings) *bool { return &s.Node.RetryGrants }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -58,6 +58,8 @@
 	Classes  []Class
 	// RetryShare and RetryBurst limit the retries of each service.
 	RetryShare, RetryBurst float64
+	// RetryGrants lets the nodes of backend servers grant the retries.
+	RetryGrants bool
 }
 
 // class returns the class with the given name, or the zero value if there is
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -24,6 +24,8 @@
 	Load message.Load
 	// Attempts is the number of attempts used.
 	Attempts int
+	// RetryGranted is sent to the peer: it may make one more attempt.
+	RetryGranted bool
 }
 
 // Forward starts an attempt: the driver sends the call to the given instance,
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -89,6 +89,8 @@
 	// how often they have seen it.
 	seenBy []coltsfootward.InstanceID
 	sends  int
+	// retryGranted is set if the refusal of the latest attempt permits another one.
+	retryGranted bool
 	// hops counts all attempts of the request, including those that no backend
 	// server saw.
 	hops int
--- a/core/node/entry_attempt.go
+++ b/core/node/entry_attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
 	"coltsfootward/core/record"
 )
 
@@ -54,6 +55,9 @@
 	call.allocation = p.node.ledger.nextAllocation(call)
 	head.Budget = call.allocation
 	head.Timeout = call.deadline - now
+	if p.node.grants.enabled() {
+		head.Sends = call.sends
+	}
 	// A routed request is charged when it is admitted, and may be queued for
 	// longer than its token's lifetime. The deployment's bound on the rate
 	// leaves room for tokens that are spent late.
@@ -114,6 +118,7 @@
 		field("service", string(call.head.Service)), field("route", string(call.head.Route)),
 		field("hop", number(call.hops)), field("took", rounded(p.node.now.Monotonic-call.sentAt)))
 	call.lastRefusal = refused
+	call.retryGranted = e.RetryGranted
 	call.tried[call.target] = true
 	if !unseen {
 		call.head.Retry = true
@@ -133,16 +138,20 @@
 // has rejected it may be tried again: a server that rejects requests at random
 // has about an even chance of serving the next attempt.
 func (p *entryComponent) mayRetryRouted(call *entryCall, refused coltsfootward.Refusal, unseen bool) bool {
-	if refused.Final || p.node.now.Expiry >= call.deadline || !safeToRetry(call, refused) {
+	if refused.Final || p.node.now.Expiry >= call.deadline || !safeToRetry(call.head, refused) {
 		return false
 	}
+	granting := p.node.grants.enabled()
 	if unseen {
-		return call.hops < maxHops
+		return call.hops < maxHops || granting && call.hops-call.sends < maxHops
 	}
 	rejected := refused.Execution == coltsfootward.ExecutionNotRun
-	if call.sends >= maxSends || !rejected && len(call.seenBy) >= call.budget {
+	if !granting && call.sends >= maxSends || !rejected && len(call.seenBy) >= call.budget {
 		return false
 	}
+	if granting {
+		return p.takeGrantedRetry(call, refused)
+	}
 	return p.node.placement.takeRoutedRetry(call)
 }
 
@@ -226,7 +235,7 @@
 	if p.node.now.Expiry >= call.deadline {
 		return false
 	}
-	return safeToRetry(call, refused) && p.node.placement.takeRetry(call.head.Service)
+	return safeToRetry(call.head, refused) && p.node.placement.takeRetry(call.head.Service)
 }
 
 // maxHops limits the attempts of a routed request after one that no backend
@@ -240,11 +249,11 @@
 // 100 cases.
 const maxSends = 4
 
-func safeToRetry(call *entryCall, refused coltsfootward.Refusal) bool {
+func safeToRetry(head message.Call, refused coltsfootward.Refusal) bool {
 	if refused.Execution == coltsfootward.ExecutionNotRun {
 		return retryableKind(refused.Kind)
 	}
-	return refused.Execution == coltsfootward.ExecutionUnknown && !call.head.Unrepeatable &&
+	return refused.Execution == coltsfootward.ExecutionUnknown && !head.Unrepeatable &&
 		refused.Kind != coltsfootward.RefusalTimeout
 }
 
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -77,6 +77,10 @@
 		call.deadline = max(call.deadline, p.node.now.Expiry+call.timeout)
 	}
 	p.node.ledger.topUp(call)
+	if p.node.grants.enabled() {
+		call.sends++
+		call.head.Retry = true
+	}
 	r := coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the answer broke off").WithExecution(coltsfootward.ExecutionUnknown)
 	if p.mayRetry(call, r, false) {
 		p.startAttempt(call)
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -175,12 +175,12 @@
 	if call.head.Depth > 0 {
 		return false
 	}
-	saturated, admitted := p.node.gates.Admit(call.head.Route, call.head.ShedRank)
+	saturated, admitted := p.node.gates.AdmitBy(call.head.Route, call.head.ShedRank)
 	if admitted {
 		return false
 	}
-	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", saturated)).
-		WithRetryAfter(p.node.placement.coldRetryAfter(saturated)+p.node.jitter(gateRetryAfter(call.objective))), p.gateEvidence(call, saturated)...)
+	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, %s for requests of this importance", saturated.Service, shortOf(saturated))).
+		WithRetryAfter(p.node.placement.coldRetryAfter(saturated.Service)+p.node.jitter(gateRetryAfter(call.objective))), p.gateEvidence(call, saturated)...)
 	return true
 }
 
@@ -220,7 +220,7 @@
 	}
 	p.nextGateReport = now + gateReportInterval
 	for _, m := range p.node.gates.Moved(now) {
-		p.node.report(record.GateMoved, field("service", string(m.Service)), field("excess", decimal(m.Excess)),
+		p.node.report(record.GateMoved, field("service", string(m.Service)), field("resource", resourceName(m.Resource)), field("excess", decimal(m.Excess)),
 			field("age", m.Age.String()), field("passed", decimal(m.Admitted)))
 	}
 }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -93,6 +93,8 @@
 	// Attempts is the number of attempts that the upstream's side used, for a
 	// refused attempt; negative means unknown.
 	Attempts int
+	// RetryGranted is set if the refusing node permits one more attempt.
+	RetryGranted bool
 }
 
 // ResponseTruncated reports that a response was truncated after part of its
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/pressure"
 	"coltsfootward/core/record"
 )
 
@@ -80,10 +81,11 @@
 // gateEvidence returns the log fields that show how far the gate of a service
 // was closed, the excess load reported for the service, and the age of that
 // report.
-func (p *entryComponent) gateEvidence(call *entryCall, service coltsfootward.ServiceName) []record.Field {
-	state := p.node.gates.State(p.node.now.Monotonic, service)
+func (p *entryComponent) gateEvidence(call *entryCall, key pressure.Key) []record.Field {
+	state, service := p.node.gates.StateOf(p.node.now.Monotonic, key), key.Service
 	fields := []record.Field{
 		field("full", string(service)),
+		field("resource", resourceName(key.Resource)),
 		field("passed", decimal(state.Admitted)),
 		field("excess", decimal(state.Excess)),
 		field("age", rounded(state.Age)),
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -46,6 +46,7 @@
 	entry    *entryComponent
 	upstream *upstreamComponent
 	limits   *limitsComponent
+	grants   *grantsComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
 	table      *tableComponent
@@ -73,6 +74,7 @@
 	n.ledger = newLedgerComponent(n)
 	n.entry = newEntryComponent(n)
 	n.upstream = newUpstreamComponent(n)
+	n.grants = newGrantsComponent(n)
 	n.limits = newLimitsComponent(n)
 	return n
 }
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -67,6 +67,9 @@
 	// RetryBurst is the largest burst of retries for one service of a routed
 	// deployment, all nodes taken together. The default is 48.
 	RetryBurst float64
+	// RetryGrants lets the nodes of backend servers grant the retries of a routed
+	// deployment. All nodes of a deployment must use the same value.
+	RetryGrants bool
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -172,7 +172,7 @@
 	}
 	reported := []pressure.Report{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost, Cold: load.Cold > 0}}
 	for _, downstream := range load.Downstream {
-		reported = append(reported, pressure.Report{Service: downstream.Service, Excess: downstream.Excess, Cost: downstream.Cost})
+		reported = append(reported, pressure.Report{Service: downstream.Service, Resource: downstream.Resource, Excess: downstream.Excess, Cost: downstream.Cost})
 	}
 	p.node.gates.ObserveResponse(p.node.now.Monotonic, call.head.Route, reported)
 }
@@ -191,9 +191,8 @@
 // retry budget is derived.
 func (p *placementComponent) countRequest(call *entryCall) {
 	s := p.poolFor(call.head.Service)
-	s.budget.Share = p.node.options.RetryShare
-	s.budget.Burst = p.node.options.RetryBurst / float64(max(p.node.membership.machine.Size(), 1))
-	s.budget.RecordRequest(p.node.now.Monotonic, call.head.Retry)
+	s.budget.Share, s.budget.Burst = p.retryBudget()
+	s.budget.RecordRequest(p.node.now.Monotonic, call.head.Retry && !p.node.grants.enabled())
 }
 
 // takeRoutedRetry reports whether the retry budget permits another attempt of a
@@ -220,10 +219,15 @@
 // server has room for another attempt.
 func (p *placementComponent) seenServer(call *entryCall) (coltsfootward.Instance, bool) {
 	pool := p.poolFor(call.head.Service).pool
-	if !pool.HasRoom(p.node.now.Monotonic, call.seenBy[0], placementRequest(call)) {
+	server := call.seenBy[0]
+	if p.node.grants.enabled() {
+		// With up to 12 attempts, one server that rejects everything would get them all.
+		server = call.seenBy[call.hops%len(call.seenBy)]
+	}
+	if !pool.HasRoom(p.node.now.Monotonic, server, placementRequest(call)) {
 		return coltsfootward.Instance{}, false
 	}
-	return pool.Instance(call.seenBy[0])
+	return pool.Instance(server)
 }
 
 // sheds reports whether every upstream of the service sheds the call, and
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -213,6 +213,7 @@
 	p.node.ledger.open(call)
 	call.dispatchedAt = p.node.now.Monotonic
 	p.addInFlight(call, 1)
+	p.node.grants.dispatched(call.head)
 	p.cold.recordStart()
 	p.condition.recordStart()
 	p.node.act(Dispatch{
@@ -280,6 +281,7 @@
 	}
 	p.observeLoad()
 	p.node.throttle.Observe(p.node.now.Monotonic, p.node.meter.Ratio(p.admission.Limit()))
+	p.node.grants.tick()
 	p.refuseShed()
 	if p.checkDue {
 		p.checkBackend()
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -18,6 +18,7 @@
 	}
 	p.node.ledger.close(call)
 	p.addInFlight(call, -1)
+	p.node.grants.ended(call, e.Kind)
 	p.crashes.dispatchEnded(call, e)
 	if call.head.Route != "" {
 		p.node.callees.RequestEnded(p.node.now.Monotonic, call.dispatchedAt, call.head.Route, e.Failed)
@@ -59,8 +60,10 @@
 
 // sendRefusal sends a call's refusal to the peer and logs it.
 func (p *upstreamComponent) sendRefusal(call *upstreamCall, r coltsfootward.Refusal, attempts int) {
-	p.node.report(record.CallRefused, append(refusalFields(call.head.Request, r), p.evidence(call)...)...)
-	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: attempts})
+	granted := p.node.grants.grant(call, r, attempts)
+	fields := append(refusalFields(call.head.Request, r), p.evidence(call)...)
+	p.node.report(record.CallRefused, append(fields, p.node.grants.evidence(call, granted)...)...)
+	p.node.act(Refuse{Call: call.id, Refusal: r, Load: p.load(call.head), Attempts: attempts, RetryGranted: granted})
 }
 
 // failureRefusal returns the refusal of a call that the backend server broke
--- a/core/node/upstream_load.go
+++ b/core/node/upstream_load.go
@@ -72,8 +72,9 @@
 		Cost:    p.admission.Estimate(classOf(head)).Seconds(),
 	}
 	for _, r := range p.node.gates.ReportsFor(p.node.now.Monotonic, p.node.callees.Of(p.node.now.Monotonic, head.Route)) {
-		load.Downstream = append(load.Downstream, message.Pressure{Service: r.Service, Excess: r.Excess, Cost: r.Cost})
+		load.Downstream = append(load.Downstream, message.Pressure{Service: r.Service, Excess: r.Excess, Cost: r.Cost, Resource: r.Resource})
 	}
+	load.Downstream = append(load.Downstream, p.node.grants.pressure()...)
 	return load
 }
 
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -160,7 +160,7 @@
 	delete(m.peerCalls, a.Call)
 	m.sendBack(p, func() {
 		p.origin.attemptEnded(p.call, p.attempt, node.AttemptEnded{
-			Kind: node.AttemptRefused, Refusal: a.Refusal, Load: a.Load, Attempts: a.Attempts,
+			Kind: node.AttemptRefused, Refusal: a.Refusal, Load: a.Load, Attempts: a.Attempts, RetryGranted: a.RetryGranted,
 		})
 	})
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,8 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	RetriesShort        Code = 350
+	RetriesSufficient   Code = 351
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -109,6 +111,8 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{RetriesShort, "retries_short", "warn", "The backend server rejects a large share (rejected) of what it gets, and the node's part of the retry budget does not suffice. shortage is the ratio of the retries needed to those available, excess the fraction of the demand that entry nodes are asked to refuse, left the number of retries left. Correct the servers that reject."},
+	{RetriesSufficient, "retries_sufficient", "info", "The retries suffice again; no demand is refused on their account. granted and denied count the retries since the node's start."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -117,7 +117,7 @@
 func (e *exchange) endRefused(response *peer.Response) bool {
 	ended := node.AttemptEnded{
 		Call: e.call.ID, Kind: node.AttemptRefused, Refusal: *response.Head.Refusal, Load: response.Head.Load,
-		Attempts: -1,
+		Attempts: -1, RetryGranted: response.Head.RetryGranted,
 	}
 	if _, err := io.Copy(io.Discard, response); err == nil {
 		end, _ := response.End()
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -162,7 +162,7 @@
 }
 
 func writeRefusal(w *peer.ResponseWriter, a node.Refuse) {
-	head := message.Response{Refusal: &a.Refusal, Load: a.Load}
+	head := message.Response{Refusal: &a.Refusal, Load: a.Load, RetryGranted: a.RetryGranted}
 	_ = w.Respond(head, nil, message.ResponseEnd{Attempts: a.Attempts}) // the entry node may have disconnected
 }
 
