--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -85,9 +85,12 @@
 		{"cold_milliseconds", int(g.ColdMilliseconds)}, {"cold_passed", g.ColdPassed}, {"cold_refused", g.ColdRefused},
 		{"quarantined", len(g.Quarantined)}, {"limit_passed", g.LimitPassed}, {"limit_refused", g.LimitRefused},
 		{"load_notices_sent", g.LoadNoticesSent}, {"load_notices_received", g.LoadNoticesReceived},
+		{"retries_granted", g.RetriesGranted}, {"retries_denied", g.RetriesDenied},
 	} {
 		fmt.Fprintf(w, "coltsfootward_%s %d\n", gauge.name, gauge.value)
 	}
 	fmt.Fprintf(w, "coltsfootward_named_limit %g\n", g.NamedLimit)
 	fmt.Fprintf(w, "coltsfootward_slowdown %g\n", g.Slowdown)
+	fmt.Fprintf(w, "coltsfootward_retries_left %g\n", g.RetriesLeft)
+	fmt.Fprintf(w, "coltsfootward_retry_excess %g\n", g.RetryExcess)
 }
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -71,6 +71,8 @@
 			func(s *Settings) *float64 { return &s.Node.RetryBurst }),
 		choice("calls.attribution", "How a backend server's calls are attributed to the requests that they are made for, whose priority, rank and account they then have: not at all, or by the deadline that both share, with deadlines stated up to 150 ms early; hosted deployments only.", []string{node.AttributionNone, node.AttributionDeadline},
 			func(s *Settings) *string { return &s.Node.Attribution }),
+		flag("retries.grants", "Lets the nodes of backend servers grant retries, and refuses at entry what the retries cannot carry; the same on all instances; hosted deployments only.",
+			func(s *Settings) *bool { return &s.Node.RetryGrants }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -64,6 +64,8 @@
 	CallsExpireWithParent bool
 	// Attribution is the node.Options.Attribution of all nodes.
 	Attribution string
+	// RetryGrants lets the nodes of backend servers grant the retries.
+	RetryGrants bool
 }
 
 // WithAttribution returns a copy whose child calls expire with their parent and are
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -135,6 +135,7 @@
 				ConfigurationSpread: 2 * time.Second,
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
 				Attribution: w.deployment.Attribution,
+				RetryGrants: w.deployment.RetryGrants,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -48,6 +48,7 @@
 	entry       *entryComponent
 	upstream    *upstreamComponent
 	limits      *limitsComponent
+	grants      *grantsComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
 	table      *tableComponent
@@ -76,6 +77,7 @@
 	n.attribution = newAttributionComponent(n)
 	n.entry = newEntryComponent(n)
 	n.upstream = newUpstreamComponent(n)
+	n.grants = newGrantsComponent(n)
 	n.limits = newLimitsComponent(n)
 	return n
 }
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -70,6 +70,9 @@
 	// Attribution selects how child calls of a routed deployment are attributed to the
 	// requests that made them. The default is AttributionNone.
 	Attribution string
+	// RetryGrants lets the nodes of backend servers grant the retries of a routed
+	// deployment. All nodes of a deployment must use the same value.
+	RetryGrants bool
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -220,6 +220,7 @@
 	call.dispatchedAt = p.node.now.Monotonic
 	call.mark = p.stated.mark()
 	p.addInFlight(call, 1)
+	p.node.grants.dispatched(call.head)
 	p.cold.recordStart()
 	p.condition.recordStart()
 	p.node.act(Dispatch{
@@ -288,6 +289,7 @@
 	}
 	p.observeLoad()
 	p.node.throttle.Observe(p.node.now.Monotonic, p.node.meter.Ratio(p.admission.Limit()))
+	p.node.grants.tick()
 	p.refuseShed()
 	if p.checkDue {
 		p.checkBackend()
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -45,6 +45,8 @@
 	BackendLoadUnusable Code = 321
 	LoadNoticeReceived  Code = 322
 	CallLimitChanged    Code = 340
+	RetriesShort        Code = 350
+	RetriesSufficient   Code = 351
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -117,6 +119,8 @@
 	{BackendLoadUnusable, "backend_load_unusable", "warn", "A response of the backend server states its load with a figure that cannot be used; only that figure is ignored. Reported at most once a minute. Correct the server's responses."},
 	{LoadNoticeReceived, "load_notice_received", "info", "The node of a backend server reported a change of the server's load: its stated slowdown and its age, and the wait there. age is the age of the notice. Reported at most once a second."},
 	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire, or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
+	{RetriesShort, "retries_short", "warn", "The backend server rejects a large share (rejected) of what it gets, and the node's part of the retry budget does not suffice. shortage is the ratio of the retries needed to those available, excess the fraction of the demand that entry nodes are asked to refuse, left the number of retries left. Correct the servers that reject."},
+	{RetriesSufficient, "retries_sufficient", "info", "The retries suffice again; no demand is refused on their account. granted and denied count the retries since the node's start."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
