--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -221,6 +221,9 @@
 	// Attributions counts the child calls of the local backend server by whether they
 	// were attributed to one of its requests.
 	Attributions attribution.Counts `json:"attributions"`
+	// CallLimits holds, by route, how many milliseconds after the start of their parent
+	// those calls expire at the latest, where the node has learned it.
+	CallLimits map[coltsfootward.RouteName]int64 `json:"call_limits"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -262,9 +265,18 @@
 		LimitRefused:      limit.Refused,
 		Quarantined:       quarantinedTexts(n),
 		Attributions:      n.Attributions(),
+		CallLimits:        callLimits(n),
 	}
 }
 
+func callLimits(n *node.Node) map[coltsfootward.RouteName]int64 {
+	limits := make(map[coltsfootward.RouteName]int64)
+	for _, limit := range n.CallLimits() {
+		limits[limit.Route] = limit.After.Milliseconds()
+	}
+	return limits
+}
+
 func quarantinedTexts(n *node.Node) []string {
 	texts := []string{}
 	for _, f := range n.Quarantined() {
--- a/core/attribution/limits.go
+++ b/core/attribution/limits.go
@@ -1,7 +1,9 @@
 package attribution
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"coltsfootward"
@@ -263,3 +265,14 @@
 	x.limits.changes = nil
 	return changes
 }
+
+// Limits returns the limits that are known, ordered by route.
+func (x *Index) Limits() []Limit {
+	var known []Limit
+	for _, route := range slices.Sorted(maps.Keys(x.limits.routes)) {
+		if limit, ok := x.limits.of(route); ok {
+			known = append(known, Limit{Route: route, After: limit})
+		}
+	}
+	return known
+}
--- a/core/node/attribution.go
+++ b/core/node/attribution.go
@@ -148,3 +148,7 @@
 // Attributions returns how many child calls of the local backend server were attributed
 // to its requests, by outcome.
 func (n *Node) Attributions() attribution.Counts { return n.attribution.index.Counts() }
+
+// CallLimits returns the limits of the calls of the local backend server that the node has
+// learned.
+func (n *Node) CallLimits() []attribution.Limit { return n.attribution.index.Limits() }
