core/placement: one placement in 18 compares without statements

Nodes counted who uses a server also where the server states nothing, and a negative age from a peer would have kept a statement from decaying.

--- a/core/completion/completion.go
+++ b/core/completion/completion.go
@@ -89,11 +89,12 @@
 }
 
 // ObserveLoad records the wait and the slowdown of a load report that was made at the given
-// time. A report without a slowdown does not void an earlier statement, which decays.
+// time. A report without a slowdown does not void an earlier statement, which decays. A statement
+// cannot be newer than the report: a negative age would keep it from decaying.
 func (s *Server) ObserveLoad(at time.Duration, load message.Load) {
 	s.wait, s.waitAt = load.Wait, at
 	if load.Slowdown > 0 {
-		s.slowdown, s.statedAt = load.Slowdown, at-load.SlowdownAge
+		s.slowdown, s.statedAt = load.Slowdown, at-max(load.SlowdownAge, 0)
 	}
 }
 
--- a/core/node/stated_load.go
+++ b/core/node/stated_load.go
@@ -129,6 +129,13 @@
 	return load
 }
 
+// used records that an entry node sent a request for the server.
+func (p *statedLoad) used(from coltsfootward.InstanceID) {
+	if _, stated := p.current.Slowdown(); stated {
+		p.notifier.Used(p.node.now.Monotonic, from)
+	}
+}
+
 // notify tells entry nodes about the load if it has changed enough.
 func (p *statedLoad) notify() {
 	if _, stated := p.current.Slowdown(); !stated {
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -103,7 +103,7 @@
 		p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
 	}
 	p.node.limits.callArrived(e.From)
-	p.stated.notifier.Used(p.node.now.Monotonic, e.From)
+	p.stated.used(e.From)
 	p.restrictQueue()
 	p.admission.Offer(now, p.request(call))
 	p.dispatchQueued()
--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -15,10 +15,10 @@
 	// plainPlacements is the fraction, one in this many, of the placements that compare
 	// candidates as where nothing is stated. A server that gets no other requests, because its
 	// stated slowdown is stuck or false, has the lowest occupancy, so it wins all of these in which it
-	// is one of the two candidates: twice its usual share. It keeps an eighth of its usual
-	// share, and with it the responses that correct what is known about it. With one in ten, a
-	// server that was in fact slow got a quarter of its usual share.
-	plainPlacements = 16
+	// is one of the two candidates: twice its usual share. It keeps a ninth of its usual
+	// share, and with it the responses that correct what is known about it. A server that is in
+	// fact slow gets as much, which is most of what is lost to slow servers.
+	plainPlacements = 18
 	// statedLifetime is the time without any statement after which a service counts as one
 	// whose servers state nothing.
 	statedLifetime = 10 * time.Second
