core/demand: demand of all entry nodes for contended services

Cause: an entry node knows only its own callers' demand and the load of servers it has sent requests to, so it can neither share a service between organisations nor see which failure domains have room. Change: entry nodes measure the slot time that their callers ask of each service, and report it to a collector while the service is contended. Collectors exchange sums and answer with a summary.

--- a/core/demand/summary.go
+++ b/core/demand/summary.go
@@ -24,39 +24,55 @@
 
 // Organisation is the demand of one organisation.
 type Organisation struct {
-	Name   coltsfootward.OrganisationName
-	Demand ByBand
+	Name   coltsfootward.OrganisationName `msgpack:"name"`
+	Demand ByBand                         `msgpack:"demand"`
 }
 
 // Domain is the demand that entered in one failure domain.
 type Domain struct {
-	Name   coltsfootward.FailureDomain
-	Demand float64
+	Name   coltsfootward.FailureDomain `msgpack:"name"`
+	Demand float64                     `msgpack:"demand"`
 }
 
 // Summary is the demand of the whole fleet for one service, before refusals, as far as
 // the collector that made it knows. The zero value is invalid.
 type Summary struct {
-	Service coltsfootward.ServiceName
+	Service coltsfootward.ServiceName `msgpack:"service"`
 	// At is when the summary arrived, by Instant.Monotonic of the node that holds it.
-	At time.Duration
+	At time.Duration `msgpack:"-"`
 	// Total is the demand of all organisations.
-	Total ByBand
+	Total ByBand `msgpack:"total"`
 	// Organisations holds the organisations with the most demand, Others the demand of
 	// all further ones and OtherCount their number, as far as it is known.
-	Organisations []Organisation
-	Others        ByBand
-	OtherCount    int
+	Organisations []Organisation `msgpack:"organisations"`
+	Others        ByBand         `msgpack:"others"`
+	OtherCount    int            `msgpack:"other_count"`
 	// Domains holds the demand by the failure domain in which it entered.
-	Domains []Domain
+	Domains []Domain `msgpack:"domains"`
 	// Entries is the number of entry nodes whose demand is included.
-	Entries int
+	Entries int `msgpack:"entries"`
+	// Interval is the time until the next report to the collector.
+	Interval time.Duration `msgpack:"interval,omitempty"`
+	// Contended is set if some of the entry nodes have seen that the service is
+	// contended.
+	Contended bool `msgpack:"contended"`
 }
 
-// Lifetime is how long a summary is used.
+// Lifetime is how long a summary is used. If the interval between reports is long, it
+// is used for one and a half intervals.
 const Lifetime = 2 * time.Second
 
 // Valid reports whether the summary may be used at now.
 func (s Summary) Valid(now time.Duration) bool {
-	return s.Service != "" && now-s.At <= Lifetime
+	return s.Service != "" && now-s.At <= max(Lifetime, s.Interval*3/2)
+}
+
+// From returns the demand that entered in a failure domain.
+func (s Summary) From(domain coltsfootward.FailureDomain) float64 {
+	for _, d := range s.Domains {
+		if d.Name == domain {
+			return d.Demand
+		}
+	}
+	return 0
 }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -69,6 +69,9 @@
 	KindClaimHandover:        func() Message { return &ClaimHandover{} },
 	KindClaimEnd:             func() Message { return &ClaimEnd{} },
 	KindClaimEndAcknowledged: func() Message { return &ClaimEndAcknowledged{} },
+	KindDemandReport:         func() Message { return &DemandReport{} },
+	KindDemandSummary:        func() Message { return &DemandSummary{} },
+	KindDemandExchange:       func() Message { return &DemandExchange{} },
 }
 
 // New returns an empty message of the given kind to decode into, or nil if this
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -175,6 +175,7 @@
 	if call.head.Depth > 0 {
 		return false
 	}
+	p.node.demand.requestArrived(call)
 	saturated, admitted := p.node.gates.Admit(call.head.Route, call.head.ShedRank)
 	if admitted {
 		return false
--- a/core/node/limits.go
+++ b/core/node/limits.go
@@ -132,6 +132,9 @@
 	now := p.node.now.Monotonic
 	s := p.node.placement.poolFor(service)
 	s.pool.SetShare(now, from, share.Interval, now+shareLifetime)
+	if share.Interval > 0 {
+		p.node.demand.limitNamed(service)
+	}
 	if !s.pool.Wants(now, from) {
 		return 0
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -48,7 +48,9 @@
 	limits   *limitsComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
-	table      *tableComponent
+	// demand exchanges the demand for contended services.
+	demand *demandComponent
+	table  *tableComponent
 }
 
 // New returns a node that has no configuration yet and knows no peer. All
@@ -74,6 +76,7 @@
 	n.entry = newEntryComponent(n)
 	n.upstream = newUpstreamComponent(n)
 	n.limits = newLimitsComponent(n)
+	n.demand = newDemandComponent(n)
 	return n
 }
 
@@ -169,6 +172,7 @@
 	n.rate.tick()
 	n.upstream.tick()
 	n.limits.tick()
+	n.demand.tick()
 	n.quarantine.tick()
 	n.entry.tick()
 }
@@ -206,6 +210,12 @@
 		n.rate.drawReceived(*m)
 	case *message.Grant:
 		n.rate.grantReceived(*m)
+	case *message.DemandReport:
+		n.demand.reportReceived(e.From, m.Report)
+	case *message.DemandSummary:
+		n.demand.summaryReceived(e.From, m.Summary)
+	case *message.DemandExchange:
+		n.demand.exchangeReceived(e.From, m.Sum)
 	case *message.SlotOffer:
 		n.lease.offerReceived(*m)
 	case *message.ConfigurationPage:
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -67,6 +67,9 @@
 	// RetryBurst is the largest burst of retries for one service of a routed
 	// deployment, all nodes taken together. The default is 48.
 	RetryBurst float64
+	// Crossing decides which requests of a routed deployment are sent to another failure
+	// domain. The default is CrossingOccupancy.
+	Crossing Crossing
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -161,6 +161,7 @@
 	if e.Kind == AttemptAnswered || e.Kind == AttemptRefused {
 		s.pool.ObserveLoad(now, call.target, kindOf(call), e.Load)
 		p.reportPressure(call, e.Load)
+		p.node.demand.loadReported(call.head.Service, e.Load)
 	}
 }
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -99,6 +99,7 @@
 		p.node.meter.Arrived(p.admission.Estimate(classOf(call.head)))
 	}
 	p.node.limits.callArrived(e.From)
+	p.node.demand.callArrived(e.From)
 	p.restrictQueue()
 	p.admission.Offer(now, p.request(call))
 	p.dispatchQueued()
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -155,6 +156,15 @@
 	}
 }
 
+// Instances returns the instances of all backend servers in the pool, sorted by ID.
+func (p *Pool) Instances() []coltsfootward.Instance {
+	all := make([]coltsfootward.Instance, 0, len(p.upstreams))
+	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
+		all = append(all, p.upstreams[id].instance)
+	}
+	return all
+}
+
 // Len returns the number of backend servers in the pool.
 func (p *Pool) Len() int { return len(p.upstreams) }
 
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -263,6 +263,16 @@
 	return needed
 }
 
+// ForEachNeed calls do for each service that requests of a class need and whose cost, the
+// slot time in seconds that one request takes there, is known.
+func (g *Gates) ForEachNeed(class coltsfootward.RouteName, do func(service coltsfootward.ServiceName, cost float64)) {
+	for service, n := range g.needs[class] {
+		if n.share >= needThreshold && n.cost > 0 {
+			do(service, n.cost)
+		}
+	}
+}
+
 // Admit counts a request and reports whether it is admitted. If it is not, Admit
 // returns the name of a service that has no capacity for it.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
--- a/core/pressure/price.go
+++ b/core/pressure/price.go
@@ -79,4 +79,7 @@
 	return uint32(band)<<hashBits + uint32(hash*hashRange)
 }
 
+// Band returns the importance band of a shed rank.
+func Band(rank uint32) int { return bandOf(rank) }
+
 func bandOf(rank uint32) int { return int(min(rank>>hashBits, bands-1)) }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,7 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	CollectorSkipped    Code = 332
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -109,6 +110,7 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{CollectorSkipped, "collector_skipped", "info", "A collector of the demand for a service did not answer two reports. The node reports to another one for a few seconds; next is empty if there is none."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
