core/crossing: send only the surplus of a failure domain to other domains

Cause: a request goes to another failure domain as soon as the server chosen in its own domain is nearly full. Under overload most requests cross, though the other domains are as full. Change: with placement.crossing set to surplus, entry nodes compute from the demand of the fleet which fraction of their domain's requests crosses, and where to. Requests cross as a whole, those with the fewest bytes for their slot time first; calls of backend servers stay unless no server of their domain can be chosen. Costs are added up by the median of the reports, since a node that has just started reports many times the cost of a request.

--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -88,4 +88,5 @@
 		fmt.Fprintf(w, "coltsfootward_%s %d\n", gauge.name, gauge.value)
 	}
 	fmt.Fprintf(w, "coltsfootward_named_limit %g\n", g.NamedLimit)
+	writeCrossing(w, g)
 }
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -214,6 +214,10 @@
 	NamedLimit   float64 `json:"named_limit"`
 	LimitPassed  int     `json:"limit_passed"`
 	LimitRefused int     `json:"limit_refused"`
+	// Demand and Crossing describe the services whose demand is exchanged and the traffic
+	// to other failure domains.
+	Demand   []demandGauge   `json:"demand"`
+	Crossing []crossingGauge `json:"crossing"`
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
@@ -256,6 +260,8 @@
 		NamedLimit:        namedLimit,
 		LimitPassed:       limit.Passed,
 		LimitRefused:      limit.Refused,
+		Demand:            demandGauges(n),
+		Crossing:          crossingGauges(n),
 		Quarantined:       quarantinedTexts(n),
 	}
 }
--- a/cmd/settings/field.go
+++ b/cmd/settings/field.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/node"
 )
 
 // Field is one setting.
@@ -52,6 +53,8 @@
 		return fmt.Sprint(*p)
 	case *[]string:
 		return fmt.Sprintf("%q", *p)
+	case *node.Crossing:
+		return fmt.Sprintf("%q", *p)
 	default:
 		panic(fmt.Sprintf("settings: field %s has an unknown type %T: add it to Default and assign", f.Key, p))
 	}
@@ -97,6 +100,10 @@
 	switch p := target.(type) {
 	case *string:
 		return assignValue(p, value)
+	case *node.Crossing:
+		text, ok := value.(string)
+		*p = node.Crossing(text)
+		return ok
 	case *bool:
 		return assignValue(p, value)
 	case *int64:
@@ -278,8 +285,12 @@
 	}
 }
 
-func choice(key, meaning string, allowed []string, target func(*Settings) *string) Field {
-	remedy := "one of " + strings.Join(allowed, ", ")
+func choice[T ~string](key, meaning string, allowed []T, target func(*Settings) *T) Field {
+	words := make([]string, len(allowed))
+	for i, word := range allowed {
+		words[i] = string(word)
+	}
+	remedy := "one of " + strings.Join(words, ", ")
 	return Field{
 		Key: key, Unit: "word", Range: remedy, Meaning: meaning,
 		target: func(s *Settings) any { return target(s) },
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/node"
 
 	"github.com/pelletier/go-toml/v2"
@@ -123,6 +124,12 @@
 	defaultNotice      = 2300 * time.Millisecond
 )
 
+func defaultNode() node.Options {
+	options := node.Options{}.WithDefaults()
+	options.CrossingMargin = crossing.DefaultMargin
+	return options
+}
+
 // Default returns the default settings, which a settings file overrides.
 func Default() Settings {
 	return Settings{
@@ -130,7 +137,7 @@
 		Stop:        Stop{Grace: defaultGrace, Notice: defaultNotice},
 		MaximumBody: defaultMaximumBody,
 		Log:         Log{Level: defaultLevel, Timeline: defaultTimeline},
-		Node:        node.Options{}.WithDefaults(),
+		Node:        defaultNode(),
 	}
 }
 
@@ -208,6 +215,9 @@
 	if s.Hosted() && (s.Listen.Ready == "" || s.Backend.Address == "" || s.Backend.Service == "") {
 		addError("deployment.kind", "is hosted: give listen.ready, backend.address and backend.service too")
 	}
+	if !s.Hosted() && s.Node.Crossing == node.CrossingSurplus {
+		addError("placement.crossing", "is surplus, which only hosted deployments have: give occupancy, or set deployment.kind to hosted")
+	}
 	if s.Node.MaximumTimeout < s.Node.Timeout {
 		addError("requests.maximum_timeout", fmt.Sprintf("is %v: give at least requests.timeout, %v", s.Node.MaximumTimeout, s.Node.Timeout))
 	}
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// Guards against a setting that has no effect: the rule for crossing is applied in hosted
+// deployments only, and a margin of zero is not the default.
+func TestCrossingSettings(t *testing.T) {
+	placement := "\n[placement]\ncrossing = \"surplus\"\ncrossing_margin = 0\n"
+	_, err := settings.Parse("node.toml", []byte(validFile+placement))
+	if err == nil || !strings.Contains(err.Error(), "placement.crossing: is surplus, which only hosted deployments have: give occupancy") {
+		t.Errorf("got %v, want an error that names the remedy", err)
+	}
+	hosted := strings.Replace(validFile, "[listen]\n", "[listen]\nready = \"10.0.0.1:7005\"\n", 1) +
+		"[deployment]\nkind = \"hosted\"\n[backend]\naddress = \"10.0.0.1:80\"\nservice = \"quotes\"\n"
+	s, err := settings.Parse("node.toml", []byte(hosted+placement))
+	if err != nil || s.Node.Crossing != node.CrossingSurplus || s.Node.CrossingMargin != 0 {
+		t.Errorf("got %v, %q and %v, want surplus and 0", err, s.Node.Crossing, s.Node.CrossingMargin)
+	}
+	if s, err = settings.Parse("node.toml", []byte(hosted)); err != nil || s.Node.Crossing != node.CrossingOccupancy || s.Node.CrossingMargin != 0.1 {
+		t.Errorf("got %v, %q and %v, want occupancy and 0.1 by default", err, s.Node.Crossing, s.Node.CrossingMargin)
+	}
+}
+
 // All invalid values of a file must be reported at once, each with its key, the allowed
 // range and a remedy.
 func TestParseReportsEveryBadValue(t *testing.T) {
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"coltsfootward/core/node"
+)
 
 // Fields returns all settings, in the order in which docs/OPERATIONS.md lists them. A new
 // setting is added only here.
@@ -65,6 +69,10 @@
 			func(s *Settings) *float64 { return &s.Node.RetryShare }),
 		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
 			func(s *Settings) *float64 { return &s.Node.RetryBurst }),
+		choice("placement.crossing", "Which requests go to another failure domain. occupancy: those for which the server chosen in their own domain is nearly full and one elsewhere is less so. surplus: those that exceed the capacity of their own domain, as far as others have room; the same on all instances, hosted deployments only.", []node.Crossing{node.CrossingOccupancy, node.CrossingSurplus},
+			func(s *Settings) *node.Crossing { return &s.Node.Crossing }),
+		fraction("placement.crossing_margin", "With surplus, by how much the occupancy of another failure domain has to be lower before requests go there.", 0, 1,
+			func(s *Settings) *float64 { return &s.Node.CrossingMargin }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/core/demand/collector.go
+++ b/core/demand/collector.go
@@ -31,9 +31,10 @@
 	// different organisations are the heaviest in each band.
 	bandOrganisations    = 16
 	summaryOrganisations = 48
-	// summaryAge is how long a collector answers with the same summary. Adding up all
-	// reports for every answer would cost more than the rest of the collector's work.
-	summaryAge = 100 * time.Millisecond
+	// A collector answers with the same summary for the part 1/summariesPerInterval of
+	// the interval between reports. Adding up all reports for every answer would cost
+	// more than the rest of the collector's work.
+	summariesPerInterval = 5
 	// maxExchanges is the number of sums that a collector sends per ReportInterval.
 	maxExchanges = 8
 	// maxExchangeSources bounds the collectors whose sums are held. Nodes that choose
@@ -194,9 +195,11 @@
 func (c *Collector) Sum(now time.Duration, service coltsfootward.ServiceName) Summary {
 	c.expire(now)
 	t := newTotals()
-	for _, h := range c.reports {
+	for _, id := range slices.Sorted(maps.Keys(c.reports)) {
+		h := c.reports[id]
 		t.add(h.report.Total, h.report.Organisations, h.report.Others, h.report.OtherCount)
-		t.domains[h.domain] += h.report.Total.Total()
+		t.addDomain(Domain{Name: h.domain, Demand: h.report.Total.Total(), Admitted: h.report.Admitted})
+		t.admitted += h.report.Admitted
 		t.entries++
 		t.contended = t.contended || h.report.Contended
 	}
@@ -220,7 +223,7 @@
 	s := t.summary(service)
 	s.nameHeaviest()
 	s.Interval = c.interval()
-	c.summary, c.summaryUntil = s, now+summaryAge
+	c.summary, c.summaryUntil = s, now+s.Interval/summariesPerInterval
 	return s
 }
 
@@ -229,7 +232,8 @@
 	total, others ByBand
 	otherCount    int
 	organisations map[coltsfootward.OrganisationName]ByBand
-	domains       map[coltsfootward.FailureDomain]float64
+	domains       map[coltsfootward.FailureDomain]Domain
+	admitted      float64
 	entries       int
 	contended     bool
 }
@@ -237,7 +241,7 @@
 func newTotals() *totals {
 	return &totals{
 		organisations: make(map[coltsfootward.OrganisationName]ByBand),
-		domains:       make(map[coltsfootward.FailureDomain]float64),
+		domains:       make(map[coltsfootward.FailureDomain]Domain),
 	}
 }
 
@@ -252,22 +256,28 @@
 	}
 }
 
+func (t *totals) addDomain(d Domain) {
+	sum := t.domains[d.Name]
+	t.domains[d.Name] = Domain{Name: d.Name, Demand: sum.Demand + d.Demand, Admitted: sum.Admitted + d.Admitted}
+}
+
 func (t *totals) merge(s Summary) {
 	t.add(s.Total, s.Organisations, s.Others, s.OtherCount)
 	for _, d := range s.Domains {
-		t.domains[d.Name] += d.Demand
+		t.addDomain(d)
 	}
+	t.admitted += s.Admitted
 	t.entries += s.Entries
 	t.contended = t.contended || s.Contended
 }
 
 func (t *totals) summary(service coltsfootward.ServiceName) Summary {
-	s := Summary{Service: service, Total: t.total, Others: t.others, OtherCount: t.otherCount, Entries: t.entries, Contended: t.contended}
+	s := Summary{Service: service, Total: t.total, Others: t.others, OtherCount: t.otherCount, Admitted: t.admitted, Entries: t.entries, Contended: t.contended}
 	for _, name := range slices.Sorted(maps.Keys(t.organisations)) {
 		s.Organisations = append(s.Organisations, Organisation{Name: name, Demand: t.organisations[name]})
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.domains)) {
-		s.Domains = append(s.Domains, Domain{Name: name, Demand: t.domains[name]})
+		s.Domains = append(s.Domains, t.domains[name])
 	}
 	return s
 }
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -32,7 +32,7 @@
 	for _, o := range s.Organisations {
 		fmt.Printf("%s %.1f\n", o.Name, o.Demand[4])
 	}
-	fmt.Printf("north %.1f\n", s.From("north"))
+	fmt.Printf("north %.1f\n", s.From("north").Demand)
 	// Output:
 	// 2 nodes ask for 2.9 slots
 	// brokers 1.0
--- a/core/demand/meter.go
+++ b/core/demand/meter.go
@@ -42,6 +42,8 @@
 	organisations  map[coltsfootward.OrganisationName]*ByBand
 	// unnamed is the demand of organisations beyond maxOrganisations.
 	unnamed ByBand
+	// admitted is the demand that was not refused.
+	admitted float64
 }
 
 // Record adds a request of the given importance band that takes slotTime seconds at the
@@ -60,6 +62,15 @@
 	s.bands(organisation)[min(max(band, 0), Bands-1)] += slotTime / meterTime.Seconds()
 }
 
+// Admit records that a request, which Record has counted, is not refused where it
+// entered.
+func (m *Meter) Admit(now time.Duration, service coltsfootward.ServiceName, slotTime float64) {
+	if s, ok := m.services[service]; ok {
+		s.advance(now)
+		s.admitted += slotTime / meterTime.Seconds()
+	}
+}
+
 func (s *serviceMeter) bands(organisation coltsfootward.OrganisationName) *ByBand {
 	if found, ok := s.organisations[organisation]; ok {
 		return found
@@ -83,6 +94,7 @@
 	factor := math.Exp(-(now - s.at).Seconds() / meterTime.Seconds())
 	s.at = now
 	s.unnamed = s.unnamed.times(factor)
+	s.admitted *= factor
 	for _, bands := range s.organisations {
 		*bands = bands.times(factor)
 	}
@@ -103,11 +115,14 @@
 	organisations := make([]Organisation, 0, len(s.organisations))
 	for name, bands := range s.organisations {
 		organisations = append(organisations, Organisation{Name: name, Demand: *bands})
-		r.Total = r.Total.plus(*bands)
 	}
-	r.Total = r.Total.plus(s.unnamed)
 	r.Organisations, r.Others, r.OtherCount = heaviest(organisations, reportedOrganisations)
 	r.Others = r.Others.plus(s.unnamed)
+	r.Admitted = s.admitted
+	r.Total = r.Others
+	for _, o := range r.Organisations {
+		r.Total = r.Total.plus(o.Demand)
+	}
 	return r
 }
 
--- a/core/demand/report.go
+++ b/core/demand/report.go
@@ -18,6 +18,8 @@
 	Organisations []Organisation `msgpack:"organisations"`
 	Others        ByBand         `msgpack:"others"`
 	OtherCount    int            `msgpack:"other_count"`
+	// Admitted is the part of the demand that was not refused where it entered.
+	Admitted float64 `msgpack:"admitted"`
 	// Contended is set if the node itself has seen that the service is contended. It
 	// is not set if the node reports because a summary says so.
 	Contended bool `msgpack:"contended"`
--- a/core/demand/summary.go
+++ b/core/demand/summary.go
@@ -32,6 +32,8 @@
 type Domain struct {
 	Name   coltsfootward.FailureDomain `msgpack:"name"`
 	Demand float64                     `msgpack:"demand"`
+	// Admitted is the part of the demand that was not refused where it entered.
+	Admitted float64 `msgpack:"admitted"`
 }
 
 // Summary is the demand of the whole fleet for one service, before refusals, as far as
@@ -49,6 +51,8 @@
 	OtherCount    int            `msgpack:"other_count"`
 	// Domains holds the demand by the failure domain in which it entered.
 	Domains []Domain `msgpack:"domains"`
+	// Admitted is the part of the demand that was not refused where it entered.
+	Admitted float64 `msgpack:"admitted"`
 	// Entries is the number of entry nodes whose demand is included.
 	Entries int `msgpack:"entries"`
 	// Interval is the time until the next report to the collector.
@@ -67,12 +71,22 @@
 	return s.Service != "" && now-s.At <= max(Lifetime, s.Interval*3/2)
 }
 
+// AdmittedFraction returns the part of the demand that was not refused where it entered,
+// 0 to 1.
+func (s Summary) AdmittedFraction() float64 {
+	total := s.Total.Total()
+	if total <= 0 {
+		return 1
+	}
+	return min(s.Admitted/total, 1)
+}
+
 // From returns the demand that entered in a failure domain.
-func (s Summary) From(domain coltsfootward.FailureDomain) float64 {
+func (s Summary) From(domain coltsfootward.FailureDomain) Domain {
 	for _, d := range s.Domains {
 		if d.Name == domain {
-			return d.Demand
+			return d
 		}
 	}
-	return 0
+	return Domain{Name: domain}
 }
--- a/core/emulation/caller.go
+++ b/core/emulation/caller.go
@@ -1,6 +1,8 @@
 package emulation
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"coltsfootward"
@@ -52,11 +54,30 @@
 }
 
 func (w *world) arrive(c Class, now time.Duration) {
-	req := &callerRequest{class: c, entry: w.source.IntN(len(w.members)), arrived: now, retries: callerRetries}
+	req := &callerRequest{class: c, entry: w.chooseEntry(now), arrived: now, retries: callerRetries}
 	w.outcome.addRequest(c, now)
 	w.send(req)
 }
 
+// chooseEntry draws the member at which a request enters.
+func (w *world) chooseEntry(now time.Duration) int {
+	entry := w.source.IntN(len(w.members))
+	if w.disturbance.Wave == 0 {
+		return entry
+	}
+	for w.source.Float64() > w.waveAt(now, w.members[entry].Instance.Domain)/(1+w.disturbance.Wave) {
+		entry = w.source.IntN(len(w.members))
+	}
+	return entry
+}
+
+// waveAt returns the demand that enters in a domain as a multiple of its mean.
+func (w *world) waveAt(now time.Duration, domain coltsfootward.FailureDomain) float64 {
+	delay := float64(slices.Index(w.deployment.Domains, domain)) / float64(len(w.deployment.Domains))
+	phase := now.Seconds()/w.disturbance.WavePeriod.Seconds() - delay
+	return 1 + w.disturbance.Wave*math.Sin(2*math.Pi*phase)
+}
+
 // firstRunning returns the first running member at or after the given index.
 // Callers of an instance that is down go to another one.
 func (w *world) firstRunning(from int) *nodetest.Member {
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/node"
 )
 
 // Service describes a service and the actual properties of its backend servers.
@@ -47,6 +48,8 @@
 	Priority         coltsfootward.Priority
 	Unrepeatable     bool
 	ChildCalls       ChildCalls
+	// Bytes is the size of a request and its response.
+	Bytes int64
 }
 
 // Deployment is a set of services, the classes of requests that they serve, and
@@ -58,6 +61,9 @@
 	Classes  []Class
 	// RetryShare and RetryBurst limit the retries of each service.
 	RetryShare, RetryBurst float64
+	// Crossing and CrossingMargin decide which requests are sent to another domain.
+	Crossing       node.Crossing
+	CrossingMargin float64
 }
 
 // class returns the class with the given name, or the zero value if there is
@@ -136,6 +142,28 @@
 	}
 }
 
+// Payroll returns the deployment of a payroll office. Every domain is nearly full, and
+// the deepest service has five backend servers in three domains.
+func Payroll() Deployment {
+	return Deployment{
+		Name:    "payroll",
+		Domains: []coltsfootward.FailureDomain{"hill", "lake", "shore"},
+		Services: []Service{
+			{Name: "portal", Upstreams: 9, Slots: 40, Speeds: []float64{0.8, 1, 1.2}},
+			{Name: "slips", Upstreams: 6, Slots: 60, Speeds: []float64{0.8, 1, 1.2}},
+			{Name: "ledgers", Upstreams: 5, Slots: 60, Speeds: []float64{1}},
+		},
+		Classes: []Class{
+			{Name: "payslip", Service: "portal", PerSecond: 680, Work: 60 * time.Millisecond, Objective: 1200 * time.Millisecond, Deadline: 4 * time.Second, Timeout: 2 * time.Second, Worth: 1, LateWorth: 0.3, Priority: coltsfootward.PriorityNormal, ChildCalls: ChildCalls{Class: "slip", Count: 1}, Bytes: 24000},
+			{Name: "payment", Service: "portal", PerSecond: 200, Work: 60 * time.Millisecond, Objective: 1200 * time.Millisecond, Deadline: 4 * time.Second, Timeout: 2 * time.Second, Worth: 3, LateWorth: 0.6, Priority: coltsfootward.PriorityCritical, Unrepeatable: true, ChildCalls: ChildCalls{Class: "slip", Count: 1}, Bytes: 3000},
+			{Name: "balance", Service: "ledgers", PerSecond: 1400, Work: 60 * time.Millisecond, Objective: 250 * time.Millisecond, Deadline: time.Second, Timeout: time.Second, Worth: 1, LateWorth: 0.3, Priority: coltsfootward.PriorityHigh, Bytes: 2000},
+			{Name: "slip", Service: "slips", Work: 50 * time.Millisecond, Deadline: 1500 * time.Millisecond, Timeout: 1500 * time.Millisecond, ChildCalls: ChildCalls{Class: "entry", Count: 4}, Bytes: 8000},
+			{Name: "entry", Service: "ledgers", Work: 70 * time.Millisecond, Deadline: 700 * time.Millisecond, Timeout: 700 * time.Millisecond, Bytes: 4000},
+		},
+		RetryShare: 0.2, RetryBurst: 48,
+	}
+}
+
 // Fleet returns the deployment of a publisher of price bulletins on many small
 // instances. Each instance gets about three callers' requests per second, so it
 // seldom receives load reports of the services that those requests need.
--- a/core/emulation/load_test.go
+++ b/core/emulation/load_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/emulation"
+	"coltsfootward/core/node"
 )
 
 const (
@@ -125,3 +127,24 @@
 		}
 	}
 }
+
+// Guards against traffic between domains that gains nothing: with nearly full domains, a
+// service that has one backend server in one of them, and more demand than capacity,
+// placement by surplus has to send at most half of the bytes that placement by occupancy
+// does, and to serve as much.
+func TestSurplusCrossesLessAndServesAsMuch(t *testing.T) {
+	play := func(rule node.Crossing) *emulation.Outcome {
+		d := emulation.Payroll()
+		d.Crossing, d.CrossingMargin = rule, crossing.DefaultMargin
+		return emulation.Run(d, emulation.Disturbance{}, 10*time.Second, 1)
+	}
+	before, after := play(node.CrossingOccupancy), play(node.CrossingSurplus)
+	t.Logf("worth %.3f and %.3f, %.1f and %.1f MB between domains", before.Total().Worth(), after.Total().Worth(),
+		float64(before.CrossedBytes)/1e6, float64(after.CrossedBytes)/1e6)
+	if after.CrossedBytes > before.CrossedBytes/2 {
+		t.Errorf("%d bytes cross, want at most half of %d", after.CrossedBytes, before.CrossedBytes)
+	}
+	if after.Total().Worth() < before.Total().Worth()-0.02 {
+		t.Errorf("got a worth of %.3f, want about %.3f", after.Total().Worth(), before.Total().Worth())
+	}
+}
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -33,7 +33,10 @@
 	// first sent.
 	Seconds []Counts
 
-	arrivals map[coltsfootward.ServiceName]int
+	// CrossedBytes is the number of bytes of requests and responses between domains.
+	CrossedBytes int64
+
+	arrivals, crossed map[coltsfootward.ServiceName]int
 	// limitSpanRates holds, for each backend server of the disturbed service, the
 	// requests per second that reached it while servers of the service named limits.
 	limitSpanRates map[coltsfootward.InstanceID]float64
@@ -45,6 +48,7 @@
 		Classes:    make(map[coltsfootward.RouteName]*Counts),
 		Seconds:    make([]Counts, int(length.Seconds())+1),
 		arrivals:   make(map[coltsfootward.ServiceName]int),
+		crossed:    make(map[coltsfootward.ServiceName]int),
 
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
 	}
@@ -107,6 +111,9 @@
 // Arrivals returns how many requests reached a service's backend servers.
 func (o *Outcome) Arrivals(service coltsfootward.ServiceName) int { return o.arrivals[service] }
 
+// Crossed returns how many of these requests came from another failure domain.
+func (o *Outcome) Crossed(service coltsfootward.ServiceName) int { return o.crossed[service] }
+
 // LimitedRates returns, for each backend server of the disturbed service, the requests
 // per second that reached it during the disturbance's LimitSpan.
 func (o *Outcome) LimitedRates() map[coltsfootward.InstanceID]float64 { return o.limitSpanRates }
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -66,6 +66,10 @@
 	// LeavingAt on.
 	LeavingServers int
 	LeavingAt      time.Duration
+	// Wave is the part by which the demand that enters in each domain varies around its
+	// mean, as a sine of WavePeriod that reaches the domains one after the other.
+	Wave       float64
+	WavePeriod time.Duration
 }
 
 // Run runs a deployment with traffic for the given length of time and returns
@@ -121,6 +125,7 @@
 				Self: nodetest.Instance(id, domain), Domains: w.deployment.Domains, Routed: true, Service: s.Name,
 				ConfigurationSpread: 2 * time.Second,
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
+				Crossing: w.deployment.Crossing, CrossingMargin: w.deployment.CrossingMargin,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
@@ -160,6 +165,7 @@
 		}
 		return time.Duration(work * float64(time.Second))
 	}
+	b.Size = func(call message.Call) int64 { return w.deployment.class(call.Route).Bytes }
 	b.Children = func(call message.Call) []nodetest.Request {
 		calls := w.deployment.class(call.Route).ChildCalls
 		children := make([]nodetest.Request, calls.Count)
@@ -218,6 +224,12 @@
 	for _, m := range w.members {
 		service := w.services[m].Name
 		w.outcome.arrivals[service] += len(m.Backend.Runs)
+		for _, run := range m.Backend.Runs {
+			if run.From != m.Instance.Domain {
+				w.outcome.crossed[service]++
+				w.outcome.CrossedBytes += w.deployment.class(run.Head.Route).Bytes
+			}
+		}
 		if service == w.disturbance.Service {
 			w.outcome.limitSpanRates[m.Instance.ID] = w.rateWithin(m, w.disturbance.LimitSpan)
 		}
--- a/core/node/demand.go
+++ b/core/node/demand.go
@@ -83,6 +83,17 @@
 	band := pressure.Band(call.head.ShedRank)
 	p.node.gates.ForEachNeed(call.head.Route, func(service coltsfootward.ServiceName, cost float64) {
 		p.meter.Record(p.node.now.Monotonic, service, call.head.Organisation, band, cost)
+		p.node.crossing.requestArrived(service, call.head.Route, cost)
+	})
+}
+
+// requestAdmitted records that a caller's request was not refused at a gate.
+func (p *demandComponent) requestAdmitted(call *entryCall) {
+	if !p.active() {
+		return
+	}
+	p.node.gates.ForEachNeed(call.head.Route, func(service coltsfootward.ServiceName, cost float64) {
+		p.meter.Admit(p.node.now.Monotonic, service, cost)
 	})
 }
 
@@ -291,3 +302,21 @@
 func (n *Node) Demand(service coltsfootward.ServiceName) (demand.Summary, bool) {
 	return n.demand.summary(service)
 }
+
+// DemandStatus is the demand of the fleet for a contended service.
+type DemandStatus struct {
+	Summary demand.Summary
+	// Age is the time since the summary arrived.
+	Age time.Duration
+}
+
+// Demands returns the demand of the fleet for each contended service, sorted by service.
+func (n *Node) Demands() []DemandStatus {
+	var all []DemandStatus
+	for _, service := range slices.Sorted(maps.Keys(n.demand.summaries)) {
+		if s, ok := n.demand.summary(service); ok {
+			all = append(all, DemandStatus{Summary: s, Age: n.now.Monotonic - s.At})
+		}
+	}
+	return all
+}
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -92,6 +92,9 @@
 	// hops counts all attempts of the request, including those that no backend
 	// server saw.
 	hops int
+	// crossTo is the failure domain that the request is sent to; empty means the node's
+	// own.
+	crossTo coltsfootward.FailureDomain
 }
 
 // entryComponent receives requests from callers and from the local backend
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -96,6 +96,7 @@
 		used = min(e.Attempts, used)
 	}
 	call.attempts += used
+	p.node.crossing.callDone(call, e.Size)
 	if e.Complete && e.Attempts >= 0 {
 		p.node.ledger.recordNeed(call, e.Needed)
 	}
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -161,6 +161,7 @@
 	}
 	maps.DeleteFunc(p.splitStates, func(name coltsfootward.RouteName, _ *splitState) bool { return !names[name] })
 	p.node.gates.Retain(func(name coltsfootward.RouteName) bool { return names[name] })
+	p.node.crossing.retain(func(name coltsfootward.RouteName) bool { return names[name] })
 }
 
 // KnownClasses returns the number of request classes whose required services
@@ -178,6 +179,7 @@
 	p.node.demand.requestArrived(call)
 	saturated, admitted := p.node.gates.Admit(call.head.Route, call.head.ShedRank)
 	if admitted {
+		p.node.demand.requestAdmitted(call)
 		return false
 	}
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, has no room for requests of this importance", saturated)).
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -112,6 +112,8 @@
 	Needed int
 	// Complete is set if the complete response reached the caller.
 	Complete bool
+	// Size is the number of bytes of the bodies of the request and the response.
+	Size int64
 	// Response is the complete response to a request with an idempotency key, if
 	// its body is not longer than MaximumRetainedResponseBytes. It is retained
 	// for repeated requests.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -50,7 +50,9 @@
 	quarantine *quarantineComponent
 	// demand exchanges the demand for contended services.
 	demand *demandComponent
-	table  *tableComponent
+	// crossing chooses the failure domain that a request is sent to.
+	crossing *crossingComponent
+	table    *tableComponent
 }
 
 // New returns a node that has no configuration yet and knows no peer. All
@@ -77,6 +79,7 @@
 	n.upstream = newUpstreamComponent(n)
 	n.limits = newLimitsComponent(n)
 	n.demand = newDemandComponent(n)
+	n.crossing = newCrossingComponent(n)
 	return n
 }
 
@@ -173,6 +176,7 @@
 	n.upstream.tick()
 	n.limits.tick()
 	n.demand.tick()
+	n.crossing.tick()
 	n.quarantine.tick()
 	n.entry.tick()
 }
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -70,6 +70,9 @@
 	// Crossing decides which requests of a routed deployment are sent to another failure
 	// domain. The default is CrossingOccupancy.
 	Crossing Crossing
+	// CrossingMargin is the fraction of its capacity that a failure domain keeps free of
+	// requests of other domains, with CrossingSurplus; zero means none.
+	CrossingMargin float64
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
@@ -123,6 +126,9 @@
 	if o.Slots <= 0 {
 		o.Slots = DefaultSlots
 	}
+	if o.Crossing == "" {
+		o.Crossing = CrossingOccupancy
+	}
 	if o.LeaseTerm <= 0 {
 		o.LeaseTerm = lease.DefaultTerm
 	}
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -98,6 +98,9 @@
 
 // choose returns the upstream for the call's next attempt.
 func (p *placementComponent) choose(call *entryCall) (coltsfootward.Instance, bool) {
+	if p.node.options.crossesSurplus() {
+		return p.node.crossing.choose(call)
+	}
 	return p.poolFor(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, placementRequest(call))
 }
 
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -20,6 +20,8 @@
 type Run struct {
 	Head  message.Call
 	Token node.CallToken
+	// From is the failure domain of the node that sent the request.
+	From coltsfootward.FailureDomain
 	// Arrived is the virtual time at which the request reached the backend server,
 	// where it may still be queued. Ended is the time at which it completed, failed
 	// or was cancelled.
@@ -54,6 +56,9 @@
 	// CrashOn, if set, selects requests that crash the server after their service
 	// time.
 	CrashOn func(message.Call) bool
+	// Size returns the number of bytes of the bodies of a request and its response. Nil
+	// means none.
+	Size func(message.Call) int64
 	// Reject, if set, selects requests that the server rejects without executing
 	// them.
 	Reject func(message.Call) bool
@@ -127,7 +132,7 @@
 		b.member.deliver(func() node.Event { return node.DispatchEnded{Call: a.Call, Kind: node.DispatchUnsent} })
 		return
 	}
-	run := &Run{Head: p.head.Head, Token: a.Token, Arrived: b.member.rig.Now()}
+	run := &Run{Head: p.head.Head, Token: a.Token, From: p.origin.Instance.Domain, Arrived: b.member.rig.Now()}
 	b.Runs = append(b.Runs, run)
 	j := &job{call: a.Call, run: run}
 	if b.Children != nil {
--- a/core/nodetest/demand_test.go
+++ b/core/nodetest/demand_test.go
@@ -38,7 +38,7 @@
 // returns their outcomes by the domain in which they enter.
 func play(r *nodetest.Rig, members []*nodetest.Member, length time.Duration, perSecond map[coltsfootward.FailureDomain]float64) map[coltsfootward.FailureDomain][]*nodetest.Outcome {
 	sent := make(map[coltsfootward.FailureDomain][]*nodetest.Outcome)
-	const step = 5 * time.Millisecond
+	const step = time.Millisecond
 	for end := r.Now() + length; r.Now() < end; r.Run(step) {
 		for _, m := range members {
 			if domain := m.Instance.Domain; m.Alive() && r.Source().Float64() < perSecond[domain]*step.Seconds() {
@@ -58,7 +58,7 @@
 	play(r, members, 5*time.Second, load)
 	for _, m := range members {
 		s, ok := m.Node().Demand("quotes")
-		north, south := s.From("north"), s.From("south")
+		north, south := s.From("north").Demand, s.From("south").Demand
 		if !ok || s.Entries != 4 || north < 18 || north > 30 || south < 4 || south > 9 {
 			t.Errorf("%s: got %v from north and %v from south of %d nodes, want about 24 and 6 of 4", m.Instance.ID, north, south, s.Entries)
 		}
@@ -66,8 +66,8 @@
 	r.PartitionDomain("south", true)
 	play(r, members, 4*time.Second, load)
 	for _, m := range members[:2] {
-		if s, ok := m.Node().Demand("quotes"); !ok || s.From("south") > 0 || s.From("north") < 18 {
-			t.Errorf("%s: got %v from south after the cut, %v from north, want none and about 24", m.Instance.ID, s.From("south"), s.From("north"))
+		if s, ok := m.Node().Demand("quotes"); !ok || s.From("south").Demand > 0 || s.From("north").Demand < 18 {
+			t.Errorf("%s: got %v from south after the cut, %v from north, want none and about 24", m.Instance.ID, s.From("south").Demand, s.From("north").Demand)
 		}
 	}
 	r.HealDomain("south")
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -188,6 +188,9 @@
 	}
 	delete(m.peerCalls, a.Call)
 	load := m.machine.LoadFor(p.head.Head)
+	if m.Backend.Size != nil {
+		p.size = m.Backend.Size(p.head.Head)
+	}
 	m.sendBack(p, func() { p.origin.receiveResponse(p, m.Instance.ID, load, a) })
 }
 
@@ -201,7 +204,7 @@
 		return node.AttemptEnded{Call: p.call, Kind: node.AttemptAnswered, Load: load, Status: p.status}
 	})
 	m.deliver(func() node.Event {
-		return node.CallDone{Call: p.call, Attempts: end.Attempts, Needed: end.Needed, Complete: true,
+		return node.CallDone{Call: p.call, Attempts: end.Attempts, Needed: end.Needed, Complete: true, Size: p.size,
 			Response: &claim.RetainedResponse{Status: p.status, Body: []byte(by)}}
 	})
 	m.endOutcome(e.outcome, func(o *Outcome) {
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -58,6 +58,8 @@
 	head    node.PeerCallArrived
 	// status is the HTTP status of the backend server's response.
 	status int
+	// size is the number of bytes of the bodies of the request and the response.
+	size int64
 }
 
 // Request is a request of a caller or of a backend server.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/message"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,11 @@
 	other []*upstream
 	// rest are the servers that are not in the subset.
 	rest []*upstream
+	// far are the servers to use in each other domain, and ownRest those in the own
+	// domain that are not in the subset; see ChooseNear.
+	far     map[coltsfootward.FailureDomain][]*upstream
+	ownRest []*upstream
+	local   crossing.Local
 	// subsetStale is set if the subset must be computed again.
 	subsetStale bool
 	// coldLimited is set if cold servers have a limited capacity.
@@ -196,6 +202,7 @@
 	otherSize := min(len(p.other), SubsetSize-ownSize)
 	p.rest = slices.Concat(p.own[ownSize:], p.other[otherSize:])
 	p.own, p.other = p.own[:ownSize], p.other[:otherSize]
+	p.groupFar()
 }
 
 // Request describes a request for placement.
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -65,6 +65,9 @@
 	// cost is the slot time in seconds that one request takes at the service, or zero
 	// if it is unknown.
 	cost float64
+	// recent holds the reports of the cost, of which typical is the median.
+	recent  recentCosts
+	typical float64
 }
 
 // withReport returns the need after a response that reported the service.
@@ -77,6 +80,8 @@
 		n.cost = cost
 	}
 	n.cost += costWeight * (cost - n.cost)
+	n.recent = n.recent.with(cost)
+	n.typical = n.recent.median()
 	return n
 }
 
@@ -267,12 +272,18 @@
 // slot time in seconds that one request takes there, is known.
 func (g *Gates) ForEachNeed(class coltsfootward.RouteName, do func(service coltsfootward.ServiceName, cost float64)) {
 	for service, n := range g.needs[class] {
-		if n.share >= needThreshold && n.cost > 0 {
-			do(service, n.cost)
+		if n.share >= needThreshold && n.typical > 0 {
+			do(service, n.typical)
 		}
 	}
 }
 
+// Cost returns the slot time in seconds that one request of a class takes at a service;
+// zero if it is not known.
+func (g *Gates) Cost(class coltsfootward.RouteName, service coltsfootward.ServiceName) float64 {
+	return g.needs[class][service].typical
+}
+
 // Admit counts a request and reports whether it is admitted. If it is not, Admit
 // returns the name of a service that has no capacity for it.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,8 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	CrossingBegan       Code = 330
+	CrossingEnded       Code = 331
 	CollectorSkipped    Code = 332
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
@@ -110,6 +112,8 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{CrossingBegan, "crossing_began", "info", "The node began to send requests to other failure domains because the demand of its own domain for a service exceeds the domain's slots. demand and slots are those of the domain, entries is the number of entry nodes whose demand is included, age the age of these figures; to_ with the name of a domain is the fraction of the demand that is sent there."},
+	{CrossingEnded, "crossing_ended", "info", "The node no longer sends requests for a service to other failure domains, except where its own domain has no server that can be chosen; cause is the reason."},
 	{CollectorSkipped, "collector_skipped", "info", "A collector of the demand for a service did not answer two reports. The node reports to another one for a few seconds; next is empty if there is none."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -147,7 +147,8 @@
 	if !ok {
 		end.Attempts = -1
 	}
-	e.handler.loop.Post(node.CallDone{Call: e.call.ID, Attempts: end.Attempts, Needed: end.Needed, Complete: complete, Response: e.retainedResponse(response, complete)})
+	e.handler.loop.Post(node.CallDone{Call: e.call.ID, Attempts: end.Attempts, Needed: end.Needed, Complete: complete,
+		Size: int64(len(e.body)) + e.download.written, Response: e.retainedResponse(response, complete)})
 	if !complete {
 		response.Close()
 		panic(http.ErrAbortHandler)
