coltsfootctl service crossing: traffic between failure domains and its causes

Cause: operators could see what crosses only in the metrics of each node. Change: the command adds up the gauges of all nodes for each service and pair of domains. It reads the nodes' metrics, so the schema does not change.

--- a/cmd/coltsfootctl/run.go
+++ b/cmd/coltsfootctl/run.go
@@ -89,6 +89,8 @@
 		{"service", "set", "create a service or change its marks and limits",
 			"Creates a service, or changes it if --based-on names the revision that list shows. The longest path prefix that matches marks a request.\n\nExample: coltsfootctl service set bulletins --mark 'POST /orders critical unrepeatable' --mark 'GET /archive low'", &serviceSet{session: s}},
 		{"service", "list", "list services and their marks", "Example: coltsfootctl service list", &serviceList{session: s}},
+		{"service", "crossing", "show what goes from one failure domain to another, and why",
+			"Adds up the requests and bytes since the start of each node. FRACTION is the part of a domain's demand that goes there now.\n\nExample: coltsfootctl service crossing quotes", &serviceCrossing{session: s}},
 
 		{"", "status", "show what a node knows of itself and of the deployment", "Example: coltsfootctl --node 10.0.0.1:7004 status", &status{session: s}},
 		{"", "watch", "wait until a revision is in force everywhere", "Shows which failure domains and instances the revision still waits for.\n\nExample: coltsfootctl watch 42 --wait 30s", &watch{session: s}},
--- a/cmd/endtoend/ctl_test.go
+++ b/cmd/endtoend/ctl_test.go
@@ -16,6 +16,7 @@
 		want        string
 	}{
 		{"list", "", []string{"organisation", "list"}, 0, "traders"},
+		{"traffic between domains", "", []string{"service", "crossing"}, 0, "REQUESTS BY REASON"},
 		{"help", "", []string{"service", "set", "--help"}, 0, "unrepeatable"},
 		{"unknown command", "", []string{"dance"}, 2, "--help"},
 		{"missing argument", "", []string{"organisation", "set", "brokers"}, 2, "rate"},
