--- a/cmd/endtoend/hosted_test.go
+++ b/cmd/endtoend/hosted_test.go
@@ -74,6 +74,12 @@
 
 // startHosted starts count nodes in two failure domains that share one store.
 func startHosted(t testing.TB, count int) (*hosting.Store, []*hostedNode) {
+	t.Helper()
+	return startHostedWith(t, count, "")
+}
+
+// startHostedWith starts nodes as startHosted does, with further lines in their settings.
+func startHostedWith(t testing.TB, count int, lines string) (*hosting.Store, []*hostedNode) {
 	t.Helper()
 	store := hosting.NewStore()
 	platform := httptest.NewServer(store)
@@ -81,7 +87,7 @@
 	store.Write("op", "config", fmt.Appendf(nil, hostedDocument, 3))
 	var nodes []*hostedNode
 	for i := range count {
-		nodes = append(nodes, startHostedNode(t, i, platform.URL))
+		nodes = append(nodes, startHostedNode(t, i, platform.URL, lines))
 	}
 	for _, n := range nodes {
 		waitUntil(t, "node is ready", func() bool { return getStatus(n.ready) == http.StatusOK })
@@ -90,7 +96,7 @@
 	return store, nodes
 }
 
-func startHostedNode(t testing.TB, i int, platform string) *hostedNode {
+func startHostedNode(t testing.TB, i int, platform, lines string) *hostedNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,7 +124,7 @@
 [stop]
 grace = "4s"
 notice = "300ms"
-`, i, []string{"north", "south"}[i%2], address, platform)
+%s`, i, []string{"north", "south"}[i%2], address, platform, lines)
 	s, err := settings.Parse("node.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
