--- a/cmd/coltsload/emulate.go
+++ b/cmd/coltsload/emulate.go
@@ -7,16 +7,21 @@
 	"slices"
 	"time"
 
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/emulation"
+	"coltsfootward/core/node"
 )
 
 // disturbanceStart is when the disturbance of an emulation begins. By then, nodes have
 // learnt which services each class of requests needs.
 const disturbanceStart = 4 * time.Second
 
+// wavePeriod is the period of the waves of demand.
+const wavePeriod = 17 * time.Second
+
 // emulate runs a routed deployment under a virtual clock.
 type emulate struct {
-	Deployment string        `long:"deployment" choice:"publisher" choice:"consortium" choice:"fleet" default:"consortium" description:"the deployment"`
+	Deployment string        `long:"deployment" choice:"publisher" choice:"consortium" choice:"fleet" choice:"payroll" default:"consortium" description:"the deployment"`
 	Duration   time.Duration `long:"duration" default:"20s" description:"how long callers send requests"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of every random choice"`
 	Service    string        `long:"service" description:"the service that has the trouble; the deepest one without it"`
@@ -27,6 +32,8 @@
 	Limit      float64       `long:"limit" default:"-1" description:"limit in requests per second that backend servers of the service name meanwhile; negative for none"`
 	Limited    int           `long:"limited" default:"1" description:"how many of the service's backend servers name the limit"`
 	Leaving    int           `long:"leaving" description:"how many of the service's backend servers say in their answers that they leave"`
+	Crossing   node.Crossing `long:"crossing" choice:"occupancy" choice:"surplus" default:"occupancy" description:"which requests go to another failure domain, as the setting placement.crossing"`
+	Wave       float64       `long:"wave" description:"part by which the demand of each failure domain varies around its mean; the waves of 17 s reach the domains one after the other"`
 	Fails      float64       `long:"fails" description:"part of the service's runs that end without an answer meanwhile"`
 }
 
@@ -38,7 +45,10 @@
 		d = emulation.Publisher()
 	case "fleet":
 		d = emulation.Fleet()
+	case "payroll":
+		d = emulation.Payroll()
 	}
+	d.Crossing, d.CrossingMargin = c.Crossing, crossing.DefaultMargin
 	disturbance, err := c.disturbance(d)
 	if err != nil {
 		return err
@@ -47,7 +57,10 @@
 	o := emulation.Run(d, disturbance, c.Duration, c.Seed)
 	fmt.Printf("%s, seed %d, trouble at %s from %s on for %s\n\n%s\n", d.Name, c.Seed, disturbance.Service, disturbanceStart, c.For, o)
 	for _, s := range d.Services {
-		fmt.Printf("%-13s %6d arrivals at backend servers\n", s.Name, o.Arrivals(s.Name))
+		fmt.Printf("%-13s %6d arrivals at backend servers, %6d from other domains\n", s.Name, o.Arrivals(s.Name), o.Crossed(s.Name))
+	}
+	if o.CrossedBytes > 0 {
+		fmt.Printf("%.1f MB between failure domains\n", float64(o.CrossedBytes)/1e6)
 	}
 	if c.Limit >= 0 {
 		fmt.Printf("\nrequests per second at each backend server of %s, limit %v:\n", disturbance.Service, c.Limit)
@@ -81,6 +94,8 @@
 		return emulation.Disturbance{}, fmt.Errorf("coltsload: --lost must be from 0 to the service's %d backend servers", service.Upstreams)
 	case c.Limited < 0 || c.Limited > service.Upstreams || c.Leaving < 0 || c.Leaving > service.Upstreams:
 		return emulation.Disturbance{}, fmt.Errorf("coltsload: --limited and --leaving must be from 0 to the service's %d backend servers", service.Upstreams)
+	case c.Wave < 0 || c.Wave >= 1:
+		return emulation.Disturbance{}, errors.New("coltsload: --wave must be at least 0 and below 1")
 	case c.Rejects < 0 || c.Rejects > 1 || c.Fails < 0 || c.Fails > 1:
 		return emulation.Disturbance{}, errors.New("coltsload: --rejects and --fails must be from 0 to 1")
 	}
@@ -90,6 +105,7 @@
 		limited = 0
 	}
 	return emulation.Disturbance{
+		Wave: c.Wave, WavePeriod: wavePeriod,
 		Limit: max(c.Limit, 0), LimitedServers: limited, LimitSpan: span, LeavingServers: c.Leaving, LeavingAt: disturbanceStart,
 		Burst: c.Burst, BurstSpan: span, Service: service.Name, LostServers: c.Lost, LostAt: disturbanceStart,
 		RejectShare: c.Rejects, RejectSpan: span, FailShare: c.Fails, FailSpan: span,
--- a/cmd/coltsload/emulate_test.go
+++ b/cmd/coltsload/emulate_test.go
@@ -18,6 +18,7 @@
 		"--lost":                {Duration: time.Second, Lost: 4},
 		"--rejects and --fails": {Duration: time.Second, Rejects: 1.5},
 		"--limited":             {Duration: time.Second, Limit: 3, Limited: 4},
+		"--wave":                {Duration: time.Second, Wave: 1},
 		"--leaving":             {Duration: time.Second, Leaving: -1},
 	} {
 		if _, err := c.disturbance(emulation.Consortium()); err == nil || !strings.Contains(err.Error(), name) {
