Merge demand exchange and crossing of the surplus

The demand of the fleet is that for slots: gates for retries do not make a service contended and do not count as needs. A choice between servers of one domain compares expected completion where servers state a slowdown, as without crossing.

--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -93,4 +93,5 @@
 	fmt.Fprintf(w, "coltsfootward_slowdown %g\n", g.Slowdown)
 	fmt.Fprintf(w, "coltsfootward_retries_left %g\n", g.RetriesLeft)
 	fmt.Fprintf(w, "coltsfootward_retry_excess %g\n", g.RetryExcess)
+	writeCrossing(w, g)
 }
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -229,6 +229,10 @@
 	RetriesDenied  int     `json:"retries_denied"`
 	RetriesLeft    float64 `json:"retries_left"`
 	RetryExcess    float64 `json:"retry_excess"`
+	// Demand and Crossing describe the services whose demand is exchanged and the traffic
+	// to other failure domains.
+	Demand   []demandGauge   `json:"demand"`
+	Crossing []crossingGauge `json:"crossing"`
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
@@ -282,6 +286,8 @@
 		RetriesDenied:     grants.Denied,
 		RetriesLeft:       grants.Left,
 		RetryExcess:       grants.Excess,
+		Demand:            demandGauges(n),
+		Crossing:          crossingGauges(n),
 		Quarantined:       quarantinedTexts(n),
 
 		Slowdown:                stated.Slowdown,
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -33,7 +33,10 @@
 	// first sent.
 	Seconds []Counts
 
-	arrivals map[coltsfootward.ServiceName]int
+	// CrossedBytes is the number of bytes of requests and responses between domains.
+	CrossedBytes int64
+
+	arrivals, crossed map[coltsfootward.ServiceName]int
 	// attributions counts the child calls that reached backend servers, by route.
 	attributions map[coltsfootward.RouteName]Attributions
 	// limitSpanRates holds, for each backend server of the disturbed service, the
@@ -47,6 +50,7 @@
 		Classes:    make(map[coltsfootward.RouteName]*Counts),
 		Seconds:    make([]Counts, int(length.Seconds())+1),
 		arrivals:   make(map[coltsfootward.ServiceName]int),
+		crossed:    make(map[coltsfootward.ServiceName]int),
 
 		attributions:   make(map[coltsfootward.RouteName]Attributions),
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
@@ -119,6 +123,9 @@
 	return o.attributions[route]
 }
 
+// Crossed returns how many of these requests came from another failure domain.
+func (o *Outcome) Crossed(service coltsfootward.ServiceName) int { return o.crossed[service] }
+
 // LimitedRates returns, for each backend server of the disturbed service, the requests
 // per second that reached it during the disturbance's LimitSpan.
 func (o *Outcome) LimitedRates() map[coltsfootward.InstanceID]float64 { return o.limitSpanRates }
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -78,6 +78,10 @@
 	SlowTurn   time.Duration
 	SlowSpan   Span
 	StatesLoad bool
+	// Wave is the part by which the demand that enters in each domain varies around its
+	// mean, as a sine of WavePeriod that reaches the domains one after the other.
+	Wave       float64
+	WavePeriod time.Duration
 }
 
 // Run runs a deployment with traffic for the given length of time and returns
@@ -136,6 +140,7 @@
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
 				Attribution: w.deployment.Attribution,
 				RetryGrants: w.deployment.RetryGrants,
+				Crossing:    w.deployment.Crossing, CrossingMargin: w.deployment.CrossingMargin,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
@@ -175,6 +180,7 @@
 		}
 		return time.Duration(work * float64(time.Second))
 	}
+	b.Size = func(call message.Call) int64 { return w.deployment.class(call.Route).Bytes }
 	b.Children = func(call message.Call) []nodetest.Request {
 		calls := w.deployment.class(call.Route).ChildCalls
 		children := make([]nodetest.Request, calls.Count)
@@ -289,6 +295,10 @@
 		w.outcome.arrivals[service] += len(m.Backend.Runs)
 		for _, run := range m.Backend.Runs {
 			w.countAttributions(run)
+			if run.From != m.Instance.Domain {
+				w.outcome.crossed[service]++
+				w.outcome.CrossedBytes += w.deployment.class(run.Head.Route).Bytes
+			}
 		}
 		if service == w.disturbance.Service {
 			w.outcome.limitSpanRates[m.Instance.ID] = w.rateWithin(m, w.disturbance.LimitSpan)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -51,7 +51,11 @@
 	grants      *grantsComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
-	table      *tableComponent
+	// demand exchanges the demand for contended services.
+	demand *demandComponent
+	// crossing chooses the failure domain that a request is sent to.
+	crossing *crossingComponent
+	table    *tableComponent
 }
 
 // New returns a node that has no configuration yet and knows no peer. All
@@ -79,6 +83,8 @@
 	n.upstream = newUpstreamComponent(n)
 	n.grants = newGrantsComponent(n)
 	n.limits = newLimitsComponent(n)
+	n.demand = newDemandComponent(n)
+	n.crossing = newCrossingComponent(n)
 	return n
 }
 
@@ -175,6 +181,8 @@
 	n.rate.tick()
 	n.upstream.tick()
 	n.limits.tick()
+	n.demand.tick()
+	n.crossing.tick()
 	n.quarantine.tick()
 	n.entry.tick()
 }
@@ -214,6 +222,12 @@
 		n.rate.drawReceived(*m)
 	case *message.Grant:
 		n.rate.grantReceived(*m)
+	case *message.DemandReport:
+		n.demand.reportReceived(e.From, m.Report)
+	case *message.DemandSummary:
+		n.demand.summaryReceived(e.From, m.Summary)
+	case *message.DemandExchange:
+		n.demand.exchangeReceived(e.From, m.Sum)
 	case *message.SlotOffer:
 		n.lease.offerReceived(*m)
 	case *message.ConfigurationPage:
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -98,6 +98,9 @@
 
 // choose returns the upstream for the call's next attempt.
 func (p *placementComponent) choose(call *entryCall) (coltsfootward.Instance, bool) {
+	if p.node.options.crossesSurplus() {
+		return p.node.crossing.choose(call)
+	}
 	return p.poolFor(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, placementRequest(call))
 }
 
@@ -161,6 +164,7 @@
 	if e.Kind == AttemptAnswered || e.Kind == AttemptRefused {
 		s.pool.ObserveLoad(now, call.target, kindOf(call), e.Load)
 		p.reportPressure(call, e.Load)
+		p.node.demand.loadReported(call.head.Service, e.Load)
 	}
 }
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -104,6 +104,7 @@
 	}
 	p.node.limits.callArrived(e.From)
 	p.stated.used(e.From)
+	p.node.demand.callArrived(e.From)
 	p.restrictQueue()
 	p.admission.Offer(now, p.request(call))
 	p.dispatchQueued()
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"coltsfootward"
 	"coltsfootward/core/completion"
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/message"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +44,11 @@
 	other []*upstream
 	// rest are the servers that are not in the subset.
 	rest []*upstream
+	// far are the servers to use in each other domain, and ownRest those in the own
+	// domain that are not in the subset; see ChooseNear.
+	far     map[coltsfootward.FailureDomain][]*upstream
+	ownRest []*upstream
+	local   crossing.Local
 	// subsetStale is set if the subset must be computed again.
 	subsetStale bool
 	// coldLimited is set if cold servers have a limited capacity.
@@ -162,6 +169,15 @@
 	}
 }
 
+// Instances returns the instances of all backend servers in the pool, sorted by ID.
+func (p *Pool) Instances() []coltsfootward.Instance {
+	all := make([]coltsfootward.Instance, 0, len(p.upstreams))
+	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
+		all = append(all, p.upstreams[id].instance)
+	}
+	return all
+}
+
 // Len returns the number of backend servers in the pool.
 func (p *Pool) Len() int { return len(p.upstreams) }
 
@@ -193,6 +209,7 @@
 	otherSize := min(len(p.other), SubsetSize-ownSize)
 	p.rest = slices.Concat(p.own[ownSize:], p.other[otherSize:])
 	p.own, p.other = p.own[:ownSize], p.other[:otherSize]
+	p.groupFar()
 }
 
 // Request describes a request for placement.
