core/pressure, core/node: refuse by the demand of the whole fleet

An entry node refused a fraction of its own demand. With the setting shares.scope = fleet, pressure.Gates uses the division of core/fairshare wherever a valid summary of the fleet's demand exists, and admission.Queue serves organisations by the same weights and accounts. Where all servers name limits, the fraction to refuse follows from the sum of the limits, which limit_share carries now.

--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -88,4 +88,7 @@
 		fmt.Fprintf(w, "coltsfootward_%s %d\n", gauge.name, gauge.value)
 	}
 	fmt.Fprintf(w, "coltsfootward_named_limit %g\n", g.NamedLimit)
+	for _, s := range g.Shares {
+		fmt.Fprintf(w, "coltsfootward_share_band{service=%q} %d\n", s.Service, s.Band)
+	}
 }
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -217,6 +217,9 @@
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
+	// Shares are the services whose capacity is divided between organisations, with the
+	// organisations that compete for it.
+	Shares []serviceShares `json:"shares"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -257,6 +260,7 @@
 		LimitPassed:       limit.Passed,
 		LimitRefused:      limit.Refused,
 		Quarantined:       quarantinedTexts(n),
+		Shares:            sharesOf(n),
 	}
 }
 
--- a/cmd/settings/field.go
+++ b/cmd/settings/field.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/fairshare"
+	"coltsfootward/core/node"
 )
 
 // Field is one setting.
@@ -40,6 +42,8 @@
 	switch p := f.target(&s).(type) {
 	case *string:
 		return fmt.Sprintf("%q", *p)
+	case *node.ShareScope:
+		return fmt.Sprintf("%q", *p)
 	case *time.Duration:
 		return fmt.Sprintf("%q", p.String())
 	case *int:
@@ -97,6 +101,10 @@
 	switch p := target.(type) {
 	case *string:
 		return assignValue(p, value)
+	case *node.ShareScope:
+		text, ok := value.(string)
+		*p = node.ShareScope(text)
+		return ok
 	case *bool:
 		return assignValue(p, value)
 	case *int64:
@@ -172,6 +180,22 @@
 	}
 }
 
+// weightRange describes the syntax of weights.
+const weightRange = "name=weight each, with a weight above 0 and each name once, as in mill=2.5"
+
+func weights(key, meaning string, target func(*Settings) *[]string) Field {
+	return Field{
+		Key: key, Unit: "list of weights", Range: weightRange, Meaning: meaning,
+		target: func(s *Settings) any { return target(s) },
+		check: func(s *Settings) string {
+			if _, err := fairshare.ParseWeights(*target(s)); err != nil {
+				return fmt.Sprintf("%s; give %s", strings.ReplaceAll(err.Error(), "\n", "; "), weightRange)
+			}
+			return ""
+		},
+	}
+}
+
 // contactRange describes the syntax of a contact.
 const contactRange = "DOMAIN/ID/ADDRESS each, as in north/quotes-1/10.0.0.1:7003"
 
@@ -278,12 +302,14 @@
 	}
 }
 
-func choice(key, meaning string, allowed []string, target func(*Settings) *string) Field {
+func choice[T ~string](key, meaning string, allowed []string, target func(*Settings) *T) Field {
 	remedy := "one of " + strings.Join(allowed, ", ")
 	return Field{
 		Key: key, Unit: "word", Range: remedy, Meaning: meaning,
 		target: func(s *Settings) any { return target(s) },
-		check:  func(s *Settings) string { return problemUnless(slices.Contains(allowed, *target(s)), "give "+remedy) },
+		check: func(s *Settings) string {
+			return problemUnless(slices.Contains(allowed, string(*target(s))), "give "+remedy)
+		},
 	}
 }
 
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/fairshare"
 	"coltsfootward/core/node"
 
 	"github.com/pelletier/go-toml/v2"
@@ -34,8 +35,10 @@
 	// MaximumBody bounds a request's body in bytes.
 	MaximumBody int64
 	Log         Log
-	// Node holds the options of the state machine. Self, Domains, Contacts, Routed and
-	// Service are empty here and set by NodeOptions.
+	// ShareWeights are the weights of organisations, each as name=weight.
+	ShareWeights []string
+	// Node holds the options of the state machine. Self, Domains, Contacts, Routed, Service
+	// and ShareWeights are empty here and set by NodeOptions.
 	Node node.Options
 }
 
@@ -248,6 +251,7 @@
 func (s Settings) NodeOptions(incarnation coltsfootward.Incarnation) node.Options {
 	options := s.Node
 	options.Routed = s.Hosted()
+	options.ShareWeights, _ = fairshare.ParseWeights(s.ShareWeights) // checked when the file was read
 	options.Service = coltsfootward.ServiceName(s.Backend.Service)
 	options.Self = coltsfootward.Instance{
 		ID:              coltsfootward.InstanceID(s.Instance.ID),
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -84,6 +84,9 @@
 		{"empty", "", "instance.id"},
 		{"section that is a value", strings.Replace(validFile, "[platform]\nurl = \"http://10.0.0.9:7000\"", "", 1) + "platform = 3\n", "platform"},
 		{"maximum below default timeout", validFile + "[requests]\nmaximum_timeout = \"1s\"\n", "requests.maximum_timeout"},
+		{"unknown scope", validFile + "[shares]\nscope = \"all\"\n", "shares.scope: is \"all\": give one of entry, fleet"},
+		{"weight that is zero", validFile + "[shares]\nweights = [\"mill=0\"]\n", "shares.weights"},
+		{"weight given twice", validFile + "[shares]\nweights = [\"mill=1\", \"mill=2\"]\n", "shares.weights"},
 		{"domain not listed", strings.Replace(validFile, `domain = "north"`, `domain = "west"`, 1), "instance.domains"},
 	}
 	for _, test := range tests {
@@ -111,7 +114,7 @@
 		if name == "Self" || name == "Domains" || name == "Contacts" {
 			continue // set by NodeOptions from instance and listen
 		}
-		if name == "Routed" || name == "Service" {
+		if name == "Routed" || name == "Service" || name == "ShareWeights" {
 			continue // set by NodeOptions; see TestHostedSettingsInNodeOptions
 		}
 		if !targets[value.Field(i).Addr().Interface()] {
@@ -132,6 +135,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if o := s.NodeOptions(1); o.ShareScope != node.ShareScopeEntry || o.ShareWeights.Of("mill") != 1 {
+		t.Errorf("got scope %q and weight %v, want entry and 1 by default", o.ShareScope, o.ShareWeights.Of("mill"))
+	}
+	s, err = settings.Parse("node.toml", []byte(hosted+"[shares]\nscope = \"fleet\"\nweights = [\"mill=2.5\"]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := s.NodeOptions(1); o.ShareScope != node.ShareScopeFleet || o.ShareWeights.Of("mill") != 2.5 {
+		t.Errorf("got scope %q and weight %v, want fleet and 2.5", o.ShareScope, o.ShareWeights.Of("mill"))
+	}
 	if o := s.NodeOptions(1); !o.Routed || o.Service != "quotes" {
 		t.Errorf("got Routed %v and Service %q, want true and quotes", o.Routed, o.Service)
 	}
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"coltsfootward/core/node"
+)
 
 // Fields returns all settings, in the order in which docs/OPERATIONS.md lists them. A new
 // setting is added only here.
@@ -65,6 +69,10 @@
 			func(s *Settings) *float64 { return &s.Node.RetryShare }),
 		fraction("retries.capacity", "How many retries for one service all instances of a hosted deployment together may save up.", 0, 1e6,
 			func(s *Settings) *float64 { return &s.Node.RetryBurst }),
+		choice("shares.scope", "Whose demand decides which requests are refused at entry: that of the entry node, or that of the whole fleet, which divides a service's capacity between organisations; hosted deployments only.", []string{string(node.ShareScopeEntry), string(node.ShareScopeFleet)},
+			func(s *Settings) *node.ShareScope { return &s.Node.ShareScope }),
+		weights("shares.weights", "What organisations get of a service's capacity relative to others, for which it is 1, where shares.scope is fleet.",
+			func(s *Settings) *[]string { return &s.ShareWeights }),
 		duration("rate.lease_term", "How long an instance holds a slot without an answer from the platform. A longer one writes to the platform less often and leaves a lost instance's part of each rate unused for longer.", time.Second, time.Hour,
 			func(s *Settings) *time.Duration { return &s.Node.LeaseTerm }),
 		duration("rate.lease_margin", "What another instance waits beyond the term before it takes a slot over.", 100*time.Millisecond, time.Minute,
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/node"
 )
 
 // Service describes a service and the actual properties of its backend servers.
@@ -58,6 +59,8 @@
 	Classes  []Class
 	// RetryShare and RetryBurst limit the retries of each service.
 	RetryShare, RetryBurst float64
+	// ShareScope is the setting shares.scope.
+	ShareScope node.ShareScope
 }
 
 // class returns the class with the given name, or the zero value if there is
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -121,6 +121,7 @@
 				Self: nodetest.Instance(id, domain), Domains: w.deployment.Domains, Routed: true, Service: s.Name,
 				ConfigurationSpread: 2 * time.Second,
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
+				ShareScope: w.deployment.ShareScope,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -130,6 +130,9 @@
 	return d.total, false
 }
 
+// Others returns the share of all organisations together that the summary does not name.
+func (d Division) Others() Share { return d.others }
+
 // Shares returns the shares of the named organisations, most demand first.
 func (d Division) Shares() []Share {
 	shares := make([]Share, 0, len(d.shares))
--- a/core/message/limit.go
+++ b/core/message/limit.go
@@ -8,6 +8,9 @@
 	// Interval is the mean time between two requests that the receiver may send to the
 	// server; zero means that the server names no limit.
 	Interval time.Duration `msgpack:"interval"`
+	// Limit is the limit that the server names for all nodes together, in requests per
+	// second.
+	Limit float64 `msgpack:"limit,omitempty"`
 }
 
 // LimitDemand is the reply to a LimitShare. It is part of Gossip.
--- a/core/node/document.go
+++ b/core/node/document.go
@@ -53,6 +53,7 @@
 	p.node.rate.refresh()
 	p.node.report(record.RevisionInForce, field("revision", c.Revision().String()))
 	p.node.entry.forgetRoutes(c)
+	p.node.shares.configurationChanged()
 	p.node.act(ConfigurationInForce{Configuration: c})
 	for _, to := range p.pushTargets() {
 		p.node.act(Send{To: to, Message: message.NewFullConfiguration(c, p.node.domains.current)})
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -175,7 +175,7 @@
 	if call.head.Depth > 0 {
 		return false
 	}
-	saturated, admitted := p.node.gates.Admit(call.head.Route, call.head.ShedRank)
+	saturated, admitted := p.node.gates.AdmitFor(call.head.Route, call.head.ShedRank, call.head.Organisation)
 	if admitted {
 		return false
 	}
@@ -219,6 +219,7 @@
 		return
 	}
 	p.nextGateReport = now + gateReportInterval
+	p.node.shares.report()
 	for _, m := range p.node.gates.Moved(now) {
 		p.node.report(record.GateMoved, field("service", string(m.Service)), field("excess", decimal(m.Excess)),
 			field("age", m.Age.String()), field("passed", decimal(m.Admitted)))
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -93,6 +93,7 @@
 	if shortfall := p.node.placement.poolFor(service).limitThrottle.Excess(); shortfall > 0 {
 		fields = append(fields, field("limit_shortfall", decimal(shortfall)))
 	}
+	fields = append(fields, p.node.shares.evidence(call, service)...)
 	return coldField(fields, p.node.placement.coldRetryAfter(service))
 }
 
--- a/core/node/limits.go
+++ b/core/node/limits.go
@@ -82,7 +82,7 @@
 // sent of late.
 func (p *limitsComponent) sendShare(to coltsfootward.InstanceID) bool {
 	now := p.node.now.Monotonic
-	share := message.LimitShare{Interval: p.intervalOf(to)}
+	share := message.LimitShare{Interval: p.intervalOf(to), Limit: p.node.upstream.condition.current.Limit}
 	if to == p.node.options.Self.ID {
 		p.shares.SetDemand(now, to, p.shareReceived(to, share))
 		return true
@@ -132,6 +132,7 @@
 	now := p.node.now.Monotonic
 	s := p.node.placement.poolFor(service)
 	s.pool.SetShare(now, from, share.Interval, now+shareLifetime)
+	s.pool.SetLimit(from, share.Limit)
 	if !s.pool.Wants(now, from) {
 		return 0
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -46,6 +46,7 @@
 	entry    *entryComponent
 	upstream *upstreamComponent
 	limits   *limitsComponent
+	shares   *sharesComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
 	table      *tableComponent
@@ -74,6 +75,7 @@
 	n.entry = newEntryComponent(n)
 	n.upstream = newUpstreamComponent(n)
 	n.limits = newLimitsComponent(n)
+	n.shares = newSharesComponent(n)
 	return n
 }
 
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -5,6 +5,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/claim"
+	"coltsfootward/core/fairshare"
 	"coltsfootward/core/lease"
 	"coltsfootward/core/retry"
 )
@@ -67,6 +68,11 @@
 	// RetryBurst is the largest burst of retries for one service of a routed
 	// deployment, all nodes taken together. The default is 48.
 	RetryBurst float64
+	// ShareScope is whose demand decides which requests are refused at entry. The
+	// default is ShareScopeEntry. It applies to routed deployments.
+	ShareScope ShareScope
+	// ShareWeights are the weights of organisations under ShareScopeFleet.
+	ShareWeights fairshare.Weights
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
@@ -136,6 +142,9 @@
 	if o.RetryBurst <= 0 {
 		o.RetryBurst = DefaultRetryBurst
 	}
+	if o.ShareScope == "" {
+		o.ShareScope = ShareScopeEntry
+	}
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -34,7 +34,9 @@
 	// demand is the rate of the node's requests for the service. limitThrottle
 	// determines the fraction of them that the limits named by all servers of the
 	// service have no room for.
-	demand        rate.Meter
+	demand rate.Meter
+	// callCost is the mean slot time, in seconds, of the node's calls to the service.
+	callCost      float64
 	limitThrottle pressure.Throttle
 }
 
@@ -170,6 +172,7 @@
 	if call.head.Route == "" {
 		return
 	}
+	p.poolFor(call.head.Service).observeCallCost(load.Cost)
 	reported := []pressure.Report{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost, Cold: load.Cold > 0}}
 	for _, downstream := range load.Downstream {
 		reported = append(reported, pressure.Report{Service: downstream.Service, Excess: downstream.Excess, Cost: downstream.Cost})
@@ -177,6 +180,20 @@
 	p.node.gates.ObserveResponse(p.node.now.Monotonic, call.head.Route, reported)
 }
 
+// callCostWeight is the EWMA weight of the newest call in the mean cost of calls.
+const callCostWeight = 0.05
+
+// observeCallCost adds the slot time in seconds of one call to the mean; zero if it is
+// not known.
+func (s *servicePool) observeCallCost(cost float64) {
+	if s.callCost <= 0 {
+		s.callCost = cost
+	}
+	if cost > 0 {
+		s.callCost += callCostWeight * (cost - s.callCost)
+	}
+}
+
 func kindOf(call *entryCall) placement.RequestKind {
 	return placement.RequestKind{Organisation: call.head.Organisation, Class: classOf(call.head)}
 }
@@ -267,11 +284,16 @@
 // are those that the servers have room for; the rest is refused before any work
 // is done for it.
 func (p *placementComponent) closeGates() {
+	p.node.shares.closeGates()
 	for name, s := range p.pools {
 		service, _ := p.node.configuration.current.Service(name)
 		s.pool.SetColdLimited(service.ColdRate > 0)
 		withheld, _ := p.coldShortfall(s)
-		p.node.gates.SetMinRefused(name, max(withheld, p.limitShortfall(s)))
+		shortfall, known := p.node.shares.limitShortfall(name, s)
+		if !known {
+			shortfall = p.limitShortfall(s)
+		}
+		p.node.gates.SetMinRefused(name, max(withheld, shortfall))
 	}
 }
 
--- /dev/null
+++ b/core/node/shares.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"coltsfootward"
+	"coltsfootward/core/demand"
+	"coltsfootward/core/fairshare"
+	"coltsfootward/core/message"
+	"coltsfootward/core/record"
+)
+
+// ShareScope is whose demand an entry node considers when it refuses requests.
+type ShareScope string
+
+// The scopes.
+const (
+	// ShareScopeEntry considers the demand at the entry node itself.
+	ShareScopeEntry ShareScope = "entry"
+	// ShareScopeFleet considers the demand of the whole fleet, and divides what does
+	// not fit between organisations.
+	ShareScopeFleet ShareScope = "fleet"
+)
+
+// sharesComponent holds the demand of the fleet for the services that are short of
+// capacity, and connects it with the gates, the limits that servers name and the queue
+// of the local backend server.
+type sharesComponent struct {
+	node      *Node
+	summaries map[coltsfootward.ServiceName]demand.Summary
+	// divided holds the services whose division was in force at the last report.
+	divided map[coltsfootward.ServiceName]bool
+}
+
+func newSharesComponent(n *Node) *sharesComponent {
+	n.meter.SetQueueAllowed(n.options.ShareScope == ShareScopeFleet)
+	return &sharesComponent{
+		node:      n,
+		summaries: make(map[coltsfootward.ServiceName]demand.Summary),
+		divided:   make(map[coltsfootward.ServiceName]bool),
+	}
+}
+
+func (p *sharesComponent) fleet() bool { return p.node.options.ShareScope == ShareScopeFleet }
+
+// ObserveDemand processes the demand of the fleet for a service. It may be called
+// between two events. The time of the summary is set to the time of the last event.
+func (n *Node) ObserveDemand(s demand.Summary) {
+	s.At = n.now.Monotonic
+	n.shares.demandObserved(s)
+}
+
+func (p *sharesComponent) demandObserved(s demand.Summary) {
+	if p.fleet() && s.Service != "" {
+		p.summaries[s.Service] = s
+	}
+}
+
+// closeGates passes the valid summaries to the gates and drops the others.
+func (p *sharesComponent) closeGates() {
+	now := p.node.now.Monotonic
+	for service, s := range p.summaries {
+		if !s.Valid(now) {
+			delete(p.summaries, service)
+			continue
+		}
+		p.node.gates.SetDemand(now, s, p.node.options.ShareWeights)
+	}
+}
+
+// limitShortfall returns the fraction of the fleet's demand for a service that does not
+// fit the limits that all its servers name. ok is false if it is not known.
+func (p *sharesComponent) limitShortfall(name coltsfootward.ServiceName, s *servicePool) (shortfall float64, ok bool) {
+	now := p.node.now.Monotonic
+	summary, found := p.summaries[name]
+	if !found || !summary.Valid(now) {
+		return 0, false
+	}
+	limit, limited := s.pool.Limit(now)
+	if !limited || s.callCost <= 0 {
+		return 0, false
+	}
+	perSecond := summary.Total.Total() / s.callCost
+	return max(1-targetLimitUse*limit/max(perSecond, limit), 0), true
+}
+
+// account returns the organisation that a call counts for in the queue of the local
+// backend server, and its weight.
+func (p *sharesComponent) account(head message.Call) (coltsfootward.OrganisationName, float64) {
+	if !p.fleet() {
+		organisation, _ := p.node.configuration.current.Organisation(head.Organisation)
+		return head.Organisation, organisation.Rate.PerSecond
+	}
+	name := head.Organisation
+	if head.Account != "" {
+		name = head.Account
+	}
+	return name, p.node.options.ShareWeights.Of(name)
+}
+
+// configurationChanged reports weights of organisations that the configuration does not
+// hold. They have no effect until it does.
+func (p *sharesComponent) configurationChanged() {
+	for _, name := range p.node.options.ShareWeights.Names() {
+		if _, ok := p.node.configuration.current.Organisation(name); !ok {
+			p.node.report(record.WeightUnknown, field("organisation", string(name)),
+				field("revision", p.node.configuration.current.Revision().String()))
+		}
+	}
+}
+
+// report reports the services whose capacity began or ceased to be divided between
+// organisations.
+func (p *sharesComponent) report() {
+	for _, name := range slices.Sorted(maps.Keys(p.node.placement.pools)) {
+		d, ok := p.node.gates.Division(name)
+		divided := ok && d.Contended() < demand.Bands
+		if divided == p.divided[name] {
+			continue
+		}
+		if !divided {
+			delete(p.divided, name)
+			p.node.report(record.SharesEnded, field("service", string(name)))
+			continue
+		}
+		p.divided[name] = true
+		s := p.summaries[name]
+		p.node.report(record.SharesBegan, field("service", string(name)), field("band", number(d.Contended())),
+			field("level", decimal(d.Level())), field("demand", decimal(s.Total.Total())),
+			field("age", rounded(p.node.now.Monotonic-s.At)), field("entries", number(s.Entries)))
+	}
+}
+
+// evidence returns the log fields that show the share of a refused call's organisation.
+func (p *sharesComponent) evidence(call *entryCall, service coltsfootward.ServiceName) []record.Field {
+	d, ok := p.node.gates.Division(service)
+	if !ok {
+		return nil
+	}
+	fields := []record.Field{
+		field("band", number(queuePriority(call.head))), field("contended_band", number(d.Contended())),
+		field("summary_age", rounded(p.node.now.Monotonic-p.summaries[service].At)),
+	}
+	if d.Contended() != queuePriority(call.head) {
+		return fields
+	}
+	share, named := d.Share(call.head.Organisation)
+	account := "others"
+	if named {
+		account = string(share.Organisation)
+	}
+	return append(fields, field("account", account), field("weight", decimal(p.node.options.ShareWeights.Of(call.head.Organisation))),
+		field("asked", decimal(share.Demand)), field("share", decimal(share.Admitted)))
+}
+
+// ServiceShares is how the capacity of a service is divided between organisations.
+type ServiceShares struct {
+	Service coltsfootward.ServiceName
+	// Band is the importance band that does not fit. Shares holds the organisations
+	// that compete in it, most demand first, and Others the remaining ones together.
+	Band   int
+	Shares []fairshare.Share
+	Others fairshare.Share
+	// Age is the age of the summary of the fleet's demand.
+	Age time.Duration
+}
+
+// DividedServices returns how the capacity is divided of each service for which it is
+// divided, sorted by service.
+func (n *Node) DividedServices() []ServiceShares {
+	var all []ServiceShares
+	for _, service := range slices.Sorted(maps.Keys(n.shares.summaries)) {
+		d, ok := n.gates.Division(service)
+		if !ok || d.Contended() >= demand.Bands {
+			continue
+		}
+		all = append(all, ServiceShares{
+			Service: service, Band: d.Contended(), Shares: d.Shares(), Others: d.Others(),
+			Age: n.now.Monotonic - n.shares.summaries[service].At,
+		})
+	}
+	return all
+}
--- a/core/node/upstream_queue.go
+++ b/core/node/upstream_queue.go
@@ -11,14 +11,14 @@
 
 // request converts the call to a request for admission control.
 func (p *upstreamComponent) request(call *upstreamCall) admissioncontrol.Request {
-	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
+	organisation, weight := p.node.shares.account(call.head)
 	return admissioncontrol.Request{
 		ID:           admissioncontrol.RequestID(call.id),
 		Priority:     queuePriority(call.head),
 		ShedRank:     call.head.ShedRank,
 		Deep:         call.head.Depth > 0,
-		Organisation: call.head.Organisation,
-		Weight:       organisation.Rate.PerSecond,
+		Organisation: organisation,
+		Weight:       weight,
 		Class:        classOf(call.head),
 		Arrived:      call.arrivedAt,
 		Deadline:     call.deadline,
--- a/core/nodetest/routed_test.go
+++ b/core/nodetest/routed_test.go
@@ -33,6 +33,11 @@
 // has a backend server of the service quotes with four slots, and document is in
 // force.
 func newRoutedRig(seed uint64, nodes int, document coltsfootward.Configuration, domains ...coltsfootward.FailureDomain) (*nodetest.Rig, []*nodetest.Member) {
+	return newRoutedRigWith(node.Options{}, seed, nodes, document, domains...)
+}
+
+// newRoutedRigWith is newRoutedRig with the scope and weights of the given options.
+func newRoutedRigWith(shares node.Options, seed uint64, nodes int, document coltsfootward.Configuration, domains ...coltsfootward.FailureDomain) (*nodetest.Rig, []*nodetest.Member) {
 	r := nodetest.New(seed)
 	var members []*nodetest.Member
 	for _, domain := range domains {
@@ -40,6 +45,7 @@
 			id := coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i))
 			members = append(members, r.Add(node.Options{
 				Self: nodetest.Instance(id, domain), Domains: domains, Routed: true, ConfigurationSpread: 2 * time.Second, RetryShare: 0.2,
+				ShareScope: shares.ShareScope, ShareWeights: shares.ShareWeights,
 			}))
 		}
 	}
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -110,3 +110,29 @@
 	}
 	return perSecond, limited && perSecond > 0
 }
+
+// SetLimit sets the limit, in requests per second, that a server names for all nodes
+// together.
+func (p *Pool) SetLimit(id coltsfootward.InstanceID, perSecond float64) {
+	if u, ok := p.upstreams[id]; ok {
+		u.namedLimit = perSecond
+	}
+}
+
+// Limit returns the sum of the limits that the reachable servers name, in requests per
+// second, if every one of them names a limit and has stated it.
+func (p *Pool) Limit(now time.Duration) (perSecond float64, limited bool) {
+	if !p.limited {
+		return 0, false
+	}
+	for _, u := range p.upstreams {
+		switch {
+		case !p.reachable(u.domain):
+		case !u.limited(now) || u.namedLimit <= 0:
+			return 0, false
+		default:
+			perSecond += u.namedLimit
+		}
+	}
+	return perSecond, perSecond > 0
+}
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -71,6 +71,9 @@
 	// until shareExpires.
 	share        rate.Pacer
 	shareExpires time.Duration
+	// namedLimit is the limit that the server names for all nodes together, in requests
+	// per second.
+	namedLimit float64
 	// wantedAt is when the server was last considered for a request.
 	wantedAt time.Duration
 	// latency is the smoothed response time in seconds.
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/demand"
+	"coltsfootward/core/fairshare"
 )
 
 const (
@@ -99,6 +101,11 @@
 	limit uint32
 	// lastReturned is the admitted fraction when Moved last returned the gate.
 	lastReturned float64
+	// summary is the demand of the fleet if it is known, weights are those of the
+	// organisations, and division is derived from both.
+	summary  demand.Summary
+	weights  fairshare.Weights
+	division division
 }
 
 // State describes how far a gate is closed.
@@ -263,9 +270,14 @@
 	return needed
 }
 
-// Admit counts a request and reports whether it is admitted. If it is not, Admit
-// returns the name of a service that has no capacity for it.
+// Admit counts a request of no organisation; see AdmitFor.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
+	return g.AdmitFor(class, rank, "")
+}
+
+// AdmitFor counts a request of an organisation and reports whether it is admitted. If it
+// is not, AdmitFor returns the name of a service that has no capacity for it.
+func (g *Gates) AdmitFor(class coltsfootward.RouteName, rank uint32, organisation coltsfootward.OrganisationName) (coltsfootward.ServiceName, bool) {
 	var saturated coltsfootward.ServiceName
 	for service, n := range g.needs[class] {
 		if n.share < needThreshold {
@@ -276,7 +288,11 @@
 		effective := gate.costs.effectiveRank(rank, cost)
 		gate.costs.observe(rank, cost)
 		gate.demand[bucketOf(effective)] += cost
-		if effective > gate.limit {
+		admitted := effective <= gate.limit
+		if gate.division.valid {
+			admitted = gate.division.admits(rank, cost, organisation)
+		}
+		if !admitted {
 			saturated = service
 		}
 	}
@@ -317,6 +333,11 @@
 	}
 	g.admitted = min(g.admitted, 1-g.minRefused)
 	g.limit = g.rankAt(g.admitted)
+	if g.summary.Valid(now) {
+		g.division.update(g.summary, g.admitted, g.weights)
+	} else {
+		g.division = division{}
+	}
 	for i := range g.demand {
 		g.demand[i] *= demandDecay
 	}
--- a/core/pressure/meter.go
+++ b/core/pressure/meter.go
@@ -41,6 +41,10 @@
 	backlog    float64
 	observedAt time.Duration
 	started    bool
+	// queueAllowed is set by SetQueueAllowed. meanSlotTime is the mean slot time of the
+	// requests that arrived, in seconds.
+	queueAllowed bool
+	meanSlotTime float64
 }
 
 // Observe updates the averages with the number of requests in service since the last
@@ -67,6 +71,7 @@
 // Arrived adds a request that takes the given slot time to the offered load.
 func (m *Meter) Arrived(slotTime time.Duration) {
 	m.offered += slotTime.Seconds() / meterTimeConstant.Seconds()
+	m.meanSlotTime += slotTimeWeight * (slotTime.Seconds() - m.meanSlotTime)
 }
 
 // Rejected subtracts a request that the server has rejected without running it. A
@@ -82,6 +87,9 @@
 	if slots < 1 {
 		return 0
 	}
+	if m.queueAllowed {
+		return m.queueRatio(float64(slots))
+	}
 	capacity := float64(slots) * targetUtilisation(slots)
 	return min((max(m.running, m.offered)+m.backlog/drainTime.Seconds())/capacity, maxRatio)
 }
--- a/core/pressure/price.go
+++ b/core/pressure/price.go
@@ -67,16 +67,23 @@
 // half of the request's band, or in the second half if the request is expensive and
 // does not belong to the share that is treated like the others.
 func (b *bandCosts) effectiveRank(rank uint32, cost float64) uint32 {
-	band, hash := bandOf(rank), float64(rank%hashRange)/hashRange
+	band := bandOf(rank)
+	expensive := b.counts[band] >= 1 && cost*b.counts[band] >= expensiveFactor*b.sums[band]
+	return uint32(band)<<hashBits + uint32(positionOf(rank, expensive)*hashRange)
+}
+
+// positionOf returns the position of a request within its band, 0 to 1, by which it is
+// refused.
+func positionOf(rank uint32, expensive bool) float64 {
+	hash := float64(rank%hashRange) / hashRange
 	switch {
-	case b.counts[band] < 1 || cost*b.counts[band] < expensiveFactor*b.sums[band]:
-		hash /= 2
+	case !expensive:
+		return hash / 2
 	case hash < expensiveShare:
-		hash /= 2 * expensiveShare
+		return hash / (2 * expensiveShare)
 	default:
-		hash = 0.5 + (hash-expensiveShare)/(1-expensiveShare)/2
+		return 0.5 + (hash-expensiveShare)/(1-expensiveShare)/2
 	}
-	return uint32(band)<<hashBits + uint32(hash*hashRange)
 }
 
 func bandOf(rank uint32) int { return int(min(rank>>hashBits, bands-1)) }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,9 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	WeightUnknown       Code = 360
+	SharesBegan         Code = 361
+	SharesEnded         Code = 362
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -109,6 +112,9 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{WeightUnknown, "weight_unknown", "warn", "The setting shares.weights names an organisation that the configuration does not hold; the weight has no effect. Correct the name, or ignore this if the organisation is yet to come."},
+	{SharesBegan, "shares_began", "info", "The demand for a service exceeds its capacity, which is divided between organisations: band is the importance that does not fit (0 to 15), level the slots that an organisation of weight 1 may use of it, demand the slots that the fleet asks for, age the age of that figure, entries the number of entry nodes that it includes."},
+	{SharesEnded, "shares_ended", "info", "The capacity of a service is no longer divided between organisations: the demand fits, or the demand of the fleet is not known and the node refuses by its own."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
