--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -175,6 +175,7 @@
 	if call.head.Depth > 0 {
 		return false
 	}
+	p.node.demand.requestArrived(call)
 	saturated, admitted := p.node.gates.AdmitFor(call.head.Route, call.head.ShedRank, call.head.Organisation)
 	if admitted {
 		return false
--- a/core/node/limits.go
+++ b/core/node/limits.go
@@ -133,6 +133,9 @@
 	s := p.node.placement.poolFor(service)
 	s.pool.SetShare(now, from, share.Interval, now+shareLifetime)
 	s.pool.SetLimit(from, share.Limit)
+	if share.Interval > 0 {
+		p.node.demand.limitNamed(service)
+	}
 	if !s.pool.Wants(now, from) {
 		return 0
 	}
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -73,6 +73,9 @@
 	ShareScope ShareScope
 	// ShareWeights are the weights of organisations under ShareScopeFleet.
 	ShareWeights fairshare.Weights
+	// Crossing decides which requests of a routed deployment are sent to another failure
+	// domain. The default is CrossingOccupancy.
+	Crossing Crossing
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -163,6 +163,7 @@
 	if e.Kind == AttemptAnswered || e.Kind == AttemptRefused {
 		s.pool.ObserveLoad(now, call.target, kindOf(call), e.Load)
 		p.reportPressure(call, e.Load)
+		p.node.demand.loadReported(call.head.Service, e.Load)
 	}
 }
 
@@ -284,11 +285,11 @@
 // are those that the servers have room for; the rest is refused before any work
 // is done for it.
 func (p *placementComponent) closeGates() {
-	p.node.shares.closeGates()
 	for name, s := range p.pools {
 		service, _ := p.node.configuration.current.Service(name)
 		s.pool.SetColdLimited(service.ColdRate > 0)
 		withheld, _ := p.coldShortfall(s)
+		p.node.shares.closeGates(name)
 		shortfall, known := p.node.shares.limitShortfall(name, s)
 		if !known {
 			shortfall = p.limitShortfall(s)
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -24,12 +24,10 @@
 	ShareScopeFleet ShareScope = "fleet"
 )
 
-// sharesComponent holds the demand of the fleet for the services that are short of
-// capacity, and connects it with the gates, the limits that servers name and the queue
+// sharesComponent connects the demand of the fleet with the gates, the limits that servers name and the queue
 // of the local backend server.
 type sharesComponent struct {
-	node      *Node
-	summaries map[coltsfootward.ServiceName]demand.Summary
+	node *Node
 	// divided holds the services whose division was in force at the last report.
 	divided map[coltsfootward.ServiceName]bool
 }
@@ -37,36 +35,20 @@
 func newSharesComponent(n *Node) *sharesComponent {
 	n.meter.SetQueueAllowed(n.options.ShareScope == ShareScopeFleet)
 	return &sharesComponent{
-		node:      n,
-		summaries: make(map[coltsfootward.ServiceName]demand.Summary),
-		divided:   make(map[coltsfootward.ServiceName]bool),
+		node:    n,
+		divided: make(map[coltsfootward.ServiceName]bool),
 	}
 }
 
 func (p *sharesComponent) fleet() bool { return p.node.options.ShareScope == ShareScopeFleet }
 
-// ObserveDemand processes the demand of the fleet for a service. It may be called
-// between two events. The time of the summary is set to the time of the last event.
-func (n *Node) ObserveDemand(s demand.Summary) {
-	s.At = n.now.Monotonic
-	n.shares.demandObserved(s)
-}
-
-func (p *sharesComponent) demandObserved(s demand.Summary) {
-	if p.fleet() && s.Service != "" {
-		p.summaries[s.Service] = s
+// closeGates passes the demand of the fleet for a service to its gate.
+func (p *sharesComponent) closeGates(service coltsfootward.ServiceName) {
+	if !p.fleet() {
+		return
 	}
-}
-
-// closeGates passes the valid summaries to the gates and drops the others.
-func (p *sharesComponent) closeGates() {
-	now := p.node.now.Monotonic
-	for service, s := range p.summaries {
-		if !s.Valid(now) {
-			delete(p.summaries, service)
-			continue
-		}
-		p.node.gates.SetDemand(now, s, p.node.options.ShareWeights)
+	if s, ok := p.node.demand.summary(service); ok {
+		p.node.gates.SetDemand(p.node.now.Monotonic, s, p.node.options.ShareWeights)
 	}
 }
 
@@ -74,8 +56,8 @@
 // fit the limits that all its servers name. ok is false if it is not known.
 func (p *sharesComponent) limitShortfall(name coltsfootward.ServiceName, s *servicePool) (shortfall float64, ok bool) {
 	now := p.node.now.Monotonic
-	summary, found := p.summaries[name]
-	if !found || !summary.Valid(now) {
+	summary, known := p.node.demand.summary(name)
+	if !known || !p.fleet() {
 		return 0, false
 	}
 	limit, limited := s.pool.Limit(now)
@@ -126,7 +108,7 @@
 			continue
 		}
 		p.divided[name] = true
-		s := p.summaries[name]
+		s, _ := p.node.demand.summary(name)
 		p.node.report(record.SharesBegan, field("service", string(name)), field("band", number(d.Contended())),
 			field("level", decimal(d.Level())), field("demand", decimal(s.Total.Total())),
 			field("age", rounded(p.node.now.Monotonic-s.At)), field("entries", number(s.Entries)))
@@ -139,9 +121,10 @@
 	if !ok {
 		return nil
 	}
+	s, _ := p.node.demand.summary(service)
 	fields := []record.Field{
 		field("band", number(queuePriority(call.head))), field("contended_band", number(d.Contended())),
-		field("summary_age", rounded(p.node.now.Monotonic-p.summaries[service].At)),
+		field("summary_age", rounded(p.node.now.Monotonic-s.At)),
 	}
 	if d.Contended() != queuePriority(call.head) {
 		return fields
@@ -171,14 +154,15 @@
 // divided, sorted by service.
 func (n *Node) DividedServices() []ServiceShares {
 	var all []ServiceShares
-	for _, service := range slices.Sorted(maps.Keys(n.shares.summaries)) {
+	for _, service := range slices.Sorted(maps.Keys(n.placement.pools)) {
 		d, ok := n.gates.Division(service)
 		if !ok || d.Contended() >= demand.Bands {
 			continue
 		}
+		s, _ := n.demand.summary(service)
 		all = append(all, ServiceShares{
 			Service: service, Band: d.Contended(), Shares: d.Shares(), Others: d.Others(),
-			Age: n.now.Monotonic - n.shares.summaries[service].At,
+			Age: n.now.Monotonic - s.At,
 		})
 	}
 	return all
--- a/core/nodetest/shares_test.go
+++ b/core/nodetest/shares_test.go
@@ -1,13 +1,11 @@
 package nodetest_test
 
 import (
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/demand"
 	"coltsfootward/core/fairshare"
 	"coltsfootward/core/message"
 	"coltsfootward/core/node"
@@ -38,51 +36,6 @@
 	sources []source
 }
 
-// summaries stands in for the exchange of the fleet's demand between the nodes.
-type summaries struct {
-	rig     *nodetest.Rig
-	members []*nodetest.Member
-	c       competition
-	// demand is the demand of each source in slots, an EWMA with a time constant of 1 s.
-	demand []float64
-}
-
-const summaryInterval = 500 * time.Millisecond
-
-func newSummaries(r *nodetest.Rig, members []*nodetest.Member, c competition) *summaries {
-	s := &summaries{rig: r, members: members, c: c, demand: make([]float64, len(c.sources))}
-	if c.scope == node.ShareScopeFleet {
-		r.After(summaryInterval, s.send)
-	}
-	return s
-}
-
-// count adds a request of a source.
-func (s *summaries) count(index int) {
-	s.demand[index] += s.c.work.Seconds() * (1 - math.Exp(-summaryInterval.Seconds())) / summaryInterval.Seconds()
-}
-
-func (s *summaries) send() {
-	summary := demand.Summary{Service: "quotes", Entries: len(s.members)}
-	for i, from := range s.c.sources {
-		band := 10 // of routes with priority normal
-		if from.path == "/orders/x" {
-			band = 0
-		}
-		o := demand.Organisation{Name: coltsfootward.OrganisationName(from.organisation)}
-		o.Demand[band] = s.demand[i]
-		summary.Total[band] += s.demand[i]
-		summary.Organisations = append(summary.Organisations, o)
-		s.demand[i] *= math.Exp(-summaryInterval.Seconds())
-	}
-	for _, m := range s.members {
-		if m.Alive() {
-			m.Node().ObserveDemand(summary)
-		}
-	}
-	s.rig.After(summaryInterval, s.send)
-}
-
 func sharesDocument(sources []source) coltsfootward.Configuration {
 	document := limitDocument()
 	routes := append(document.Routes(), coltsfootward.Route{
@@ -123,7 +76,6 @@
 	}
 	r.Run(time.Second)
 	began := r.Now()
-	summary := newSummaries(r, members, c)
 	counted := make([][]*nodetest.Outcome, len(c.sources))
 	for i, s := range c.sources {
 		var next func()
@@ -132,7 +84,6 @@
 				return
 			}
 			entry := members[s.entries[random.IntN(len(s.entries))]-'0']
-			summary.count(i)
 			o := entry.Send(nodetest.Request{Key: coltsfootward.KeyDigest(s.organisation), Host: routedHost, Path: s.path})
 			if r.Now()-began >= warmUp {
 				counted[i] = append(counted[i], o)
--- a/core/pressure/price.go
+++ b/core/pressure/price.go
@@ -86,4 +86,7 @@
 	}
 }
 
+// Band returns the importance band of a shed rank.
+func Band(rank uint32) int { return bandOf(rank) }
+
 func bandOf(rank uint32) int { return int(min(rank>>hashBits, bands-1)) }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -41,6 +41,7 @@
 	BackendLimited      Code = 316
 	BackendUnlimited    Code = 317
 	BackendUnreadable   Code = 318
+	CollectorSkipped    Code = 332
 	WeightUnknown       Code = 360
 	SharesBegan         Code = 361
 	SharesEnded         Code = 362
@@ -112,6 +113,7 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
+	{CollectorSkipped, "collector_skipped", "info", "A collector of the demand for a service did not answer two reports. The node reports to another one for a few seconds; next is empty if there is none."},
 	{WeightUnknown, "weight_unknown", "warn", "The setting shares.weights names an organisation that the configuration does not hold; the weight has no effect. Correct the name, or ignore this if the organisation is yet to come."},
 	{SharesBegan, "shares_began", "info", "The demand for a service exceeds its capacity, which is divided between organisations: band is the importance that does not fit (0 to 15), level the slots that an organisation of weight 1 may use of it, demand the slots that the fleet asks for, age the age of that figure, entries the number of entry nodes that it includes."},
 	{SharesEnded, "shares_ended", "info", "The capacity of a service is no longer divided between organisations: the demand fits, or the demand of the fleet is not known and the node refuses by its own."},
