core/node: named limits go to the requests that the fleet admits whole

Where all servers name limits, the admitted demand was to fill 0.95 of them, and each node got a part in proportion to its demand, so that chance left important requests without room at a limit of a few requests a second. Under shares.scope = fleet the admitted demand is 1.15 times the limits, since entry nodes send the most urgent requests first, and demand that is admitted whole counts 1.35 times.

--- a/core/message/limit.go
+++ b/core/message/limit.go
@@ -16,6 +16,7 @@
 // LimitDemand is the reply to a LimitShare. It is part of Gossip.
 type LimitDemand struct {
 	// PerSecond is how many requests per second the sender has for the service of the
-	// receiver's backend server, whether it sends them or not.
+	// receiver's backend server, whether it sends them or not. Where the demand of the
+	// fleet is known, requests that are admitted whole count for more.
 	PerSecond float64 `msgpack:"per_second"`
 }
--- a/core/node/limits.go
+++ b/core/node/limits.go
@@ -139,7 +139,7 @@
 	if !s.pool.Wants(now, from) {
 		return 0
 	}
-	return s.demand.PerSecond(now)
+	return s.demand.PerSecond(now) + importantHeadroom*s.importantDemand.PerSecond(now)
 }
 
 func (p *limitsComponent) tick() {
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -35,6 +35,9 @@
 	// determines the fraction of them that the limits named by all servers of the
 	// service have no room for.
 	demand rate.Meter
+	// importantDemand is the rate of those requests whose importance fits the capacity
+	// as a whole.
+	importantDemand rate.Meter
 	// callCost is the mean slot time, in seconds, of the node's calls to the service.
 	callCost      float64
 	limitThrottle pressure.Throttle
@@ -115,7 +118,11 @@
 
 // countDemand counts a request for the service, whether it is sent or not.
 func (p *placementComponent) countDemand(call *entryCall) {
-	p.poolFor(call.head.Service).demand.Record(p.node.now.Monotonic)
+	s := p.poolFor(call.head.Service)
+	s.demand.Record(p.node.now.Monotonic)
+	if p.node.shares.fits(call) {
+		s.importantDemand.Record(p.node.now.Monotonic)
+	}
 }
 
 // limitWait returns the time until a server has room for the call, if all servers lack
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -9,6 +9,7 @@
 	"coltsfootward/core/demand"
 	"coltsfootward/core/fairshare"
 	"coltsfootward/core/message"
+	"coltsfootward/core/pressure"
 	"coltsfootward/core/record"
 )
 
@@ -24,6 +25,19 @@
 	ShareScopeFleet ShareScope = "fleet"
 )
 
+const (
+	// fleetLimitUse is the part of the limits that the admitted demand is to fill. It is
+	// above 1 because entry nodes send the most urgent requests first, so that only less
+	// important ones find no room. With four servers that name 15 a second each, 0.85 to
+	// 0.87 of the limits were used at 0.95, and 0.93 to 0.96 are.
+	fleetLimitUse = 1.15
+	// importantHeadroom is by how much a node's share of a limit exceeds its demand for
+	// requests that are admitted whole. Chance would else leave some of them without
+	// room at a limit of a few requests a second: 0.92 to 0.98 of them were served
+	// without it, and 0.96 to 0.99 are.
+	importantHeadroom = 0.35
+)
+
 // sharesComponent connects the demand of the fleet with the gates, the limits that servers name and the queue
 // of the local backend server.
 type sharesComponent struct {
@@ -65,7 +79,14 @@
 		return 0, false
 	}
 	perSecond := summary.Total.Total() / s.callCost
-	return max(1-targetLimitUse*limit/max(perSecond, limit), 0), true
+	return max(1-fleetLimitUse*limit/max(perSecond, limit), 0), true
+}
+
+// fits reports whether all requests of the call's importance are admitted while less
+// important ones are not.
+func (p *sharesComponent) fits(call *entryCall) bool {
+	d, ok := p.node.gates.Division(call.head.Service)
+	return ok && d.Contended() < demand.Bands && pressure.Band(call.head.ShedRank) < d.Contended()
 }
 
 // account returns the organisation that a call counts for in the queue of the local
--- a/core/nodetest/shares_test.go
+++ b/core/nodetest/shares_test.go
@@ -163,3 +163,15 @@
 		}
 	}
 }
+// Guards against the same where all servers name limits.
+func TestImportantRequestsWithinLimitsAreServedWhereverTheyEnter(t *testing.T) {
+	c := competition{slots: 40, work: 70 * time.Millisecond, limit: 15, scope: node.ShareScopeFleet}
+	c.sources = []source{{"a", "/orders/x", 24, "0"}, {"b", "/quotes/x", 72, "123"}}
+	for seed := range uint64(4) {
+		served, used := c.run(t, seed)
+		t.Logf("seed %d: served %.3f, used %.3f", seed, served, used)
+		if served[0] < 0.95 || used < 0.93 {
+			t.Errorf("seed %d: served %.3f, used %.3f; want 0.95 of the orders, 0.93 used", seed, served, used)
+		}
+	}
+}
