--- a/cmd/coltsfootctl/output.go
+++ b/cmd/coltsfootctl/output.go
@@ -17,6 +17,11 @@
 	if s.options.Output == "json" {
 		return s.printJSON(response)
 	}
+	return s.printTable(heading, rows)
+}
+
+// printTable writes a table with aligned columns.
+func (s *session) printTable(heading []string, rows [][]string) error {
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, strings.Join(heading, "\t"))
 	for _, row := range rows {
--- a/cmd/coltsfootctl/run.go
+++ b/cmd/coltsfootctl/run.go
@@ -89,6 +89,8 @@
 		{"service", "set", "create a service or change its marks and limits",
 			"Creates a service, or changes it if --based-on names the revision that list shows. The longest path prefix that matches marks a request.\n\nExample: coltsfootctl service set bulletins --mark 'POST /orders critical unrepeatable' --mark 'GET /archive low'", &serviceSet{session: s}},
 		{"service", "list", "list services and their marks", "Example: coltsfootctl service list", &serviceList{session: s}},
+		{"service", "shares", "show the organisations that compete for services without room for all, with the demand, share and refusals of each in slots",
+			"Example: coltsfootctl service shares quotes", &serviceShares{session: s}},
 
 		{"", "status", "show what a node knows of itself and of the deployment", "Example: coltsfootctl --node 10.0.0.1:7004 status", &status{session: s}},
 		{"", "watch", "wait until a revision is in force everywhere", "Shows which failure domains and instances the revision still waits for.\n\nExample: coltsfootctl watch 42 --wait 30s", &watch{session: s}},
--- a/cmd/endtoend/ctl_test.go
+++ b/cmd/endtoend/ctl_test.go
@@ -16,6 +16,7 @@
 		want        string
 	}{
 		{"list", "", []string{"organisation", "list"}, 0, "traders"},
+		{"shares", "", []string{"service", "shares", service}, 0, "no capacity is divided"},
 		{"help", "", []string{"service", "set", "--help"}, 0, "unrepeatable"},
 		{"unknown command", "", []string{"dance"}, 2, "--help"},
 		{"missing argument", "", []string{"organisation", "set", "brokers"}, 2, "rate"},
--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -49,6 +49,8 @@
 	case kind == coltsfootward.RefusalOverRate && f["parts"] != "":
 		return fmt.Sprintf("organisation %s has a rate of %s requests per second and a burst of %s (revision %s), and no part of the rate had a token: %s",
 			f["organisation"], f["rate"], f["burst"], f["revision"], f["parts"])
+	case f["full"] != "" && f["contended_band"] != "":
+		return shareReason(refused)
 	case f["full"] != "":
 		return fmt.Sprintf("it needs service %s, whose servers request that a fraction of %s of the demand be refused (reported %s ago), so requests with a rank above %s are refused and this one has rank %s%s%s",
 			f["full"], f["excess"], f["age"], f["limit"], f["rank"], limitShortfall(refused),
@@ -74,6 +76,24 @@
 	return f["detail"]
 }
 
+// shareReason describes a request that was refused by the demand of the whole fleet.
+func shareReason(refused Line) string {
+	f := refused.Fields
+	text := fmt.Sprintf("it needs service %s, which can serve a fraction of %s of the fleet's demand (known %s ago); requests of importance %s do not all fit",
+		f["full"], f["passed"], f["summary_age"], f["contended_band"])
+	switch {
+	case f["asked"] == "":
+		text += fmt.Sprintf(", and this one has importance %s (0 is the most important)", f["band"])
+	case f["account"] == "others":
+		text += fmt.Sprintf(", and its organisation %s is one of those that are not counted by name: together they ask for %s slots and get %s",
+			f["organisation"], f["asked"], f["share"])
+	default:
+		text += fmt.Sprintf(", and its organisation %s (weight %s) asks for %s slots and its share is %s",
+			f["account"], f["weight"], f["asked"], f["share"])
+	}
+	return text + limitShortfall(refused) + coldTime(refused, "; so many of its servers are cold, for another %s, that it can handle little")
+}
+
 // quarantineReason describes a withheld request. A node that refuses it on behalf of its
 // backend server does not log method and path.
 func quarantineReason(refused Line) string {
@@ -108,7 +128,7 @@
 	if fraction == "" {
 		return ""
 	}
-	return fmt.Sprintf("; all of these servers name limits, which have no room for a fraction of %s of this node's requests", fraction)
+	return fmt.Sprintf("; all of these servers name limits, which have no room for a fraction of %s of the requests", fraction)
 }
 
 // coldTime formats the remaining time for which servers are cold. It returns "" if the
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -90,7 +90,12 @@
 		field("rank", number(call.head.ShedRank)),
 		field("limit", number(state.Limit)),
 	}
-	if shortfall := p.node.placement.poolFor(service).limitThrottle.Excess(); shortfall > 0 {
+	pool := p.node.placement.poolFor(service)
+	shortfall, known := p.node.shares.limitShortfall(service, pool)
+	if !known {
+		shortfall = pool.limitThrottle.Excess()
+	}
+	if shortfall > 0 {
 		fields = append(fields, field("limit_shortfall", decimal(shortfall)))
 	}
 	fields = append(fields, p.node.shares.evidence(call, service)...)
