core/emulation: organisations of uneven size and entry nodes of their own

The emulated callers were one organisation that enters at all instances, so unevenness between callers could not be emulated. A deployment may now have organisations with a part of the demand and entry instances each; outcomes are counted by organisation. outcome_test.go passes its class as a requestKind now and checks the same.

--- a/core/emulation/caller.go
+++ b/core/emulation/caller.go
@@ -21,13 +21,20 @@
 
 // callerRequest is one request of a caller with all its retries.
 type callerRequest struct {
-	class   Class
-	entry   int
-	arrived time.Duration
+	class Class
+	// organisation is the index of the caller's organisation.
+	organisation int
+	entry        int
+	arrived      time.Duration
 	// retries is how many retries remain.
 	retries int
 }
 
+// kind returns what a request's outcome is counted by.
+func (r *callerRequest) kind() requestKind {
+	return requestKind{Class: r.class, organisation: r.organisation}
+}
+
 // scheduleArrival draws the next arrival of a class by thinning: candidates
 // arrive at the peak rate, and each is accepted with the ratio of the present
 // rate to the peak rate.
@@ -52,11 +59,31 @@
 }
 
 func (w *world) arrive(c Class, now time.Duration) {
-	req := &callerRequest{class: c, entry: w.source.IntN(len(w.members)), arrived: now, retries: callerRetries}
-	w.outcome.addRequest(c, now)
+	req := &callerRequest{class: c, arrived: now, retries: callerRetries}
+	req.organisation, req.entry = w.drawCaller()
+	w.outcome.addRequest(req.kind(), now)
 	w.send(req)
 }
 
+// drawCaller returns the organisation of a caller and the instance at which it enters.
+func (w *world) drawCaller() (organisation, entry int) {
+	organisations := w.deployment.Organisations
+	if len(organisations) == 0 {
+		return 0, w.source.IntN(len(w.members))
+	}
+	total := 0.0
+	for _, o := range organisations {
+		total += o.Demand
+	}
+	drawn := w.source.Float64() * total
+	for organisation < len(organisations)-1 && drawn >= organisations[organisation].Demand {
+		drawn -= organisations[organisation].Demand
+		organisation++
+	}
+	entries := w.entries[organisation]
+	return organisation, entries[w.source.IntN(len(entries))]
+}
+
 // firstRunning returns the first running member at or after the given index.
 // Callers of an instance that is down go to another one.
 func (w *world) firstRunning(from int) *nodetest.Member {
@@ -70,14 +97,14 @@
 
 func (w *world) send(req *callerRequest) {
 	remaining := req.class.Deadline - (w.now() - req.arrived)
-	o := w.firstRunning(req.entry).Send(nodetest.Request{Key: key, Host: host, Path: pathOf(req.class), Timeout: remaining})
+	o := w.firstRunning(req.entry).Send(nodetest.Request{Key: w.key(req.organisation), Host: host, Path: pathOf(req.class), Timeout: remaining})
 	o.OnDone(func() { w.finish(req, o) })
 }
 
 func (w *world) finish(req *callerRequest, o *nodetest.Outcome) {
 	took := w.now() - req.arrived
 	if o.Succeeded() {
-		w.outcome.addServed(req.class, req.arrived, took)
+		w.outcome.addServed(req.kind(), req.arrived, took)
 		return
 	}
 	remaining := req.class.Deadline - took
@@ -91,7 +118,7 @@
 	}
 	wait = min(wait, remaining/maxWaitDivisor)
 	if req.retries == 0 || remaining <= 0 || req.class.Unrepeatable && !notRun {
-		w.outcome.addUnserved(req.class, req.arrived, notRun)
+		w.outcome.addUnserved(req.kind(), req.arrived, notRun)
 		return
 	}
 	req.retries--
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -50,6 +50,15 @@
 	ChildCalls       ChildCalls
 }
 
+// Organisation is a part of the callers.
+type Organisation struct {
+	Name coltsfootward.OrganisationName
+	// Demand is the organisation's part of all callers' requests, relative to others.
+	Demand float64
+	// Entries are the instances at which its requests enter; all if it is empty.
+	Entries []coltsfootward.InstanceID
+}
+
 // Deployment is a set of services, the classes of requests that they serve, and
 // the failure domains that they run in.
 type Deployment struct {
@@ -59,6 +68,9 @@
 	Classes  []Class
 	// RetryShare and RetryBurst limit the retries of each service.
 	RetryShare, RetryBurst float64
+	// Organisations are the callers; without any there is one, whose requests enter at
+	// all instances.
+	Organisations []Organisation
 	// ShareScope is the setting shares.scope.
 	ShareScope node.ShareScope
 }
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -29,6 +29,8 @@
 type Outcome struct {
 	Deployment Deployment
 	Classes    map[coltsfootward.RouteName]*Counts
+	// Organisations counts the requests of the deployment's organisations.
+	Organisations map[coltsfootward.OrganisationName]*Counts
 	// Seconds counts the requests by the second of the run in which they were
 	// first sent.
 	Seconds []Counts
@@ -41,30 +43,43 @@
 
 func newOutcome(d Deployment, length time.Duration) *Outcome {
 	o := &Outcome{
-		Deployment: d,
-		Classes:    make(map[coltsfootward.RouteName]*Counts),
-		Seconds:    make([]Counts, int(length.Seconds())+1),
-		arrivals:   make(map[coltsfootward.ServiceName]int),
+		Deployment:    d,
+		Classes:       make(map[coltsfootward.RouteName]*Counts),
+		Seconds:       make([]Counts, int(length.Seconds())+1),
+		Organisations: make(map[coltsfootward.OrganisationName]*Counts),
+		arrivals:      make(map[coltsfootward.ServiceName]int),
 
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
 	}
 	for _, c := range d.Classes {
 		o.Classes[c.Name] = &Counts{}
 	}
+	for _, organisation := range d.Organisations {
+		o.Organisations[organisation.Name] = &Counts{}
+	}
 	return o
 }
 
+// requestKind is what the outcome of a request is counted by.
+type requestKind struct {
+	Class
+	organisation int
+}
+
 // update applies change to each of the counts that include a request.
-func (o *Outcome) update(c Class, arrived time.Duration, change func(*Counts)) {
+func (o *Outcome) update(c requestKind, arrived time.Duration, change func(*Counts)) {
 	change(o.Classes[c.Name])
+	if organisations := o.Deployment.Organisations; len(organisations) > 0 {
+		change(o.Organisations[organisations[c.organisation].Name])
+	}
 	change(&o.Seconds[min(int(arrived.Seconds()), len(o.Seconds)-1)])
 }
 
-func (o *Outcome) addRequest(c Class, arrived time.Duration) {
+func (o *Outcome) addRequest(c requestKind, arrived time.Duration) {
 	o.update(c, arrived, func(n *Counts) { n.Requests++; n.OfferedWorth += c.Worth })
 }
 
-func (o *Outcome) addServed(c Class, arrived, took time.Duration) {
+func (o *Outcome) addServed(c requestKind, arrived, took time.Duration) {
 	o.update(c, arrived, func(n *Counts) {
 		if took <= c.Objective {
 			n.OnTime++
@@ -76,7 +91,7 @@
 	})
 }
 
-func (o *Outcome) addUnserved(c Class, arrived time.Duration, notRun bool) {
+func (o *Outcome) addUnserved(c requestKind, arrived time.Duration, notRun bool) {
 	o.update(c, arrived, func(n *Counts) {
 		if notRun {
 			n.Refused++
--- a/core/emulation/outcome_test.go
+++ b/core/emulation/outcome_test.go
@@ -10,7 +10,7 @@
 func TestLateResponseEarnsLateWorth(t *testing.T) {
 	d := Publisher()
 	o := newOutcome(d, time.Second)
-	order := d.class("order")
+	order := requestKind{Class: d.class("order")}
 	o.addRequest(order, 0)
 	o.addRequest(order, 0)
 	o.addServed(order, 0, order.Objective)
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"coltsfootward"
@@ -80,6 +81,7 @@
 	}
 	w.outcome = newOutcome(d, length)
 	w.start()
+	w.findEntries()
 	w.rig.Run(formationTime)
 	w.trafficStart = w.rig.Now()
 	w.scheduleLosses()
@@ -96,13 +98,16 @@
 
 // world is the state of one run.
 type world struct {
-	deployment   Deployment
-	disturbance  Disturbance
-	length       time.Duration
-	rig          *nodetest.Rig
-	source       *rand.Rand
-	members      []*nodetest.Member
-	services     map[*nodetest.Member]Service
+	deployment  Deployment
+	disturbance Disturbance
+	length      time.Duration
+	rig         *nodetest.Rig
+	source      *rand.Rand
+	members     []*nodetest.Member
+	services    map[*nodetest.Member]Service
+	// entries holds, for each organisation, the indexes of the members at which its
+	// requests enter.
+	entries      [][]int
 	trafficStart time.Duration
 	outcome      *Outcome
 }
@@ -144,9 +149,34 @@
 	}
 	organisations := []coltsfootward.Organisation{{Name: "callers", Rate: coltsfootward.Rate{PerSecond: unlimitedRate, Burst: unlimitedRate}}}
 	keys := []coltsfootward.Key{{ID: "k", Digest: key, Organisation: "callers"}}
+	for i, o := range w.deployment.Organisations {
+		organisations = append(organisations, coltsfootward.Organisation{Name: o.Name, Rate: organisations[0].Rate})
+		keys = append(keys, coltsfootward.Key{ID: string(o.Name), Digest: w.key(i), Organisation: o.Name})
+	}
 	return coltsfootward.NewConfiguration(1, organisations, keys, nil).WithRoutes(routes)
 }
 
+// key returns the digest of an organisation's key.
+func (w *world) key(organisation int) coltsfootward.KeyDigest {
+	if len(w.deployment.Organisations) == 0 {
+		return key
+	}
+	return coltsfootward.KeyDigest("digest of the key of " + w.deployment.Organisations[organisation].Name)
+}
+
+// findEntries determines the members at which each organisation's requests enter.
+func (w *world) findEntries() {
+	for _, o := range w.deployment.Organisations {
+		var entries []int
+		for i, m := range w.members {
+			if len(o.Entries) == 0 || slices.Contains(o.Entries, m.Instance.ID) {
+				entries = append(entries, i)
+			}
+		}
+		w.entries = append(w.entries, entries)
+	}
+}
+
 func pathOf(c Class) string { return "/" + string(c.Name) + "/" }
 
 // configureBackend sets the service times, child calls and faults of a backend
