--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -91,4 +91,5 @@
 	for _, s := range g.Shares {
 		fmt.Fprintf(w, "coltsfootward_share_band{service=%q} %d\n", s.Service, s.Band)
 	}
+	writeCrossing(w, g)
 }
