--- a/core/fairshare/division_test.go
+++ b/core/fairshare/division_test.go
@@ -97,6 +97,15 @@
 	})
 }
 
+// Guards against rounding errors that leave capacity unused beside a claim of a weight that
+// is larger by many orders of magnitude.
+func TestLevelWithUnequalWeights(t *testing.T) {
+	claims := []fairshare.Claim{{Demand: 2, Weight: 2e10}, {Demand: 1, Weight: 1}, {Demand: 4, Weight: 1}}
+	if got := fairshare.Level(claims, 5); math.Abs(got-2) > 1e-9 {
+		t.Errorf("got level %v, want 2", got)
+	}
+}
+
 // Guards against weights that are ignored, or replaced by a default without a word.
 func TestBadWeightsAreNamed(t *testing.T) {
 	for _, text := range []string{"a=0", "a=-1", "a=NaN", "a=+Inf", "a=much", "a", "=2", "a="} {
