Merge shares and importance over the fleet

The division of the fleet's demand applies to gates for slots; a gate for retries refuses by the entry node's own demand, and its evidence names no share. Queues keep the rank order of attributed calls and count them for their account.

--- a/cmd/coltsfootctl/run.go
+++ b/cmd/coltsfootctl/run.go
@@ -91,6 +91,8 @@
 		{"service", "list", "list services and their marks", "Example: coltsfootctl service list", &serviceList{session: s}},
 		{"service", "show", "show the backend servers of a service as the node sees them",
 			"Shows the learned speed of each server as a multiple of the service's mean, how many times as long as usual work takes there as the server stated and how long ago, and the server's share of this node's requests for the service.\n\nExample: coltsfootctl service show bulletins", &serviceShow{session: s}},
+		{"service", "shares", "show the organisations that compete for services without room for all, with the demand, share and refusals of each in slots",
+			"Example: coltsfootctl service shares quotes", &serviceShares{session: s}},
 		{"service", "crossing", "show what goes from one failure domain to another, and why",
 			"Adds up the requests and bytes since the start of each node. FRACTION is the part of a domain's demand that goes there now.\n\nExample: coltsfootctl service crossing quotes", &serviceCrossing{session: s}},
 
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -242,6 +242,9 @@
 	// CallLimits holds, by route, how many milliseconds after the start of their parent
 	// those calls expire at the latest, where the node has learned it.
 	CallLimits map[coltsfootward.RouteName]int64 `json:"call_limits"`
+	// Shares are the services whose capacity is divided between organisations, with the
+	// organisations that compete for it.
+	Shares []serviceShares `json:"shares"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -296,6 +299,7 @@
 		LoadNoticesReceived:     stated.NoticesReceived,
 		Attributions:            n.Attributions(),
 		CallLimits:              callLimits(n),
+		Shares:                  sharesOf(n),
 	}
 }
 
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -52,6 +52,15 @@
 	Bytes int64
 }
 
+// Organisation is a part of the callers.
+type Organisation struct {
+	Name coltsfootward.OrganisationName
+	// Demand is the organisation's part of all callers' requests, relative to others.
+	Demand float64
+	// Entries are the instances at which its requests enter; all if it is empty.
+	Entries []coltsfootward.InstanceID
+}
+
 // Deployment is a set of services, the classes of requests that they serve, and
 // the failure domains that they run in.
 type Deployment struct {
@@ -69,6 +78,11 @@
 	Attribution string
 	// RetryGrants lets the nodes of backend servers grant the retries.
 	RetryGrants bool
+	// Organisations are the callers; without any there is one, whose requests enter at
+	// all instances.
+	Organisations []Organisation
+	// ShareScope is the setting shares.scope.
+	ShareScope node.ShareScope
 	// Crossing and CrossingMargin decide which requests are sent to another domain.
 	Crossing       node.Crossing
 	CrossingMargin float64
--- a/core/node/crossing.go
+++ b/core/node/crossing.go
@@ -27,7 +27,9 @@
 )
 
 // exchangesDemand reports whether nodes exchange the demand for contended services.
-func (o Options) exchangesDemand() bool { return o.crossesSurplus() }
+func (o Options) exchangesDemand() bool {
+	return o.Routed && (o.Crossing == CrossingSurplus || o.ShareScope == ShareScopeFleet)
+}
 
 func (o Options) crossesSurplus() bool { return o.Routed && o.Crossing == CrossingSurplus }
 
@@ -102,7 +104,7 @@
 		c.To, c.Local = call.crossTo, call.crossTo == ""
 	}
 	pool := p.node.placement.poolFor(call.head.Service).pool
-	to, reason, ok := pool.ChooseNear(p.node.now.Monotonic, p.node.source, placementRequest(call), c)
+	to, reason, ok := pool.ChooseNear(p.node.now.Monotonic, p.node.source, p.node.placement.placementRequest(call), c)
 	if reason != "" {
 		p.count(call, to.Domain).Requests[reason]++
 	}
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -178,7 +178,7 @@
 		return false
 	}
 	p.node.demand.requestArrived(call)
-	saturated, admitted := p.node.gates.AdmitBy(call.head.Route, call.head.ShedRank)
+	saturated, admitted := p.node.gates.AdmitFor(call.head.Route, call.head.ShedRank, call.head.Organisation)
 	if admitted {
 		p.node.demand.requestAdmitted(call)
 		return false
@@ -223,6 +223,7 @@
 		return
 	}
 	p.nextGateReport = now + gateReportInterval
+	p.node.shares.report()
 	for _, m := range p.node.gates.Moved(now) {
 		p.node.report(record.GateMoved, field("service", string(m.Service)), field("resource", resourceName(m.Resource)), field("excess", decimal(m.Excess)),
 			field("age", m.Age.String()), field("passed", decimal(m.Admitted)))
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
 	"coltsfootward/core/pressure"
 	"coltsfootward/core/record"
 )
@@ -92,9 +93,17 @@
 		field("rank", number(call.head.ShedRank)),
 		field("limit", number(state.Limit)),
 	}
-	if shortfall := p.node.placement.poolFor(service).limitThrottle.Excess(); shortfall > 0 {
+	pool := p.node.placement.poolFor(service)
+	shortfall, known := p.node.shares.limitShortfall(service, pool)
+	if !known {
+		shortfall = pool.limitThrottle.Excess()
+	}
+	if shortfall > 0 {
 		fields = append(fields, field("limit_shortfall", decimal(shortfall)))
 	}
+	if key.Resource == message.ResourceSlots {
+		fields = append(fields, p.node.shares.evidence(call, service)...)
+	}
 	return coldField(fields, p.node.placement.coldRetryAfter(service))
 }
 
--- a/core/node/limits.go
+++ b/core/node/limits.go
@@ -83,6 +83,9 @@
 func (p *limitsComponent) sendShare(to coltsfootward.InstanceID) bool {
 	now := p.node.now.Monotonic
 	share := message.LimitShare{Interval: p.intervalOf(to)}
+	if p.node.shares.fleet() {
+		share.Limit = p.node.upstream.condition.current.Limit
+	}
 	if to == p.node.options.Self.ID {
 		p.shares.SetDemand(now, to, p.shareReceived(to, share))
 		return true
@@ -132,13 +135,14 @@
 	now := p.node.now.Monotonic
 	s := p.node.placement.poolFor(service)
 	s.pool.SetShare(now, from, share.Interval, now+shareLifetime)
+	s.pool.SetLimit(from, share.Limit)
 	if share.Interval > 0 {
 		p.node.demand.limitNamed(service)
 	}
 	if !s.pool.Wants(now, from) {
 		return 0
 	}
-	return s.demand.PerSecond(now)
+	return s.demand.PerSecond(now) + importantHeadroom*s.importantDemand.PerSecond(now)
 }
 
 func (p *limitsComponent) tick() {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -49,6 +49,7 @@
 	upstream    *upstreamComponent
 	limits      *limitsComponent
 	grants      *grantsComponent
+	shares      *sharesComponent
 	// quarantine withholds requests that crash backend servers.
 	quarantine *quarantineComponent
 	// demand exchanges the demand for contended services.
@@ -83,6 +84,7 @@
 	n.upstream = newUpstreamComponent(n)
 	n.grants = newGrantsComponent(n)
 	n.limits = newLimitsComponent(n)
+	n.shares = newSharesComponent(n)
 	n.demand = newDemandComponent(n)
 	n.crossing = newCrossingComponent(n)
 	return n
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -34,7 +34,12 @@
 	// demand is the rate of the node's requests for the service. limitThrottle
 	// determines the fraction of them that the limits named by all servers of the
 	// service have no room for.
-	demand        rate.Meter
+	demand rate.Meter
+	// importantDemand is the rate of those requests whose importance fits the capacity
+	// as a whole.
+	importantDemand rate.Meter
+	// callCost is the mean slot time, in seconds, of the node's calls to the service.
+	callCost      float64
 	limitThrottle pressure.Throttle
 }
 
@@ -101,14 +106,18 @@
 	if p.node.options.crossesSurplus() {
 		return p.node.crossing.choose(call)
 	}
-	return p.poolFor(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, placementRequest(call))
+	return p.poolFor(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, p.placementRequest(call))
 }
 
 // placementRequest describes the call for placement. Calls of backend servers are the
 // most urgent, since their refusal wastes the work of the requests above them.
-func placementRequest(call *entryCall) placement.Request {
+func (p *placementComponent) placementRequest(call *entryCall) placement.Request {
 	urgency := 1.0
-	if call.head.Depth == 0 {
+	switch {
+	case call.head.Depth > 0:
+	case p.node.shares.fits(call):
+		urgency = fittingUrgency
+	default:
 		urgency -= float64(call.head.ShedRank) / shedRanks
 	}
 	return placement.Request{Tried: call.tried, Urgency: urgency, Class: string(call.head.Route)}
@@ -116,13 +125,17 @@
 
 // countDemand counts a request for the service, whether it is sent or not.
 func (p *placementComponent) countDemand(call *entryCall) {
-	p.poolFor(call.head.Service).demand.Record(p.node.now.Monotonic)
+	s := p.poolFor(call.head.Service)
+	s.demand.Record(p.node.now.Monotonic)
+	if p.node.shares.fits(call) {
+		s.importantDemand.Record(p.node.now.Monotonic)
+	}
 }
 
 // limitWait returns the time until a server has room for the call, if all servers lack
 // room for it because of the limits that they name; otherwise zero.
 func (p *placementComponent) limitWait(call *entryCall) time.Duration {
-	return p.poolFor(call.head.Service).pool.RoomWait(p.node.now.Monotonic, placementRequest(call))
+	return p.poolFor(call.head.Service).pool.RoomWait(p.node.now.Monotonic, p.placementRequest(call))
 }
 
 // attemptSent records that the call's attempt was sent.
@@ -174,6 +187,7 @@
 	if call.head.Route == "" {
 		return
 	}
+	p.poolFor(call.head.Service).observeCallCost(load.Cost)
 	reported := []pressure.Report{{Service: call.head.Service, Excess: load.Excess, Cost: load.Cost, Cold: load.Cold > 0}}
 	for _, downstream := range load.Downstream {
 		reported = append(reported, pressure.Report{Service: downstream.Service, Resource: downstream.Resource, Excess: downstream.Excess, Cost: downstream.Cost})
@@ -181,6 +195,20 @@
 	p.node.gates.ObserveResponse(p.node.now.Monotonic, call.head.Route, reported)
 }
 
+// callCostWeight is the EWMA weight of the newest call in the mean cost of calls.
+const callCostWeight = 0.05
+
+// observeCallCost adds the slot time in seconds of one call to the mean; zero if it is
+// not known.
+func (s *servicePool) observeCallCost(cost float64) {
+	if s.callCost <= 0 {
+		s.callCost = cost
+	}
+	if cost > 0 {
+		s.callCost += callCostWeight * (cost - s.callCost)
+	}
+}
+
 func kindOf(call *entryCall) placement.RequestKind {
 	return placement.RequestKind{Organisation: call.head.Organisation, Class: classOf(call.head)}
 }
@@ -228,7 +256,7 @@
 		// With up to 12 attempts, one server that rejects everything would get them all.
 		server = call.seenBy[call.hops%len(call.seenBy)]
 	}
-	if !pool.HasRoom(p.node.now.Monotonic, server, placementRequest(call)) {
+	if !pool.HasRoom(p.node.now.Monotonic, server, p.placementRequest(call)) {
 		return coltsfootward.Instance{}, false
 	}
 	return pool.Instance(server)
@@ -279,7 +307,12 @@
 		service, _ := p.node.configuration.current.Service(name)
 		s.pool.SetColdLimited(service.ColdRate > 0)
 		withheld, _ := p.coldShortfall(s)
-		p.node.gates.SetMinRefused(name, max(withheld, p.limitShortfall(s)))
+		p.node.shares.closeGates(name)
+		shortfall, known := p.node.shares.limitShortfall(name, s)
+		if !known {
+			shortfall = p.limitShortfall(s)
+		}
+		p.node.gates.SetMinRefused(name, max(withheld, shortfall))
 	}
 }
 
--- a/core/node/upstream_queue.go
+++ b/core/node/upstream_queue.go
@@ -11,15 +11,15 @@
 
 // request converts the call to a request for admission control.
 func (p *upstreamComponent) request(call *upstreamCall) admissioncontrol.Request {
-	organisation, _ := p.node.configuration.current.Organisation(call.head.Organisation)
+	organisation, weight := p.node.shares.account(call.head)
 	return admissioncontrol.Request{
 		ID:           admissioncontrol.RequestID(call.id),
 		Priority:     queuePriority(call.head),
 		ShedRank:     call.head.ShedRank,
 		Deep:         call.head.Depth > 0,
 		Attributed:   call.head.Attributed,
-		Organisation: call.head.Organisation,
-		Weight:       organisation.Rate.PerSecond,
+		Organisation: organisation,
+		Weight:       weight,
 		Class:        classOf(call.head),
 		Arrived:      call.arrivedAt,
 		Deadline:     call.deadline,
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -50,6 +50,9 @@
 	CallLimitChanged    Code = 340
 	RetriesShort        Code = 350
 	RetriesSufficient   Code = 351
+	WeightUnknown       Code = 360
+	SharesBegan         Code = 361
+	SharesEnded         Code = 362
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -127,6 +130,9 @@
 	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire, or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
 	{RetriesShort, "retries_short", "warn", "The backend server rejects a large share (rejected) of what it gets, and the node's part of the retry budget does not suffice. shortage is the ratio of the retries needed to those available, excess the fraction of the demand that entry nodes are asked to refuse, left the number of retries left. Correct the servers that reject."},
 	{RetriesSufficient, "retries_sufficient", "info", "The retries suffice again; no demand is refused on their account. granted and denied count the retries since the node's start."},
+	{WeightUnknown, "weight_unknown", "warn", "The setting shares.weights names an organisation that the configuration does not hold; the weight has no effect. Correct the name, or ignore this if the organisation is yet to come."},
+	{SharesBegan, "shares_began", "info", "The demand for a service exceeds its capacity, which is divided between organisations: band is the importance that does not fit (0 to 15), level the slots that an organisation of weight 1 may use of it, demand the slots that the fleet asks for, age the age of that figure, entries the number of entry nodes that it includes."},
+	{SharesEnded, "shares_ended", "info", "The capacity of a service is no longer divided between organisations: the demand fits, or the demand of the fleet is not known and the node refuses by its own."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
