--- a/cmd/daemon/exposition.go
+++ b/cmd/daemon/exposition.go
@@ -93,4 +93,8 @@
 	fmt.Fprintf(w, "coltsfootward_slowdown %g\n", g.Slowdown)
 	fmt.Fprintf(w, "coltsfootward_retries_left %g\n", g.RetriesLeft)
 	fmt.Fprintf(w, "coltsfootward_retry_excess %g\n", g.RetryExcess)
+	for _, s := range g.Shares {
+		fmt.Fprintf(w, "coltsfootward_share_band{service=%q} %d\n", s.Service, s.Band)
+	}
+	writeCrossing(w, g)
 }
--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -229,12 +229,22 @@
 	RetriesDenied  int     `json:"retries_denied"`
 	RetriesLeft    float64 `json:"retries_left"`
 	RetryExcess    float64 `json:"retry_excess"`
+	// Demand and Crossing describe the services whose demand is exchanged and the traffic
+	// to other failure domains.
+	Demand   []demandGauge   `json:"demand"`
+	Crossing []crossingGauge `json:"crossing"`
 	// Quarantined are the fingerprints of the requests that are withheld because
 	// they have crashed backend servers.
 	Quarantined []string `json:"quarantined"`
 	// Attributions counts the child calls of the local backend server by whether they
 	// were attributed to one of its requests.
 	Attributions attribution.Counts `json:"attributions"`
+	// CallLimits holds, by route, how many milliseconds after the start of their parent
+	// those calls expire at the latest, where the node has learned it.
+	CallLimits map[coltsfootward.RouteName]int64 `json:"call_limits"`
+	// Shares are the services whose capacity is divided between organisations, with the
+	// organisations that compete for it.
+	Shares []serviceShares `json:"shares"`
 }
 
 // registerGauges adds the gauges to vars. They are read from the state machine each
@@ -279,6 +289,8 @@
 		RetriesDenied:     grants.Denied,
 		RetriesLeft:       grants.Left,
 		RetryExcess:       grants.Excess,
+		Demand:            demandGauges(n),
+		Crossing:          crossingGauges(n),
 		Quarantined:       quarantinedTexts(n),
 
 		Slowdown:                stated.Slowdown,
@@ -286,9 +298,19 @@
 		LoadNoticesSent:         stated.NoticesSent,
 		LoadNoticesReceived:     stated.NoticesReceived,
 		Attributions:            n.Attributions(),
+		CallLimits:              callLimits(n),
+		Shares:                  sharesOf(n),
 	}
 }
 
+func callLimits(n *node.Node) map[coltsfootward.RouteName]int64 {
+	limits := make(map[coltsfootward.RouteName]int64)
+	for _, limit := range n.CallLimits() {
+		limits[limit.Route] = limit.After.Milliseconds()
+	}
+	return limits
+}
+
 func quarantinedTexts(n *node.Node) []string {
 	texts := []string{}
 	for _, f := range n.Quarantined() {
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/crossing"
+	"coltsfootward/core/fairshare"
 	"coltsfootward/core/node"
 
 	"github.com/pelletier/go-toml/v2"
@@ -34,8 +36,10 @@
 	// MaximumBody bounds a request's body in bytes.
 	MaximumBody int64
 	Log         Log
-	// Node holds the options of the state machine. Self, Domains, Contacts, Routed and
-	// Service are empty here and set by NodeOptions.
+	// ShareWeights are the weights of organisations, each as name=weight.
+	ShareWeights []string
+	// Node holds the options of the state machine. Self, Domains, Contacts, Routed, Service
+	// and ShareWeights are empty here and set by NodeOptions.
 	Node node.Options
 }
 
@@ -123,6 +127,12 @@
 	defaultNotice      = 2300 * time.Millisecond
 )
 
+func defaultNode() node.Options {
+	options := node.Options{}.WithDefaults()
+	options.CrossingMargin = crossing.DefaultMargin
+	return options
+}
+
 // Default returns the default settings, which a settings file overrides.
 func Default() Settings {
 	return Settings{
@@ -130,7 +140,7 @@
 		Stop:        Stop{Grace: defaultGrace, Notice: defaultNotice},
 		MaximumBody: defaultMaximumBody,
 		Log:         Log{Level: defaultLevel, Timeline: defaultTimeline},
-		Node:        node.Options{}.WithDefaults(),
+		Node:        defaultNode(),
 	}
 }
 
@@ -208,6 +218,9 @@
 	if s.Hosted() && (s.Listen.Ready == "" || s.Backend.Address == "" || s.Backend.Service == "") {
 		addError("deployment.kind", "is hosted: give listen.ready, backend.address and backend.service too")
 	}
+	if !s.Hosted() && s.Node.Crossing == node.CrossingSurplus {
+		addError("placement.crossing", "is surplus, which only hosted deployments have: give occupancy, or set deployment.kind to hosted")
+	}
 	if s.Node.MaximumTimeout < s.Node.Timeout {
 		addError("requests.maximum_timeout", fmt.Sprintf("is %v: give at least requests.timeout, %v", s.Node.MaximumTimeout, s.Node.Timeout))
 	}
@@ -248,6 +261,7 @@
 func (s Settings) NodeOptions(incarnation coltsfootward.Incarnation) node.Options {
 	options := s.Node
 	options.Routed = s.Hosted()
+	options.ShareWeights, _ = fairshare.ParseWeights(s.ShareWeights) // checked when the file was read
 	options.Service = coltsfootward.ServiceName(s.Backend.Service)
 	options.Self = coltsfootward.Instance{
 		ID:              coltsfootward.InstanceID(s.Instance.ID),
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// Guards against a setting that has no effect: the rule for crossing is applied in hosted
+// deployments only, and a margin of zero is not the default.
+func TestCrossingSettings(t *testing.T) {
+	placement := "\n[placement]\ncrossing = \"surplus\"\ncrossing_margin = 0\n"
+	_, err := settings.Parse("node.toml", []byte(validFile+placement))
+	if err == nil || !strings.Contains(err.Error(), "placement.crossing: is surplus, which only hosted deployments have: give occupancy") {
+		t.Errorf("got %v, want an error that names the remedy", err)
+	}
+	hosted := strings.Replace(validFile, "[listen]\n", "[listen]\nready = \"10.0.0.1:7005\"\n", 1) +
+		"[deployment]\nkind = \"hosted\"\n[backend]\naddress = \"10.0.0.1:80\"\nservice = \"quotes\"\n"
+	s, err := settings.Parse("node.toml", []byte(hosted+placement))
+	if err != nil || s.Node.Crossing != node.CrossingSurplus || s.Node.CrossingMargin != 0 {
+		t.Errorf("got %v, %q and %v, want surplus and 0", err, s.Node.Crossing, s.Node.CrossingMargin)
+	}
+	if s, err = settings.Parse("node.toml", []byte(hosted)); err != nil || s.Node.Crossing != node.CrossingOccupancy || s.Node.CrossingMargin != 0.1 {
+		t.Errorf("got %v, %q and %v, want occupancy and 0.1 by default", err, s.Node.Crossing, s.Node.CrossingMargin)
+	}
+}
+
 // All invalid values of a file must be reported at once, each with its key, the allowed
 // range and a remedy.
 func TestParseReportsEveryBadValue(t *testing.T) {
@@ -85,6 +104,9 @@
 		{"section that is a value", strings.Replace(validFile, "[platform]\nurl = \"http://10.0.0.9:7000\"", "", 1) + "platform = 3\n", "platform"},
 		{"maximum below default timeout", validFile + "[requests]\nmaximum_timeout = \"1s\"\n", "requests.maximum_timeout"},
 		{"boolean as text", validFile + "[retries]\ngrants = \"yes\"\n", "retries.grants"},
+		{"unknown scope", validFile + "[shares]\nscope = \"all\"\n", "shares.scope: is \"all\": give one of entry, fleet"},
+		{"weight that is zero", validFile + "[shares]\nweights = [\"mill=0\"]\n", "shares.weights"},
+		{"weight given twice", validFile + "[shares]\nweights = [\"mill=1\", \"mill=2\"]\n", "shares.weights"},
 		{"domain not listed", strings.Replace(validFile, `domain = "north"`, `domain = "west"`, 1), "instance.domains"},
 	}
 	for _, test := range tests {
@@ -112,7 +134,7 @@
 		if name == "Self" || name == "Domains" || name == "Contacts" {
 			continue // set by NodeOptions from instance and listen
 		}
-		if name == "Routed" || name == "Service" {
+		if name == "Routed" || name == "Service" || name == "ShareWeights" {
 			continue // set by NodeOptions; see TestHostedSettingsInNodeOptions
 		}
 		if !targets[value.Field(i).Addr().Interface()] {
@@ -134,6 +156,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if o := s.NodeOptions(1); o.ShareScope != node.ShareScopeEntry || o.ShareWeights.Of("mill") != 1 {
+		t.Errorf("got scope %q and weight %v, want entry and 1 by default", o.ShareScope, o.ShareWeights.Of("mill"))
+	}
+	s, err = settings.Parse("node.toml", []byte(hosted+"[shares]\nscope = \"fleet\"\nweights = [\"mill=2.5\"]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := s.NodeOptions(1); o.ShareScope != node.ShareScopeFleet || o.ShareWeights.Of("mill") != 2.5 {
+		t.Errorf("got scope %q and weight %v, want fleet and 2.5", o.ShareScope, o.ShareWeights.Of("mill"))
+	}
 	if o := s.NodeOptions(1); !o.Routed || o.Service != "quotes" {
 		t.Errorf("got Routed %v and Service %q, want true and quotes", o.Routed, o.Service)
 	}
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -29,11 +29,16 @@
 type Outcome struct {
 	Deployment Deployment
 	Classes    map[coltsfootward.RouteName]*Counts
+	// Organisations counts the requests of the deployment's organisations.
+	Organisations map[coltsfootward.OrganisationName]*Counts
 	// Seconds counts the requests by the second of the run in which they were
 	// first sent.
 	Seconds []Counts
 
-	arrivals map[coltsfootward.ServiceName]int
+	// CrossedBytes is the number of bytes of requests and responses between domains.
+	CrossedBytes int64
+
+	arrivals, crossed map[coltsfootward.ServiceName]int
 	// attributions counts the child calls that reached backend servers, by route.
 	attributions map[coltsfootward.RouteName]Attributions
 	// limitSpanRates holds, for each backend server of the disturbed service, the
@@ -43,10 +48,12 @@
 
 func newOutcome(d Deployment, length time.Duration) *Outcome {
 	o := &Outcome{
-		Deployment: d,
-		Classes:    make(map[coltsfootward.RouteName]*Counts),
-		Seconds:    make([]Counts, int(length.Seconds())+1),
-		arrivals:   make(map[coltsfootward.ServiceName]int),
+		Deployment:    d,
+		Classes:       make(map[coltsfootward.RouteName]*Counts),
+		Seconds:       make([]Counts, int(length.Seconds())+1),
+		Organisations: make(map[coltsfootward.OrganisationName]*Counts),
+		arrivals:      make(map[coltsfootward.ServiceName]int),
+		crossed:       make(map[coltsfootward.ServiceName]int),
 
 		attributions:   make(map[coltsfootward.RouteName]Attributions),
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
@@ -54,20 +61,32 @@
 	for _, c := range d.Classes {
 		o.Classes[c.Name] = &Counts{}
 	}
+	for _, organisation := range d.Organisations {
+		o.Organisations[organisation.Name] = &Counts{}
+	}
 	return o
 }
 
+// requestKind is what the outcome of a request is counted by.
+type requestKind struct {
+	Class
+	organisation int
+}
+
 // update applies change to each of the counts that include a request.
-func (o *Outcome) update(c Class, arrived time.Duration, change func(*Counts)) {
+func (o *Outcome) update(c requestKind, arrived time.Duration, change func(*Counts)) {
 	change(o.Classes[c.Name])
+	if organisations := o.Deployment.Organisations; len(organisations) > 0 {
+		change(o.Organisations[organisations[c.organisation].Name])
+	}
 	change(&o.Seconds[min(int(arrived.Seconds()), len(o.Seconds)-1)])
 }
 
-func (o *Outcome) addRequest(c Class, arrived time.Duration) {
+func (o *Outcome) addRequest(c requestKind, arrived time.Duration) {
 	o.update(c, arrived, func(n *Counts) { n.Requests++; n.OfferedWorth += c.Worth })
 }
 
-func (o *Outcome) addServed(c Class, arrived, took time.Duration) {
+func (o *Outcome) addServed(c requestKind, arrived, took time.Duration) {
 	o.update(c, arrived, func(n *Counts) {
 		if took <= c.Objective {
 			n.OnTime++
@@ -79,7 +98,7 @@
 	})
 }
 
-func (o *Outcome) addUnserved(c Class, arrived time.Duration, notRun bool) {
+func (o *Outcome) addUnserved(c requestKind, arrived time.Duration, notRun bool) {
 	o.update(c, arrived, func(n *Counts) {
 		if notRun {
 			n.Refused++
@@ -119,6 +138,9 @@
 	return o.attributions[route]
 }
 
+// Crossed returns how many of these requests came from another failure domain.
+func (o *Outcome) Crossed(service coltsfootward.ServiceName) int { return o.crossed[service] }
+
 // LimitedRates returns, for each backend server of the disturbed service, the requests
 // per second that reached it during the disturbance's LimitSpan.
 func (o *Outcome) LimitedRates() map[coltsfootward.InstanceID]float64 { return o.limitSpanRates }
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path"
+	"slices"
 	"strconv"
 	"time"
 
@@ -78,6 +79,10 @@
 	SlowTurn   time.Duration
 	SlowSpan   Span
 	StatesLoad bool
+	// Wave is the part by which the demand that enters in each domain varies around its
+	// mean, as a sine of WavePeriod that reaches the domains one after the other.
+	Wave       float64
+	WavePeriod time.Duration
 }
 
 // Run runs a deployment with traffic for the given length of time and returns
@@ -92,6 +97,7 @@
 	}
 	w.outcome = newOutcome(d, length)
 	w.start()
+	w.findEntries()
 	w.rig.Run(formationTime)
 	w.trafficStart = w.rig.Now()
 	w.scheduleLosses()
@@ -109,13 +115,16 @@
 
 // world is the state of one run.
 type world struct {
-	deployment   Deployment
-	disturbance  Disturbance
-	length       time.Duration
-	rig          *nodetest.Rig
-	source       *rand.Rand
-	members      []*nodetest.Member
-	services     map[*nodetest.Member]Service
+	deployment  Deployment
+	disturbance Disturbance
+	length      time.Duration
+	rig         *nodetest.Rig
+	source      *rand.Rand
+	members     []*nodetest.Member
+	services    map[*nodetest.Member]Service
+	// entries holds, for each organisation, the indexes of the members at which its
+	// requests enter.
+	entries      [][]int
 	trafficStart time.Duration
 	outcome      *Outcome
 }
@@ -136,6 +145,8 @@
 				RetryShare:          w.deployment.RetryShare, RetryBurst: w.deployment.RetryBurst,
 				Attribution: w.deployment.Attribution,
 				RetryGrants: w.deployment.RetryGrants,
+				ShareScope:  w.deployment.ShareScope,
+				Crossing:    w.deployment.Crossing, CrossingMargin: w.deployment.CrossingMargin,
 			})
 			w.members = append(w.members, m)
 			w.services[m] = s
@@ -158,9 +169,34 @@
 	}
 	organisations := []coltsfootward.Organisation{{Name: "callers", Rate: coltsfootward.Rate{PerSecond: unlimitedRate, Burst: unlimitedRate}}}
 	keys := []coltsfootward.Key{{ID: "k", Digest: key, Organisation: "callers"}}
+	for i, o := range w.deployment.Organisations {
+		organisations = append(organisations, coltsfootward.Organisation{Name: o.Name, Rate: organisations[0].Rate})
+		keys = append(keys, coltsfootward.Key{ID: string(o.Name), Digest: w.key(i), Organisation: o.Name})
+	}
 	return coltsfootward.NewConfiguration(1, organisations, keys, nil).WithRoutes(routes)
 }
 
+// key returns the digest of an organisation's key.
+func (w *world) key(organisation int) coltsfootward.KeyDigest {
+	if len(w.deployment.Organisations) == 0 {
+		return key
+	}
+	return coltsfootward.KeyDigest("digest of the key of " + w.deployment.Organisations[organisation].Name)
+}
+
+// findEntries determines the members at which each organisation's requests enter.
+func (w *world) findEntries() {
+	for _, o := range w.deployment.Organisations {
+		var entries []int
+		for i, m := range w.members {
+			if len(o.Entries) == 0 || slices.Contains(o.Entries, m.Instance.ID) {
+				entries = append(entries, i)
+			}
+		}
+		w.entries = append(w.entries, entries)
+	}
+}
+
 func pathOf(c Class) string { return "/" + string(c.Name) + "/" }
 
 // configureBackend sets the service times, child calls and faults of a backend
@@ -175,6 +211,7 @@
 		}
 		return time.Duration(work * float64(time.Second))
 	}
+	b.Size = func(call message.Call) int64 { return w.deployment.class(call.Route).Bytes }
 	b.Children = func(call message.Call) []nodetest.Request {
 		calls := w.deployment.class(call.Route).ChildCalls
 		children := make([]nodetest.Request, calls.Count)
@@ -289,6 +326,10 @@
 		w.outcome.arrivals[service] += len(m.Backend.Runs)
 		for _, run := range m.Backend.Runs {
 			w.countAttributions(run)
+			if run.From != m.Instance.Domain {
+				w.outcome.crossed[service]++
+				w.outcome.CrossedBytes += w.deployment.class(run.Head.Route).Bytes
+			}
 		}
 		if service == w.disturbance.Service {
 			w.outcome.limitSpanRates[m.Instance.ID] = w.rateWithin(m, w.disturbance.LimitSpan)
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -162,6 +162,7 @@
 	}
 	maps.DeleteFunc(p.splitStates, func(name coltsfootward.RouteName, _ *splitState) bool { return !names[name] })
 	p.node.gates.Retain(func(name coltsfootward.RouteName) bool { return names[name] })
+	p.node.crossing.retain(func(name coltsfootward.RouteName) bool { return names[name] })
 }
 
 // KnownClasses returns the number of request classes whose required services
@@ -176,8 +177,10 @@
 	if call.head.Depth > 0 {
 		return false
 	}
-	saturated, admitted := p.node.gates.AdmitBy(call.head.Route, call.head.ShedRank)
+	p.node.demand.requestArrived(call)
+	saturated, admitted := p.node.gates.AdmitFor(call.head.Route, call.head.ShedRank, call.head.Organisation)
 	if admitted {
+		p.node.demand.requestAdmitted(call)
 		return false
 	}
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, %s for requests of this importance", saturated.Service, shortOf(saturated))).
@@ -220,6 +223,7 @@
 		return
 	}
 	p.nextGateReport = now + gateReportInterval
+	p.node.shares.report()
 	for _, m := range p.node.gates.Moved(now) {
 		p.node.report(record.GateMoved, field("service", string(m.Service)), field("resource", resourceName(m.Resource)), field("excess", decimal(m.Excess)),
 			field("age", m.Age.String()), field("passed", decimal(m.Admitted)))
--- a/core/node/options.go
+++ b/core/node/options.go
@@ -5,6 +5,7 @@
 
 	"coltsfootward"
 	"coltsfootward/core/claim"
+	"coltsfootward/core/fairshare"
 	"coltsfootward/core/lease"
 	"coltsfootward/core/retry"
 )
@@ -73,6 +74,17 @@
 	// RetryGrants lets the nodes of backend servers grant the retries of a routed
 	// deployment. All nodes of a deployment must use the same value.
 	RetryGrants bool
+	// ShareScope is whose demand decides which requests are refused at entry. The
+	// default is ShareScopeEntry. It applies to routed deployments.
+	ShareScope ShareScope
+	// ShareWeights are the weights of organisations under ShareScopeFleet.
+	ShareWeights fairshare.Weights
+	// Crossing decides which requests of a routed deployment are sent to another failure
+	// domain. The default is CrossingOccupancy.
+	Crossing Crossing
+	// CrossingMargin is the fraction of its capacity that a failure domain keeps free of
+	// requests of other domains, with CrossingSurplus; zero means none.
+	CrossingMargin float64
 	// LeaseTerm is how long a node holds a slot after its last successful
 	// renewal. The default is 1 min.
 	LeaseTerm time.Duration
@@ -126,6 +138,9 @@
 	if o.Slots <= 0 {
 		o.Slots = DefaultSlots
 	}
+	if o.Crossing == "" {
+		o.Crossing = CrossingOccupancy
+	}
 	if o.LeaseTerm <= 0 {
 		o.LeaseTerm = lease.DefaultTerm
 	}
@@ -145,6 +160,9 @@
 	if o.Attribution == "" {
 		o.Attribution = AttributionNone
 	}
+	if o.ShareScope == "" {
+		o.ShareScope = ShareScopeEntry
+	}
 	if o.KeyGrace <= 0 {
 		o.KeyGrace = DefaultKeyGrace
 	}
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -76,6 +76,9 @@
 	// requests for it.
 	completion completion.Server
 	sent       rate.Meter
+	// namedLimit is the limit that the server names for all nodes together, in requests
+	// per second.
+	namedLimit float64
 	// wantedAt is when the server was last considered for a request.
 	wantedAt time.Duration
 	// latency is the smoothed response time in seconds.
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/demand"
+	"coltsfootward/core/fairshare"
 	"coltsfootward/core/message"
 )
 
@@ -66,6 +68,9 @@
 	// cost is the slot time in seconds that one request takes at the service, or zero
 	// if it is unknown.
 	cost float64
+	// recent holds the reports of the cost, of which typical is the median.
+	recent  recentCosts
+	typical float64
 }
 
 // withReport returns the need after a response that reported the service.
@@ -78,6 +83,8 @@
 		n.cost = cost
 	}
 	n.cost += costWeight * (cost - n.cost)
+	n.recent = n.recent.with(cost)
+	n.typical = n.recent.median()
 	return n
 }
 
@@ -100,6 +107,11 @@
 	limit uint32
 	// lastReturned is the admitted fraction when Moved last returned the gate.
 	lastReturned float64
+	// summary is the demand of the fleet if it is known, weights are those of the
+	// organisations, and division is derived from both.
+	summary  demand.Summary
+	weights  fairshare.Weights
+	division division
 }
 
 // State describes how far a gate is closed.
@@ -270,15 +282,32 @@
 	return needed
 }
 
-// Admit counts a request and reports whether it is admitted. If it is not, Admit
-// returns the name of a service that has no capacity for it.
+// ForEachNeed calls do for each service that requests of a class need and whose cost, the
+// slot time in seconds that one request takes there, is known.
+func (g *Gates) ForEachNeed(class coltsfootward.RouteName, do func(service coltsfootward.ServiceName, cost float64)) {
+	for key, n := range g.needs[class] {
+		if n.share >= needThreshold && n.typical > 0 && key.Resource == message.ResourceSlots {
+			do(key.Service, n.typical)
+		}
+	}
+}
+
+// Cost returns the slot time in seconds that one request of a class takes at a service;
+// zero if it is not known.
+func (g *Gates) Cost(class coltsfootward.RouteName, service coltsfootward.ServiceName) float64 {
+	return g.needs[class][Key{Service: service}].typical
+}
+
+// Admit counts a request of no organisation; see AdmitFor.
 func (g *Gates) Admit(class coltsfootward.RouteName, rank uint32) (coltsfootward.ServiceName, bool) {
-	saturated, admitted := g.AdmitBy(class, rank)
+	saturated, admitted := g.AdmitFor(class, rank, "")
 	return saturated.Service, admitted
 }
 
-// AdmitBy is like Admit and also returns the resource that the service is short of.
-func (g *Gates) AdmitBy(class coltsfootward.RouteName, rank uint32) (Key, bool) {
+// AdmitFor counts a request of an organisation and reports whether it is admitted. If it
+// is not, AdmitFor returns the service that has no capacity for it and the resource that
+// the service is short of.
+func (g *Gates) AdmitFor(class coltsfootward.RouteName, rank uint32, organisation coltsfootward.OrganisationName) (Key, bool) {
 	var saturated Key
 	for key, n := range g.needs[class] {
 		if n.share < needThreshold || key.spares(n) {
@@ -289,7 +318,11 @@
 		effective := gate.costs.effectiveRank(rank, cost)
 		gate.costs.observe(rank, cost)
 		gate.demand[bucketOf(effective)] += cost
-		if effective > gate.limit && (saturated == Key{} || key.compare(saturated) < 0) {
+		admitted := effective <= gate.limit
+		if gate.division.valid {
+			admitted = gate.division.admits(rank, cost, organisation)
+		}
+		if !admitted && (saturated == Key{} || key.compare(saturated) < 0) {
 			saturated = key
 		}
 	}
@@ -330,6 +363,11 @@
 	}
 	g.admitted = min(g.admitted, 1-g.minRefused)
 	g.limit = g.rankAt(g.admitted)
+	if g.summary.Valid(now) {
+		g.division.update(g.summary, g.admitted, g.weights)
+	} else {
+		g.division = division{}
+	}
 	for i := range g.demand {
 		g.demand[i] *= demandDecay
 	}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -44,9 +44,15 @@
 	BackendSlowdown     Code = 320
 	BackendLoadUnusable Code = 321
 	LoadNoticeReceived  Code = 322
+	CrossingBegan       Code = 330
+	CrossingEnded       Code = 331
+	CollectorSkipped    Code = 332
 	CallLimitChanged    Code = 340
 	RetriesShort        Code = 350
 	RetriesSufficient   Code = 351
+	WeightUnknown       Code = 360
+	SharesBegan         Code = 361
+	SharesEnded         Code = 362
 	RevisionInForce     Code = 401
 	KeyWithdrawn        Code = 402
 	KeysStopped         Code = 403
@@ -118,9 +124,15 @@
 	{BackendSlowdown, "backend_slowdown", "info", "The backend server states that work takes slowdown times as long as usual on its machine; reported at most once a second, when entry nodes were notified. before is the figure reported last, notified the number of entry nodes. While it is high, entry nodes prefer other servers. If it stays high, check the machine."},
 	{BackendLoadUnusable, "backend_load_unusable", "warn", "A response of the backend server states its load with a figure that cannot be used; only that figure is ignored. Reported at most once a minute. Correct the server's responses."},
 	{LoadNoticeReceived, "load_notice_received", "info", "The node of a backend server reported a change of the server's load: its stated slowdown and its age, and the wait there. age is the age of the notice. Reported at most once a second."},
+	{CrossingBegan, "crossing_began", "info", "The node began to send requests to other failure domains because the demand of its own domain for a service exceeds the domain's slots. demand and slots are those of the domain, entries is the number of entry nodes whose demand is included, age the age of these figures; to_ with the name of a domain is the fraction of the demand that is sent there."},
+	{CrossingEnded, "crossing_ended", "info", "The node no longer sends requests for a service to other failure domains, except where its own domain has no server that can be chosen; cause is the reason."},
+	{CollectorSkipped, "collector_skipped", "info", "A collector of the demand for a service did not answer two reports. The node reports to another one for a few seconds; next is empty if there is none."},
 	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire, or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
 	{RetriesShort, "retries_short", "warn", "The backend server rejects a large share (rejected) of what it gets, and the node's part of the retry budget does not suffice. shortage is the ratio of the retries needed to those available, excess the fraction of the demand that entry nodes are asked to refuse, left the number of retries left. Correct the servers that reject."},
 	{RetriesSufficient, "retries_sufficient", "info", "The retries suffice again; no demand is refused on their account. granted and denied count the retries since the node's start."},
+	{WeightUnknown, "weight_unknown", "warn", "The setting shares.weights names an organisation that the configuration does not hold; the weight has no effect. Correct the name, or ignore this if the organisation is yet to come."},
+	{SharesBegan, "shares_began", "info", "The demand for a service exceeds its capacity, which is divided between organisations: band is the importance that does not fit (0 to 15), level the slots that an organisation of weight 1 may use of it, demand the slots that the fleet asks for, age the age of that figure, entries the number of entry nodes that it includes."},
+	{SharesEnded, "shares_ended", "info", "The capacity of a service is no longer divided between organisations: the demand fits, or the demand of the fleet is not known and the node refuses by its own."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
