core/attribution: learn the timeouts that calls bring of their own

They neither expire at the deadline of their parent nor at a constant time after its start: each brings a timeout of its own, 595 to 695 ms, which is shorter than what the parent has left. Change: the shortest of these timeouts is learned for each called route, and the deadlines of requests that make such calls are capped to it where that leaves four times the usual duration and half of the time.

--- a/core/attribution/index.go
+++ b/core/attribution/index.go
@@ -79,6 +79,8 @@
 	Root  Root
 	// Start is when the request was sent; Deadline is when its caller stops waiting.
 	Start, Deadline time.Duration
+	// Usual is how long a request of the class usually takes; zero if it is unknown.
+	Usual time.Duration
 }
 
 // entry is a request in service.
@@ -112,8 +114,8 @@
 // never later than the request's deadline.
 func (x *Index) Begin(r Request) time.Duration {
 	wanted := r.Deadline
-	if limit, ok := x.limits.cap(r.Class); ok {
-		wanted = min(wanted, r.Start+limit-capMargin)
+	if limit, ok := x.limits.cap(r); ok {
+		wanted = min(wanted, r.Start+limit)
 	}
 	stated := wanted
 	if x.called && r.Start-x.lastCall < idleTimeout {
@@ -193,10 +195,10 @@
 	}
 	if found == nil {
 		x.counts.None++
-		x.limits.unmatched(route, expires, x.entries)
+		x.limits.unmatched(now, route, expires, x.entries)
 		return 0, OutcomeNone
 	}
 	x.counts.Unique++
-	x.limits.matched(route, found)
+	x.limits.matched(now, route, found)
 	return found.ID, OutcomeUnique
 }
--- a/core/attribution/limits.go
+++ b/core/attribution/limits.go
@@ -56,10 +56,12 @@
 )
 
 // Limit is a limit that was learned: calls of the route expire at the latest this long
-// after the start of their parent. After zero means that the limit was dropped.
+// after the start of their parent or, with FromCall, nearly never earlier than this long
+// after they are made. After zero means that the limit was dropped.
 type Limit struct {
-	Route coltsfootward.RouteName
-	After time.Duration
+	Route    coltsfootward.RouteName
+	After    time.Duration
+	FromCall bool
 }
 
 // limits learns the limits of called routes from calls that match no stated deadline.
@@ -84,12 +86,16 @@
 	// confirmed counts the calls that expired at the limit, contradicted those that
 	// expired beyond it at a stated deadline.
 	confirmed, contradicted int
+	timeout                 callTimeout
 }
 
 // classCalls counts the requests of one class and their calls.
 type classCalls struct {
 	requests int
 	calls    map[coltsfootward.RouteName]int
+	// sinceTrial counts the requests since the last one whose deadline was capped to
+	// find out whether the class makes calls with timeouts of their own.
+	sinceTrial int
 	// sinceUncapped counts the requests since the last one that was not capped.
 	sinceUncapped int
 }
@@ -110,17 +116,18 @@
 	return r.limit, true
 }
 
-// cap counts a request of a class and returns the longest limit of the calls that its
-// requests make. There is no cap unless all of these calls have limits: the time after a
-// shorter one can be used by the others.
-func (l *limits) cap(class coltsfootward.RouteName) (time.Duration, bool) {
-	c, ok := l.classes[class]
+// cap counts a request and returns the time after its start to which its stated deadline
+// is capped. That is the longest limit of the calls that requests of its class make. There
+// is no cap unless all of these calls have limits: the time after a shorter one can be used
+// by the others.
+func (l *limits) cap(request Request) (time.Duration, bool) {
+	c, ok := l.classes[request.Class]
 	if !ok {
 		if len(l.classes) >= maximumClasses {
 			return 0, false
 		}
 		c = &classCalls{calls: make(map[coltsfootward.RouteName]int)}
-		l.classes[class] = c
+		l.classes[request.Class] = c
 	}
 	c.requests++
 	if c.requests > requestWindow {
@@ -132,13 +139,15 @@
 			continue
 		}
 		limit, ok := l.of(route)
-		if !ok {
+		if ok {
+			limit -= capMargin
+		} else if limit, ok = l.timeoutOf(route); !ok || !request.sparesAfter(limit) {
 			return 0, false
 		}
 		longest = max(longest, limit)
 	}
 	if longest == 0 {
-		return 0, false
+		return l.trialCap(c, request)
 	}
 	c.sinceUncapped++
 	if c.sinceUncapped >= uncappedInterval {
@@ -156,18 +165,21 @@
 }
 
 // matched records the call of a route by a request in service.
-func (l *limits) matched(route coltsfootward.RouteName, parent *entry) {
+func (l *limits) matched(now time.Duration, route coltsfootward.RouteName, parent *entry) {
 	if c, ok := l.classes[parent.Class]; ok && (c.calls[route] > 0 || len(c.calls) < maximumRoutes) {
 		c.calls[route]++
 	}
 	if r, ok := l.routes[route]; ok && r.limit > 0 && parent.Start+r.limit < parent.stated {
 		r.confirmed++
 	}
+	if r, ok := l.routes[route]; ok && r.timeout.matched(now) {
+		l.changes = append(l.changes, Limit{Route: route, FromCall: true})
+	}
 }
 
 // unmatched records a call that no request in service can have made by what is known of
 // the limits.
-func (l *limits) unmatched(route coltsfootward.RouteName, expires time.Duration, inService []entry) {
+func (l *limits) unmatched(now time.Duration, route coltsfootward.RouteName, expires time.Duration, inService []entry) {
 	r, ok := l.routes[route]
 	if !ok {
 		if len(l.routes) >= maximumRoutes {
@@ -176,6 +188,9 @@
 		r = &routeLimit{}
 		l.routes[route] = r
 	}
+	if r.limit == 0 && r.timeout.unmatched(now, expires-now) {
+		l.changes = append(l.changes, Limit{Route: route, After: r.timeout.learned, FromCall: true})
+	}
 	r.vote(expires, inService)
 	if r.limit > 0 && r.isContradicted(expires, inService) {
 		l.set(route, 0)
--- a/core/node/attribution.go
+++ b/core/node/attribution.go
@@ -79,7 +79,7 @@
 	return p.index.Begin(attribution.Request{
 		ID: attribution.RequestID(call.id), Class: call.head.Route,
 		Root:  attribution.Root{Account: accountOf(call), ShedRank: call.head.ShedRank},
-		Start: p.node.now.Expiry, Deadline: call.deadline,
+		Start: p.node.now.Expiry, Deadline: call.deadline, Usual: p.node.upstream.admission.Estimate(classOf(call.head)),
 	})
 }
 
@@ -128,8 +128,12 @@
 // reportLimits reports the limits of called routes that were learned or dropped.
 func (p *attributionComponent) reportLimits() {
 	for _, limit := range p.index.Changes() {
-		p.node.report(record.CallLimitChanged, field("route", string(limit.Route)),
-			field("after", limit.After.String()), field("in_service", number(p.index.Len())))
+		from := "parent"
+		if limit.FromCall {
+			from = "call"
+		}
+		p.node.report(record.CallLimitChanged, field("route", string(limit.Route)), field("after", limit.After.String()),
+			field("from", from), field("in_service", number(p.index.Len())))
 	}
 }
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -110,7 +110,7 @@
 	{BackendLimited, "backend_limited", "info", "The backend server names a limit in its answers, or changed it by a tenth or more: limit is the number of requests per second that it takes from all nodes together."},
 	{BackendUnlimited, "backend_unlimited", "info", "The backend server no longer names a limit."},
 	{BackendUnreadable, "backend_unreadable", "warn", "An answer of the backend server states something about the server that cannot be read; what it stated before stays in force. Correct the server's answers."},
-	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire, or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
+	{CallLimitChanged, "call_limit_changed", "info", "The node learned how long after the start of their parent calls of a route expire (from is parent), or the shortest timeout that they bring of their own (from is call), or, with after 0s, that this no longer holds. Deadlines that the backend server is told are capped to just under it, so that its calls can be attributed to requests. in_service is the number of requests in service."},
 	{RevisionInForce, "revision_in_force", "info", "The node applied configuration changes up to this revision."},
 	{KeyWithdrawn, "key_withdrawn", "info", "This node no longer accepts a key that was withdrawn."},
 	{KeysStopped, "keys_stopped", "error", "The node has had no contact with the platform and with most failure domains for longer than its grace period. It accepts no keys until it has contact again. Repair the network."},
