core/attribution: a learned timeout expires without matched calls too

The age of a learned timeout was checked only when a call had a parent. After the server had begun to use much shorter timeouts no call had one, so the old timeout stayed for good and the true one, below its bound, was not learned. The age is now checked for calls without a parent as well. The test fails without the change.

--- a/core/attribution/index_test.go
+++ b/core/attribution/index_test.go
@@ -242,3 +242,29 @@
 		x.End(id - min(id, 139))
 	}
 }
+
+// Guards against a learned timeout that is kept after the server has begun to use much shorter
+// ones, so that no call has a parent by which the age of the timeout would be noticed.
+func TestTimeoutExpiresWithoutParents(t *testing.T) {
+	x, now := attribution.NewIndex(), time.Duration(0)
+	call := func(i int, timeout time.Duration) {
+		now += 100 * time.Millisecond
+		id := attribution.RequestID(i)
+		x.Begin(attribution.Request{ID: id, Class: "order", Root: attribution.Root{ShedRank: uint32(i)}, Start: now, Deadline: now + time.Second, Usual: 100 * time.Millisecond})
+		x.Parent(now, "feed", now+timeout+time.Duration(i%7)*10*time.Millisecond)
+		x.End(id)
+	}
+	for i := range 200 {
+		call(i, 600*time.Millisecond)
+	}
+	if changes := x.Changes(); len(changes) == 0 || !changes[0].FromCall || changes[0].After == 0 {
+		t.Fatalf("got changes %v, want a learned timeout", changes)
+	}
+	for i := range 1300 {
+		call(i, 250*time.Millisecond)
+	}
+	dropped := slices.ContainsFunc(x.Changes(), func(l attribution.Limit) bool { return l.FromCall && l.After == 0 })
+	if !dropped {
+		t.Error("the timeout was kept for more than 2 min although no call has a parent")
+	}
+}
--- a/core/attribution/timeout.go
+++ b/core/attribution/timeout.go
@@ -54,10 +54,14 @@
 	matchedCalls, unmatchedCalls int
 }
 
-// matched counts a call whose parent is known. It reports whether the timeout was dropped
-// because it is due to be learned anew.
+// matched counts a call whose parent is known. It reports whether the timeout was dropped.
 func (t *callTimeout) matched(now time.Duration) bool {
 	t.matchedCalls++
+	return t.expire(now)
+}
+
+// expire drops a timeout that is due to be learned anew and reports whether it did so.
+func (t *callTimeout) expire(now time.Duration) bool {
 	if t.learned == 0 || now-t.learnedAt < timeoutLifetime {
 		return false
 	}
@@ -65,8 +69,12 @@
 	return true
 }
 
-// unmatched counts a call without a parent, and reports whether a timeout was learned.
+// unmatched counts a call without a parent, and reports whether a timeout was learned or
+// dropped.
 func (t *callTimeout) unmatched(now, timeout time.Duration) bool {
+	if t.expire(now) {
+		return true
+	}
 	t.unmatchedCalls++
 	t.histogram[min(max(int(timeout/timeoutBin), 0), timeoutBins-1)]++
 	if t.unmatchedCalls < timeoutSamples {
