core/node: void a stated slowdown that is not repeated; use no durations across it

A slowdown that the server stated last divided its service times for good, even if it had stated none for minutes: entry nodes then saw a speed of 2.19 for a server as fast as the others (test, 30 s after a slowdown of 4). It is now void after the 10 s after which it is no longer sent to other nodes.

The duration of a request dispatched before a restart of the server was divided by a mean over both starts, 0.01 in the test, which made it a hundred times as long. Such durations are not used.

--- a/core/node/stated_load.go
+++ b/core/node/stated_load.go
@@ -18,7 +18,8 @@
 	// slowdownReportInterval is the minimum time between two reports of a changed slowdown, and of
 	// notices received. The figures may change many times a second.
 	slowdownReportInterval = time.Second
-	// statedLoadLifetime is the age from which a statement is no longer sent to other nodes.
+	// statedLoadLifetime is the age from which a stated slowdown is void. A server that no
+	// longer states one would otherwise have its service times divided by the last one forever.
 	statedLoadLifetime = 10 * time.Second
 	// mixedStep is the relative change of the slowdown from which the duration of a request in
 	// service is not used, and mixedAfter the time without other durations after which it is used
@@ -46,20 +47,24 @@
 	// service time was last used to learn usual durations.
 	total      float64
 	measuredAt time.Duration
+	// voided counts how often the stated slowdown has become void, upon which total starts anew.
+	voided int
 }
 
 // slowdownMark holds what was stated when a request was dispatched.
 type slowdownMark struct {
 	slowdown, total float64
+	voided          int
 }
 
 // mark returns what is stated now. It is to be called when a request is dispatched.
 func (p *statedLoad) mark() slowdownMark {
+	p.expire()
 	slowdown, stated := p.current.Slowdown()
 	if !stated {
 		return slowdownMark{}
 	}
-	return slowdownMark{slowdown: slowdown, total: p.totalAt(p.node.now.Monotonic)}
+	return slowdownMark{slowdown: slowdown, total: p.totalAt(p.node.now.Monotonic), voided: p.voided}
 }
 
 func (p *statedLoad) totalAt(now time.Duration) float64 {
@@ -77,6 +82,9 @@
 // the requests. They are used only if there are no others.
 func (p *statedLoad) during(began time.Duration, mark slowdownMark) (slowdown float64, usable bool) {
 	now := p.node.now.Monotonic
+	if mark.slowdown > 0 && mark.voided != p.voided {
+		return 0, false
+	}
 	last, stated := p.current.Slowdown()
 	if !stated || mark.slowdown == 0 || now <= began {
 		return 0, true
@@ -97,6 +105,7 @@
 		p.nextBadReport = now + badFigureInterval
 		p.node.report(record.BackendLoadUnusable, field("error", unusable))
 	}
+	p.expire()
 	if load == (coltsfootward.BackendLoad{}) {
 		return
 	}
@@ -110,13 +119,24 @@
 	p.current, p.statedAt = load.WithSlowdown(slowdown), now
 }
 
-// reset forgets what the server stated, because another server or another start of it has taken
-// its place.
-func (p *statedLoad) reset() {
-	p.current, p.total = coltsfootward.BackendLoad{}, 0
+// expire voids a slowdown that the server has not stated again within its lifetime.
+func (p *statedLoad) expire() {
+	if _, stated := p.current.Slowdown(); stated && p.node.now.Monotonic-p.slowdownAt >= statedLoadLifetime {
+		p.void(p.current.WithSlowdown(0))
+	}
+}
+
+// void replaces the figures by ones that state no slowdown.
+func (p *statedLoad) void(load coltsfootward.BackendLoad) {
+	p.current, p.total = load, 0
+	p.voided++
 	p.notifier.Reset()
 }
 
+// reset forgets what the server stated, because another server or another start of it has taken
+// its place.
+func (p *statedLoad) reset() { p.void(coltsfootward.BackendLoad{}) }
+
 // addTo adds the stated slowdown and the wait to a load report, if the server states a slowdown.
 func (p *statedLoad) addTo(load message.Load) message.Load {
 	slowdown, stated := p.current.Slowdown()
--- a/core/nodetest/slowdown_test.go
+++ b/core/nodetest/slowdown_test.go
@@ -128,3 +128,22 @@
 		t.Errorf("got a stated slowdown of %v %v after the node was cut off, want none", got, r.Now()-sent)
 	}
 }
+
+// Guards against service times that are divided by the last stated slowdown after the server has
+// ceased to state any, which makes the server look several times as fast as it is.
+func TestStatementEndsWithoutFurtherOnes(t *testing.T) {
+	r, members := newStatingRig(4)
+	former, entry := members[0], members[1]
+	former.Backend.Slowdown = 4
+	sendLoad(r, members, 400, time.Second)
+	former.Backend.Slowdown, former.Backend.StatesLoad = 1, false
+	sendLoad(r, members, 400, 30*time.Second)
+	if got := former.Node().StatedLoad().Slowdown; got != 0 {
+		t.Errorf("got a stated slowdown of %v from 30 s ago, want none", got)
+	}
+	for _, server := range entry.Node().Servers("quotes") {
+		if server.Instance.ID == former.Instance.ID && (server.Speed < 0.8 || server.Speed > 1.25) {
+			t.Errorf("got a speed of %.2f, want that of the other servers", server.Speed)
+		}
+	}
+}
