core/placement: compare cold servers by load where servers state a slowdown

Nobody waits at an idle cold server, so it won every comparison by expected completion although its rate of requests is limited.

--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -31,9 +31,10 @@
 }
 
 // better returns the server that is expected to complete the request first or, if servers
-// state no slowdown, the less loaded one.
+// state no slowdown, the less loaded one. A cold server with limited capacity is compared by
+// load, since its rate of requests is limited although nobody may wait there.
 func (p *Pool) better(now time.Duration, r Request, a, b *upstream) *upstream {
-	if a == nil || b == nil || !r.byCompletion {
+	if a == nil || b == nil || !r.byCompletion || a.cold(now) || b.cold(now) {
 		return lessLoaded(now, a, b)
 	}
 	if p.expectedAt(now, b, r) < p.expectedAt(now, a, r) {
--- a/core/placement/completion_test.go
+++ b/core/placement/completion_test.go
@@ -74,3 +74,21 @@
 		t.Errorf("got %+v after the connection was lost, want no slowdown", got)
 	}
 }
+
+// Guards against cold servers that get requests while a warm one has room. Nobody waits at an idle
+// cold server, so requests are expected to complete there as soon as elsewhere, but its rate of
+// requests is limited.
+func TestColdServersAreNotPreferredByCompletion(t *testing.T) {
+	for _, slowdown := range []float64{0, 1} {
+		p := newLimitedPool(3)
+		p.SetColdLimited(true)
+		now := time.Hour
+		observe(p, now, serverID(0), message.Load{Slowdown: slowdown, Running: 5})
+		for _, cold := range []int{1, 2} {
+			observe(p, now, serverID(cold), message.Load{Slowdown: slowdown, Cold: 10 * time.Second})
+		}
+		if got := sharesOf(p, now, 20000)[serverID(0)]; got < 0.6 {
+			t.Errorf("slowdown %g: got a share of %.3f for the warm server, want it chosen in the two thirds of the placements in which it is a candidate", slowdown, got)
+		}
+	}
+}
