core/node, io/upstream: stated figures count from when the response's head was read

A response's load reaches the state machine after its body is relayed. The figures of a response that took seconds to relay counted as new, replaced those of later responses and were sent to entry nodes with an age of zero. They now carry their age, and older ones than the last statement, or than a restart of the server, are ignored.

--- a/core/node/event.go
+++ b/core/node/event.go
@@ -170,9 +170,10 @@
 	Kind DispatchKind
 	// Failed is set if the upstream's response reports a failure.
 	Failed bool
-	// Load is the load that the response states. UnusableLoad names the figures of it
-	// that could not be used; empty if there are none.
+	// Load is the load that the response states, and LoadAge the time since its head was
+	// read. UnusableLoad names the figures that could not be used; empty if there are none.
 	Load         coltsfootward.BackendLoad
+	LoadAge      time.Duration
 	UnusableLoad string
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -133,7 +133,7 @@
 		n.upstream.crashes.responded()
 		n.upstream.cold.checked(e)
 		n.upstream.condition.stated(e.Condition)
-		n.upstream.stated.observed(e.Load, e.UnusableLoad)
+		n.upstream.stated.observed(e.Load, e.UnusableLoad, 0)
 	case DrainRequested:
 		n.drain()
 	case TableResult:
--- a/core/node/stated_load.go
+++ b/core/node/stated_load.go
@@ -97,23 +97,25 @@
 	return (p.totalAt(now) - mark.total) / (now - began).Seconds(), true
 }
 
-// observed processes the figures of a response or a health check. A figure that is absent does
-// not void what was stated before.
-func (p *statedLoad) observed(load coltsfootward.BackendLoad, unusable string) {
+// observed processes the figures of a response or a health check, which were read age ago. A
+// figure that is absent does not void what was stated before. Figures older than the last
+// stated slowdown are ignored: those of a response that is relayed for seconds arrive late.
+func (p *statedLoad) observed(load coltsfootward.BackendLoad, unusable string, age time.Duration) {
 	now := p.node.now.Monotonic
 	if unusable != "" && now >= p.nextBadReport {
 		p.nextBadReport = now + badFigureInterval
 		p.node.report(record.BackendLoadUnusable, field("error", unusable))
 	}
 	p.expire()
-	if load == (coltsfootward.BackendLoad{}) {
+	readAt := now - max(age, 0)
+	if load == (coltsfootward.BackendLoad{}) || readAt < p.slowdownAt {
 		return
 	}
 	slowdown, stated := load.Slowdown()
 	if !stated {
 		slowdown, _ = p.current.Slowdown()
 	} else {
-		p.slowdownAt = now
+		p.slowdownAt = readAt
 	}
 	p.total = p.totalAt(now)
 	p.current, p.statedAt = load.WithSlowdown(slowdown), now
@@ -126,9 +128,10 @@
 	}
 }
 
-// void replaces the figures by ones that state no slowdown.
+// void replaces the figures by ones that state no slowdown. Those read before are ignored from
+// then on, since they may come from another start of the server.
 func (p *statedLoad) void(load coltsfootward.BackendLoad) {
-	p.current, p.total = load, 0
+	p.current, p.total, p.slowdownAt = load, 0, p.node.now.Monotonic
 	p.voided++
 	p.notifier.Reset()
 }
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -12,7 +12,7 @@
 		return
 	}
 	p.observeLoad()
-	p.stated.observed(e.Load, e.UnusableLoad)
+	p.stated.observed(e.Load, e.UnusableLoad, e.LoadAge)
 	p.cold.dispatchEnded(e.Kind)
 	if e.Kind == DispatchAnswered && !e.Failed {
 		p.node.quarantine.answered(call.fingerprint)
--- a/io/upstream/condition.go
+++ b/io/upstream/condition.go
@@ -33,7 +33,7 @@
 		return
 	}
 	load, err := fields.BackendLoad(response.Header)
-	d.load = load
+	d.load, d.loadAt = load, d.server.clock.Now().Monotonic
 	if err != nil {
 		d.unusableLoad = err.Error()
 	}
--- a/io/upstream/upstream.go
+++ b/io/upstream/upstream.go
@@ -187,8 +187,10 @@
 	buffered *completeResponse
 	// failed is set if the response has a status of 500 or more.
 	failed bool
-	// load is the load that the response states, and unusableLoad names its bad figures.
+	// load is the load that the response states, read at loadAt, and unusableLoad names its
+	// bad figures.
 	load         coltsfootward.BackendLoad
+	loadAt       time.Duration
 	unusableLoad string
 	// reusable is set once the connection may carry another request.
 	reusable  bool
@@ -254,7 +256,11 @@
 // finish reports the end of the dispatch to the state machine. It returns true if no
 // further action of the state machine follows.
 func (d *dispatch) finish(kind node.DispatchKind) bool {
-	d.server.loop.Post(node.DispatchEnded{Call: d.call.ID, Kind: kind, Failed: d.failed, Load: d.load, UnusableLoad: d.unusableLoad})
+	ended := node.DispatchEnded{Call: d.call.ID, Kind: kind, Failed: d.failed, Load: d.load, UnusableLoad: d.unusableLoad}
+	if ended.Load != (coltsfootward.BackendLoad{}) {
+		ended.LoadAge = d.server.clock.Now().Monotonic - d.loadAt
+	}
+	d.server.loop.Post(ended)
 	return kind == node.DispatchCancelled || kind == node.DispatchTruncated
 }
 
