--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -265,7 +265,8 @@
 }
 
 // DoneAtSlowdown is like Done for a server that has stated that work takes slowdown times as
-// long as usual; zero means that it has stated nothing. Estimates are of the usual duration, since a slowdown ends within a second.
+// long as usual; zero means that it has stated nothing. Estimates are of the usual duration,
+// since a slowdown ends within a second.
 func (c *Controller) DoneAtSlowdown(now time.Duration, id RequestID, aborted bool, slowdown float64) {
 	r, ok := c.running[id]
 	if !ok {
--- a/core/completion/notifier.go
+++ b/core/completion/notifier.go
@@ -40,7 +40,7 @@
 // Notifier decides when the node of a backend server tells entry nodes about the load of the
 // server, and which ones. The zero value is ready for use.
 //
-// It prevents that entry nodes place requests at a server that has just become slow, until
+// It keeps entry nodes from placing requests at a server that has just become slow until
 // their next response from it arrives. It sends nothing while the figures stay as they are, and
 // nothing at all for a server that states no slowdown.
 type Notifier struct {
--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -47,8 +47,8 @@
 	return p.expected.Expected(now, &u.completion, r.Class, completion.Use{Occupancy: u.occupancy(now), Limit: u.limit(now)})
 }
 
-// ObserveNotice records a load that the node of a server reported on its own account, at the
-// given time. It returns false for an unknown server, and for a notice that is older than what is
+// ObserveNotice records a load that the node of a server reported at the given time in a
+// notice. It returns false for an unknown server, and for a notice that is older than what is
 // known.
 func (p *Pool) ObserveNotice(at time.Duration, id coltsfootward.InstanceID, load message.Load) bool {
 	u, ok := p.upstreams[id]
