--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -31,9 +31,10 @@
 }
 
 // better returns the server that is expected to complete the request first or, if servers
-// state no slowdown, the less loaded one.
+// state no slowdown, the less loaded one. A cold server with limited capacity is compared by
+// load, since its rate of requests is limited although nobody may wait there.
 func (p *Pool) better(now time.Duration, r Request, a, b *upstream) *upstream {
-	if a == nil || b == nil || !r.byCompletion {
+	if a == nil || b == nil || !r.byCompletion || a.cold(now) || b.cold(now) {
 		return lessLoaded(now, a, b)
 	}
 	if p.expectedAt(now, b, r) < p.expectedAt(now, a, r) {
@@ -46,8 +47,8 @@
 	return p.expected.Expected(now, &u.completion, r.Class, completion.Use{Occupancy: u.occupancy(now), Limit: u.limit(now)})
 }
 
-// ObserveNotice records a load that the node of a server reported on its own account, at the
-// given time. It returns false for an unknown server, and for a notice that is older than what is
+// ObserveNotice records a load that the node of a server reported at the given time in a
+// notice. It returns false for an unknown server, and for a notice that is older than what is
 // known.
 func (p *Pool) ObserveNotice(at time.Duration, id coltsfootward.InstanceID, load message.Load) bool {
 	u, ok := p.upstreams[id]
