core/placement: count the request at both servers that crossing compares

The occupancy of the server in the own domain includes the request, that of the server in another domain did not. With ten slots or fewer the difference reached the default margin, so requests crossed between equally full servers. Both now use the same estimate; only the report of the other server does not decay. The comment of ReasonOccupancy said that the other server has room, which is not required.

--- a/core/crossing/local.go
+++ b/core/crossing/local.go
@@ -27,8 +27,8 @@
 // Candidate is the server in another domain that a request could be sent to.
 type Candidate struct {
 	Domain coltsfootward.FailureDomain
-	// Occupancy is valid only if Fresh is set: the server's last report is at most
-	// FreshReport old.
+	// Occupancy includes the request. It is valid only if Fresh is set: the server's last
+	// report is at most FreshReport old.
 	Occupancy float64
 	Fresh     bool
 }
--- a/core/placement/crossing.go
+++ b/core/placement/crossing.go
@@ -20,7 +20,7 @@
 	// ReasonNoServer means that no server of the own domain can be chosen.
 	ReasonNoServer Reason = "no_server"
 	// ReasonOccupancy means that the server chosen in the own domain is full and one in
-	// the other domain has room, as far as this node knows.
+	// the other domain is clearly less loaded, as far as this node knows.
 	ReasonOccupancy Reason = "occupancy"
 	// ReasonProbe means that the request is sent to get a load report.
 	ReasonProbe Reason = "probe"
@@ -90,7 +90,7 @@
 	}
 	candidate := crossing.Candidate{Domain: far.domain, Fresh: far.hasLoad && now-far.loadAt <= crossing.FreshReport}
 	if candidate.Fresh {
-		candidate.Occupancy = max(float64(far.load.Running+far.load.Queued), float64(far.inFlight)) / far.limit(now)
+		candidate.Occupancy = far.reportedOccupancy(now)
 	}
 	crosses, probe := p.local.Crosses(now, own, candidate, c.Margin)
 	switch {
--- a/core/placement/crossing_test.go
+++ b/core/placement/crossing_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// Guards against requests that cross between servers with equal reports: the request
+// itself has to count at both servers. At few slots it is more than the margin.
+func TestChooseNearStaysAtEqualOccupancy(t *testing.T) {
+	const now = time.Second
+	pool := newCrossingPool(nil)
+	for _, id := range []coltsfootward.InstanceID{"north-1", "north-2", "south-1"} {
+		pool.ObserveLoad(now, id, placement.RequestKind{}, message.Load{Running: 4, Limit: 5})
+	}
+	got, reason, ok := pool.ChooseNear(now, rand.New(rand.NewPCG(1, 1)), placement.Request{}, placement.Crossing{Local: true, Margin: 0.1})
+	if !ok || got.Domain != "north" {
+		t.Errorf("got %s for %q, want a server of the own domain", got.ID, reason)
+	}
+}
+
 // Guards against requests that are sent to a domain which cannot be reached, and against
 // counting its slots.
 func TestChooseNearOfAnUnreachableDomain(t *testing.T) {
--- a/core/placement/upstream.go
+++ b/core/placement/upstream.go
@@ -118,12 +118,22 @@
 // based on the larger of the last reported load, which decays with its age, and
 // this node's own requests in flight at the server.
 func (u *upstream) occupancy(now time.Duration) float64 {
-	reported := 0.0
-	if u.hasLoad {
-		decay := math.Exp(-float64(now-u.loadAt) / float64(loadDecayTime))
-		reported = float64(u.load.Running+u.load.Queued) * decay
+	if !u.hasLoad {
+		return u.occupancyWith(now, 0)
 	}
-	return (max(reported, float64(u.inFlight)) + 1) / (u.limit(now) * u.slowStartFactor(now))
+	decay := math.Exp(-float64(now-u.loadAt) / float64(loadDecayTime))
+	return u.occupancyWith(now, float64(u.load.Running+u.load.Queued)*decay)
+}
+
+// reportedOccupancy is like occupancy, but the last report does not decay. It is valid
+// only if there is a report.
+func (u *upstream) reportedOccupancy(now time.Duration) float64 {
+	return u.occupancyWith(now, float64(u.load.Running+u.load.Queued))
+}
+
+// occupancyWith returns the utilisation including the next request for the given load.
+func (u *upstream) occupancyWith(now time.Duration, load float64) float64 {
+	return (max(load, float64(u.inFlight)) + 1) / (u.limit(now) * u.slowStartFactor(now))
 }
 
 // slowStartFactor returns the fraction of its full share that the server may get.
