core/crossing: keep the demand by route current while nothing crosses

The demand decayed only when a share was asked for. When crossing began, all demand since the last time was taken as old and dropped, so that for 200 ms routes with many bytes crossed like those with few. The demand now decays as it is recorded.

--- a/core/crossing/crossing_test.go
+++ b/core/crossing/crossing_test.go
@@ -166,7 +166,7 @@
 			route := coltsfootward.RouteName(fmt.Sprint(i))
 			bytes[route] = rapid.Float64Range(1, 1e6).Draw(t, "bytes")
 			demand[route] = rapid.Float64Range(0.1, 10).Draw(t, "demand")
-			r.Record(route, demand[route])
+			r.Record(0, route, demand[route])
 			total += demand[route]
 		}
 		fraction := rapid.Float64Range(0, 1).Draw(t, "fraction")
@@ -188,6 +188,23 @@
 	})
 }
 
+// Guards against demand that is lost while nothing crosses: without an order of the routes,
+// those with many bytes would cross like the others when crossing begins.
+func TestRoutesAreOrderedWhenCrossingBegins(t *testing.T) {
+	var r crossing.Routes
+	now := time.Hour
+	for range 100 {
+		now += step
+		r.Record(now, "small", 0.01)
+		r.Record(now, "large", 0.01)
+	}
+	bytes := map[coltsfootward.RouteName]float64{"small": 1, "large": 1000}
+	share := r.Share(now, "large", 0.4, func(n coltsfootward.RouteName) float64 { return bytes[n] })
+	if share != 0 {
+		t.Errorf("%.2f of the route with many bytes crosses, want none before all of the other one", share)
+	}
+}
+
 // Guards against nodes without a summary that send requests away without a clear
 // difference, or that send more than two requests a second to learn of one.
 func TestLocalObservations(t *testing.T) {
--- a/core/crossing/routes.go
+++ b/core/crossing/routes.go
@@ -36,10 +36,11 @@
 type part struct{ before, own float64 }
 
 // Record adds a request of the route that takes slotTime seconds at the service.
-func (r *Routes) Record(route coltsfootward.RouteName, slotTime float64) {
+func (r *Routes) Record(now time.Duration, route coltsfootward.RouteName, slotTime float64) {
 	if r.demand == nil {
-		r.demand = make(map[coltsfootward.RouteName]float64)
+		r.demand, r.at = make(map[coltsfootward.RouteName]float64), now
 	}
+	r.advance(now)
 	r.demand[route] += slotTime / routesTime.Seconds()
 }
 
@@ -57,15 +58,25 @@
 	return min(max((fraction-p.before)/p.own, 0), 1)
 }
 
-func (r *Routes) arrange(now time.Duration, bytesPerSecond func(coltsfootward.RouteName) float64) {
+// advance decays the demand by route. It also runs while nothing crosses, so that the
+// order is known when crossing begins.
+func (r *Routes) advance(now time.Duration) {
+	if now-r.at < routesInterval {
+		return
+	}
 	factor := math.Exp(-(now - r.at).Seconds() / routesTime.Seconds())
-	r.at, r.next = now, now+routesInterval
+	r.at = now
 	for route := range r.demand {
 		r.demand[route] *= factor
 		if r.demand[route] < minRouteDemand {
 			delete(r.demand, route)
 		}
 	}
+}
+
+func (r *Routes) arrange(now time.Duration, bytesPerSecond func(coltsfootward.RouteName) float64) {
+	r.advance(now)
+	r.next = now + routesInterval
 	r.order = make(map[coltsfootward.RouteName]part, len(r.demand))
 	weights := make(map[coltsfootward.RouteName]float64, len(r.demand))
 	for route := range r.demand {
--- a/core/node/crossing.go
+++ b/core/node/crossing.go
@@ -87,7 +87,7 @@
 // requestArrived records the slot time that a caller's request takes at a service.
 func (p *crossingComponent) requestArrived(service coltsfootward.ServiceName, route coltsfootward.RouteName, cost float64) {
 	if plan, ok := p.plans[service]; ok {
-		plan.routes.Record(route, cost)
+		plan.routes.Record(p.node.now.Monotonic, route, cost)
 	}
 }
 
