core/demand: ignore figures of peers that are not plausible

The demand by band was checked when it was decoded, but not what was admitted and the demand by domain: one figure that is not a number made the sums of the fleet unusable at every node. The interval was bounded where reports are sent, but not where the age of a summary is checked, so a summary could be used for ever. Both are now checked where a report, a sum or a summary arrives.

--- a/core/demand/collector.go
+++ b/core/demand/collector.go
@@ -134,6 +134,7 @@
 		c.reports = make(map[coltsfootward.InstanceID]heldReport)
 	}
 	r.Organisations = r.Organisations[:min(len(r.Organisations), reportedOrganisations)]
+	r.Admitted = plausibleOrZero(r.Admitted)
 	c.reports[from] = heldReport{domain: domain, report: r, expires: now + lifetimeIntervals*c.interval()}
 	return true
 }
@@ -158,6 +159,7 @@
 	if c.exchanged == nil {
 		c.exchanged = make(map[coltsfootward.InstanceID]heldSum)
 	}
+	sum = sum.withoutImplausible()
 	sum.Organisations = sum.Organisations[:min(len(sum.Organisations), exchangedOrganisations)]
 	// Receivers take turns if there are more than maxExchanges.
 	turns := (MaxCollectors - 1 + maxExchanges - 1) / maxExchanges
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -199,3 +199,23 @@
 		t.Errorf("got %v and %v, want only band 4", out, err)
 	}
 }
+
+// Guards against figures of one peer that make the sums of the whole fleet unusable, and
+// against a summary that is used for ever.
+func TestImplausibleFiguresOfPeers(t *testing.T) {
+	bad := demand.Summary{
+		Service: "quotes", Admitted: math.NaN(), Interval: math.MaxInt64 / 3,
+		Domains: []demand.Domain{{Name: "north", Demand: math.Inf(1), Admitted: math.NaN()}},
+	}
+	var c demand.Collector
+	c.Report(0, "south-1", "south", demand.Report{Service: "quotes", Admitted: math.NaN()})
+	c.Exchange(0, "north-1", bad)
+	for _, s := range []demand.Summary{c.Summary(0, "quotes"), bad.Received(0)} {
+		if s.Admitted != 0 || s.From("north") != (demand.Domain{Name: "north"}) || s.From("south").Admitted != 0 {
+			t.Errorf("got %v admitted and domains %v, want zero", s.Admitted, s.Domains)
+		}
+	}
+	if received := bad.Received(0); received.Valid(time.Minute) {
+		t.Error("a summary is used for a minute, want 30 s at most")
+	}
+}
--- a/core/demand/report.go
+++ b/core/demand/report.go
@@ -94,6 +94,13 @@
 
 func plausible(d float64) bool { return d > 0 && d < maxDemand }
 
+func plausibleOrZero(d float64) float64 {
+	if plausible(d) {
+		return d
+	}
+	return 0
+}
+
 const (
 	// ReportInterval is the time between two reports of an entry node, and between two
 	// exchanges of a collector.
--- a/core/demand/summary.go
+++ b/core/demand/summary.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootward"
@@ -62,13 +63,31 @@
 	Contended bool `msgpack:"contended"`
 }
 
+// withoutImplausible returns the summary with zero in place of figures that a peer cannot
+// mean. Sums with a figure that is not a number would not be numbers either.
+func (s Summary) withoutImplausible() Summary {
+	s.Admitted = plausibleOrZero(s.Admitted)
+	s.Domains = slices.Clone(s.Domains)
+	for i, d := range s.Domains {
+		s.Domains[i].Demand, s.Domains[i].Admitted = plausibleOrZero(d.Demand), plausibleOrZero(d.Admitted)
+	}
+	return s
+}
+
+// Received returns a summary from a collector as it is held at the entry node from now on.
+func (s Summary) Received(now time.Duration) Summary {
+	s = s.withoutImplausible()
+	s.At = now
+	return s
+}
+
 // Lifetime is how long a summary is used. If the interval between reports is long, it
 // is used for one and a half intervals.
 const Lifetime = 2 * time.Second
 
 // Valid reports whether the summary may be used at now.
 func (s Summary) Valid(now time.Duration) bool {
-	return s.Service != "" && now-s.At <= max(Lifetime, s.Interval*3/2)
+	return s.Service != "" && now-s.At <= max(Lifetime, min(s.Interval, maxInterval)*3/2)
 }
 
 // AdmittedFraction returns the part of the demand that was not refused where it entered,
--- a/core/node/demand.go
+++ b/core/node/demand.go
@@ -241,7 +241,7 @@
 	if _, known := p.node.placement.pools[s.Service]; !p.active() || !known {
 		return
 	}
-	s.At = p.node.now.Monotonic
+	s = s.Received(p.node.now.Monotonic)
 	p.reporter(s.Service).Answered(s.At, from, s)
 	p.summaries[s.Service] = s
 }
