core/demand: encode organisations and domains without field names

A report, a summary and a sum hold up to 8, 48 and 32 organisations, and each repeated the names of its fields. They are now arrays, like the elements of calls and loads.

core/demand benchmarks, 80 reporting nodes and 18 domains: a report takes 328 B instead of 424, a summary 1357 instead of 1963, an exchanged sum 1885 instead of 2647.

--- a/core/demand/summary.go
+++ b/core/demand/summary.go
@@ -1,10 +1,13 @@
 package demand
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"coltsfootward"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Bands is the number of importance bands: four priorities with four secondary
@@ -23,18 +26,58 @@
 	return total
 }
 
-// Organisation is the demand of one organisation.
+// Organisation is the demand of one organisation. Messages hold dozens of them, so they
+// are encoded without the names of their fields.
 type Organisation struct {
-	Name   coltsfootward.OrganisationName `msgpack:"name"`
-	Demand ByBand                         `msgpack:"demand"`
+	Name   coltsfootward.OrganisationName
+	Demand ByBand
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (o *Organisation) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeArray(encoder, o.Name, &o.Demand)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (o *Organisation) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeArray(decoder, &o.Name, &o.Demand)
 }
 
-// Domain is the demand that entered in one failure domain.
+// Domain is the demand that entered in one failure domain. It is encoded without the
+// names of its fields.
 type Domain struct {
-	Name   coltsfootward.FailureDomain `msgpack:"name"`
-	Demand float64                     `msgpack:"demand"`
+	Name   coltsfootward.FailureDomain
+	Demand float64
 	// Admitted is the part of the demand that was not refused where it entered.
-	Admitted float64 `msgpack:"admitted"`
+	Admitted float64
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (d *Domain) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeArray(encoder, d.Name, d.Demand, d.Admitted)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (d *Domain) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeArray(decoder, &d.Name, &d.Demand, &d.Admitted)
+}
+
+func encodeArray(encoder *msgpack.Encoder, fields ...any) error {
+	if err := encoder.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+	return encoder.EncodeMulti(fields...)
+}
+
+func decodeArray(decoder *msgpack.Decoder, fields ...any) error {
+	size, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if size != len(fields) {
+		return fmt.Errorf("demand: got %d fields, want %d: check that both nodes run the same version", size, len(fields))
+	}
+	return decoder.DecodeMulti(fields...)
 }
 
 // Summary is the demand of the whole fleet for one service, before refusals, as far as
