--- a/core/demand/summary.go
+++ b/core/demand/summary.go
@@ -1,9 +1,13 @@
 package demand
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"coltsfootward"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Bands is the number of importance bands: four priorities with four secondary
@@ -22,18 +26,58 @@
 	return total
 }
 
-// Organisation is the demand of one organisation.
+// Organisation is the demand of one organisation. Messages hold dozens of them, so they
+// are encoded without the names of their fields.
 type Organisation struct {
-	Name   coltsfootward.OrganisationName `msgpack:"name"`
-	Demand ByBand                         `msgpack:"demand"`
+	Name   coltsfootward.OrganisationName
+	Demand ByBand
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (o *Organisation) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeArray(encoder, o.Name, &o.Demand)
 }
 
-// Domain is the demand that entered in one failure domain.
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (o *Organisation) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeArray(decoder, &o.Name, &o.Demand)
+}
+
+// Domain is the demand that entered in one failure domain. It is encoded without the
+// names of its fields.
 type Domain struct {
-	Name   coltsfootward.FailureDomain `msgpack:"name"`
-	Demand float64                     `msgpack:"demand"`
+	Name   coltsfootward.FailureDomain
+	Demand float64
 	// Admitted is the part of the demand that was not refused where it entered.
-	Admitted float64 `msgpack:"admitted"`
+	Admitted float64
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (d *Domain) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return encodeArray(encoder, d.Name, d.Demand, d.Admitted)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (d *Domain) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeArray(decoder, &d.Name, &d.Demand, &d.Admitted)
+}
+
+func encodeArray(encoder *msgpack.Encoder, fields ...any) error {
+	if err := encoder.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+	return encoder.EncodeMulti(fields...)
+}
+
+func decodeArray(decoder *msgpack.Decoder, fields ...any) error {
+	size, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if size != len(fields) {
+		return fmt.Errorf("demand: got %d fields, want %d: check that both nodes run the same version", size, len(fields))
+	}
+	return decoder.DecodeMulti(fields...)
 }
 
 // Summary is the demand of the whole fleet for one service, before refusals, as far as
@@ -62,13 +106,31 @@
 	Contended bool `msgpack:"contended"`
 }
 
+// withoutImplausible returns the summary with zero in place of figures that a peer cannot
+// mean. Sums with a figure that is not a number would not be numbers either.
+func (s Summary) withoutImplausible() Summary {
+	s.Admitted = plausibleOrZero(s.Admitted)
+	s.Domains = slices.Clone(s.Domains)
+	for i, d := range s.Domains {
+		s.Domains[i].Demand, s.Domains[i].Admitted = plausibleOrZero(d.Demand), plausibleOrZero(d.Admitted)
+	}
+	return s
+}
+
+// Received returns a summary from a collector as it is held at the entry node from now on.
+func (s Summary) Received(now time.Duration) Summary {
+	s = s.withoutImplausible()
+	s.At = now
+	return s
+}
+
 // Lifetime is how long a summary is used. If the interval between reports is long, it
 // is used for one and a half intervals.
 const Lifetime = 2 * time.Second
 
 // Valid reports whether the summary may be used at now.
 func (s Summary) Valid(now time.Duration) bool {
-	return s.Service != "" && now-s.At <= max(Lifetime, s.Interval*3/2)
+	return s.Service != "" && now-s.At <= max(Lifetime, min(s.Interval, maxInterval)*3/2)
 }
 
 // AdmittedFraction returns the part of the demand that was not refused where it entered,
