core/retry: take back direct requests of which no byte reached the server

RecordUnsent reduced the count of first attempts and not that of direct requests. With more direct requests than first attempts the need was negative, and without supply the shortage -Inf, which opened the throttle.

--- a/core/retry/grants.go
+++ b/core/retry/grants.go
@@ -217,6 +217,9 @@
 		return
 	}
 	g.firsts = max(g.firsts-1, 0)
+	if a.Direct {
+		g.direct = max(g.direct-1, 0)
+	}
 	counts.requests--
 	if a.Retry {
 		counts.retries--
--- a/core/retry/grants_test.go
+++ b/core/retry/grants_test.go
@@ -198,3 +198,21 @@
 		t.Errorf("got %d complete requests with grants and %d without, want at least 100 and half as many again", with, without)
 	}
 }
+
+// Guards against direct requests that stay counted although none of their bytes reached the
+// server. With more direct requests than first attempts, the shortage was negative.
+func TestUnsentDirectRequestsAreTakenBack(t *testing.T) {
+	g := retry.Grants{Share: 1}
+	for range 20 {
+		g.RecordDispatch(0, retry.Attempt{Direct: true})
+		g.RecordUnsent(0, retry.Attempt{Direct: true})
+	}
+	for range 10 {
+		g.RecordDispatch(0, retry.Attempt{})
+		g.RecordEnd(0, true)
+	}
+	g.Tick(0)
+	if got := g.State().Shortage; got <= 0 {
+		t.Errorf("got shortage %v with ten rejected calls and no direct requests, want more than 0", got)
+	}
+}
