cmd/settings: refuse shares.scope fleet and retries.grants where not hosted

Both settings apply to hosted deployments only, and had no intended effect or none at all elsewhere. The error names the remedy, as for placement.crossing. The two new cases of TestParseErrors got no error before.

--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -221,6 +221,12 @@
 	if !s.Hosted() && s.Node.Crossing == node.CrossingSurplus {
 		addError("placement.crossing", "is surplus, which only hosted deployments have: give occupancy, or set deployment.kind to hosted")
 	}
+	if !s.Hosted() && s.Node.ShareScope == node.ShareScopeFleet {
+		addError("shares.scope", "is fleet, which only hosted deployments have: give entry, or set deployment.kind to hosted")
+	}
+	if !s.Hosted() && s.Node.RetryGrants {
+		addError("retries.grants", "is true, which only hosted deployments have: give false, or set deployment.kind to hosted")
+	}
 	if s.Node.MaximumTimeout < s.Node.Timeout {
 		addError("requests.maximum_timeout", fmt.Sprintf("is %v: give at least requests.timeout, %v", s.Node.MaximumTimeout, s.Node.Timeout))
 	}
--- a/cmd/settings/settings_test.go
+++ b/cmd/settings/settings_test.go
@@ -105,6 +105,8 @@
 		{"maximum below default timeout", validFile + "[requests]\nmaximum_timeout = \"1s\"\n", "requests.maximum_timeout"},
 		{"boolean as text", validFile + "[retries]\ngrants = \"yes\"\n", "retries.grants"},
 		{"unknown scope", validFile + "[shares]\nscope = \"all\"\n", "shares.scope: is \"all\": give one of entry, fleet"},
+		{"scope of a deployment that is not hosted", validFile + "[shares]\nscope = \"fleet\"\n", "shares.scope: is fleet, which only hosted deployments have"},
+		{"grants in a deployment that is not hosted", validFile + "[retries]\ngrants = true\n", "retries.grants: is true, which only hosted deployments have"},
 		{"weight that is zero", validFile + "[shares]\nweights = [\"mill=0\"]\n", "shares.weights"},
 		{"weight given twice", validFile + "[shares]\nweights = [\"mill=1\", \"mill=2\"]\n", "shares.weights"},
 		{"domain not listed", strings.Replace(validFile, `domain = "north"`, `domain = "west"`, 1), "instance.domains"},
