core/node: apply the share scope to routed deployments only

The scope fleet changed the queue weights from the organisations' rates to 1 and the target utilisation in deployments that are not routed, for which the option is documented to have no effect. One predicate of Options decides now. The new case of TestChildCallsAreQueuedByAccount gave 2 of 3 slots by account without the change, and gives none with it.

--- a/core/node/crossing.go
+++ b/core/node/crossing.go
@@ -28,7 +28,7 @@
 
 // exchangesDemand reports whether nodes exchange the demand for contended services.
 func (o Options) exchangesDemand() bool {
-	return o.Routed && (o.Crossing == CrossingSurplus || o.ShareScope == ShareScopeFleet)
+	return o.crossesSurplus() || o.sharesFleet()
 }
 
 func (o Options) crossesSurplus() bool { return o.Routed && o.Crossing == CrossingSurplus }
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -42,8 +42,8 @@
 	importantHeadroom = 0.25
 )
 
-// sharesComponent connects the demand of the fleet with the gates, the limits that servers name and the queue
-// of the local backend server.
+// sharesComponent connects the demand of the fleet with the gates, the limits that
+// servers name and the queue of the local backend server.
 type sharesComponent struct {
 	node *Node
 	// divided holds the services whose division was in force at the last report.
@@ -51,14 +51,17 @@
 }
 
 func newSharesComponent(n *Node) *sharesComponent {
-	n.meter.SetQueueAllowed(n.options.ShareScope == ShareScopeFleet)
+	n.meter.SetQueueAllowed(n.options.sharesFleet())
 	return &sharesComponent{
 		node:    n,
 		divided: make(map[coltsfootward.ServiceName]bool),
 	}
 }
 
-func (p *sharesComponent) fleet() bool { return p.node.options.ShareScope == ShareScopeFleet }
+func (p *sharesComponent) fleet() bool { return p.node.options.sharesFleet() }
+
+// sharesFleet reports whether the demand of the whole fleet decides what is refused.
+func (o Options) sharesFleet() bool { return o.Routed && o.ShareScope == ShareScopeFleet }
 
 // closeGates passes the demand of the fleet for a service to its gate.
 func (p *sharesComponent) closeGates(service coltsfootward.ServiceName) {
--- a/core/node/shares_test.go
+++ b/core/node/shares_test.go
@@ -13,12 +13,14 @@
 
 // Guards against child calls of a large organisation that take the slots of a small one
 // because both count as calls without an organisation: with the scope fleet they count
-// for the organisations of their requests, by weight.
+// for the organisations of their requests, by weight. Guards as well against the scope
+// having an effect in a deployment that is not routed.
 func TestChildCallsAreQueuedByAccount(t *testing.T) {
 	for _, test := range []struct {
-		scope node.ShareScope
-		want  int
-	}{{node.ShareScopeEntry, 0}, {node.ShareScopeFleet, 2}} {
+		scope  node.ShareScope
+		routed bool
+		want   int
+	}{{node.ShareScopeEntry, true, 0}, {node.ShareScopeFleet, true, 2}, {node.ShareScopeFleet, false, 0}} {
 		weights, err := fairshare.ParseWeights([]string{"small=3"})
 		if err != nil {
 			t.Fatal(err)
@@ -26,7 +28,7 @@
 		s := &testNode{t: t, table: make(rowTable), now: coltsfootward.At(time.Hour)}
 		s.node = node.New(node.Options{
 			Self: coltsfootward.Instance{ID: "quotes-1", Domain: "north"}, Domains: []coltsfootward.FailureDomain{"north"},
-			Routed: true, ShareScope: test.scope, ShareWeights: weights,
+			Routed: test.routed, ShareScope: test.scope, ShareWeights: weights,
 		}, rand.New(rand.NewPCG(1, 2)), s.now)
 		s.handle(node.BackendAnnounced{Service: "quotes", Slots: 1})
 		next := node.CallID(0)
@@ -53,7 +55,7 @@
 			}
 		}
 		if small != test.want {
-			t.Errorf("scope %s: %d of 3 slots went to the small organisation, want %d", test.scope, small, test.want)
+			t.Errorf("scope %s, routed %t: %d of 3 slots went to the small organisation, want %d", test.scope, test.routed, small, test.want)
 		}
 	}
 }
