core/fairshare: use the collector's number of named organisations

The number was declared a second time and would have had to be kept equal by hand. Wraps two doc comments of core/pressure. No change of behaviour.

--- a/core/demand/collector.go
+++ b/core/demand/collector.go
@@ -26,10 +26,10 @@
 	// exchangedOrganisations is the number of organisations that a collector names to
 	// the others.
 	exchangedOrganisations = 32
-	// A summary names bandOrganisations organisations of each band, and at most
-	// summaryOrganisations in all. The limit bounds the size of an answer when
-	// different organisations are the heaviest in each band.
-	bandOrganisations    = 16
+	// BandOrganisations is the number of organisations of each band that a summary
+	// names, and summaryOrganisations the most that it names in all. The limit bounds
+	// the size of an answer when different organisations are the heaviest in each band.
+	BandOrganisations    = 16
 	summaryOrganisations = 48
 	// A collector answers with the same summary for the part 1/summariesPerInterval of
 	// the interval between reports. Adding up all reports for every answer would cost
@@ -300,7 +300,7 @@
 			return cmp.Or(cmp.Compare(b.Demand[band], a.Demand[band]), cmp.Compare(a.Name, b.Name))
 		})
 	}
-	for place := range bandOrganisations {
+	for place := range BandOrganisations {
 		for _, in := range byBand {
 			if place < len(in) && len(kept) < summaryOrganisations {
 				kept[in[place].Name] = true
--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -84,10 +84,6 @@
 	return d
 }
 
-// namedInBand is the number of organisations with the most demand that a summary names for
-// each band.
-const namedInBand = 16
-
 // leastCount returns the least number of organisations that are not named and ask for
 // others together, given the demand of those that are named. The count that the summary
 // states is too low if different organisations enter at different nodes. An organisation
@@ -100,8 +96,8 @@
 	}
 	slices.Sort(named)
 	bound := named[len(named)/2]
-	if len(named) >= namedInBand {
-		bound = named[len(named)-namedInBand]
+	if len(named) >= demand.BandOrganisations {
+		bound = named[len(named)-demand.BandOrganisations]
 	}
 	return others / bound
 }
--- a/core/pressure/division.go
+++ b/core/pressure/division.go
@@ -53,8 +53,9 @@
 	sum, count float64
 }
 
-// SetDemand makes the gate for the service's slots refuse by the demand of the whole fleet. Once s is
-// no longer valid, the gate refuses a fraction of the entry node's own demand.
+// SetDemand makes the gate for the service's slots refuse by the demand of the whole
+// fleet. Once s is no longer valid, the gate refuses a fraction of the entry node's own
+// demand.
 func (g *Gates) SetDemand(now time.Duration, s demand.Summary, weights fairshare.Weights) {
 	if !s.Valid(now) || s.Total.Total() <= 0 {
 		return
@@ -63,8 +64,8 @@
 	gate.summary, gate.weights = s, weights
 }
 
-// Division returns the division in force at the gate for a service's slots. ok is false if the gate
-// refuses by the entry node's own demand.
+// Division returns the division in force at the gate for a service's slots. ok is false
+// if the gate refuses by the entry node's own demand.
 func (g *Gates) Division(service coltsfootward.ServiceName) (d fairshare.Division, ok bool) {
 	gate, found := g.gates[Key{Service: service}]
 	if !found || !gate.division.valid {
