core/crossing: stay in the domain while no other one has room

Cause: under an overload of all domains requests crossed although the others were as full. Change: the rule room crosses by occupancy, except while the demand of every other domain exceeds its capacity.

--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -218,8 +218,8 @@
 	if s.Hosted() && (s.Listen.Ready == "" || s.Backend.Address == "" || s.Backend.Service == "") {
 		addError("deployment.kind", "is hosted: give listen.ready, backend.address and backend.service too")
 	}
-	if !s.Hosted() && s.Node.Crossing == node.CrossingSurplus {
-		addError("placement.crossing", "is surplus, which only hosted deployments have: give occupancy, or set deployment.kind to hosted")
+	if !s.Hosted() && s.Node.Crossing != node.CrossingOccupancy {
+		addError("placement.crossing", fmt.Sprintf("is %s, which only hosted deployments have: give occupancy, or set deployment.kind to hosted", s.Node.Crossing))
 	}
 	if !s.Hosted() && s.Node.ShareScope == node.ShareScopeFleet {
 		addError("shares.scope", "is fleet, which only hosted deployments have: give entry, or set deployment.kind to hosted")
--- a/cmd/settings/table.go
+++ b/cmd/settings/table.go
@@ -77,7 +77,7 @@
 			func(s *Settings) *node.ShareScope { return &s.Node.ShareScope }),
 		weights("shares.weights", "What organisations get of a service's capacity relative to others, for which it is 1, where shares.scope is fleet.",
 			func(s *Settings) *[]string { return &s.ShareWeights }),
-		choice("placement.crossing", "Which requests go to another failure domain. occupancy: those for which the server chosen in their own domain is nearly full and one elsewhere is less so. surplus: those that exceed the capacity of their own domain, as far as others have room; the same on all instances, hosted deployments only.", []node.Crossing{node.CrossingOccupancy, node.CrossingSurplus},
+		choice("placement.crossing", "Which requests go to another failure domain. occupancy: those for which the server chosen in their own domain is nearly full and one elsewhere is less so. surplus: those that exceed the capacity of their own domain, as far as others have room. room: as occupancy, but none while the demand of every other domain exceeds its capacity. The same on all instances; surplus and room in hosted deployments only.", []node.Crossing{node.CrossingOccupancy, node.CrossingSurplus, node.CrossingRoom},
 			func(s *Settings) *node.Crossing { return &s.Node.Crossing }),
 		fraction("placement.crossing_margin", "With surplus, by how much the occupancy of another failure domain has to be lower before requests go there.", 0, 1,
 			func(s *Settings) *float64 { return &s.Node.CrossingMargin }),
--- a/core/node/crossing.go
+++ b/core/node/crossing.go
@@ -24,13 +24,19 @@
 	// CrossingSurplus sends only what exceeds the capacity of the own domain, as far as
 	// the other domains have room. It needs the demand of the whole fleet.
 	CrossingSurplus Crossing = "surplus"
+	// CrossingRoom is CrossingOccupancy, except that nothing crosses for a service while
+	// the demand of every other domain exceeds its capacity. It needs the demand of the
+	// whole fleet.
+	CrossingRoom Crossing = "room"
 )
 
 // exchangesDemand reports whether nodes exchange the demand for contended services.
 func (o Options) exchangesDemand() bool {
-	return o.crossesSurplus() || o.sharesFleet()
+	return o.crossesSurplus() || o.crossesToRoom() || o.sharesFleet()
 }
 
+func (o Options) crossesToRoom() bool { return o.Routed && o.Crossing == CrossingRoom }
+
 func (o Options) crossesSurplus() bool { return o.Routed && o.Crossing == CrossingSurplus }
 
 const (
@@ -48,7 +54,9 @@
 type crossingComponent struct {
 	node *Node
 	// plans holds a plan for each service with a valid summary.
-	plans      map[coltsfootward.ServiceName]*crossingPlan
+	plans map[coltsfootward.ServiceName]*crossingPlan
+	// rooms holds the services with a valid summary, with CrossingRoom.
+	rooms      map[coltsfootward.ServiceName]*crossing.Room
 	nextUpdate time.Duration
 	// bytes is the mean number of bytes of a request of each route and its response.
 	bytes map[coltsfootward.RouteName]float64
@@ -79,6 +87,7 @@
 	return &crossingComponent{
 		node:   n,
 		plans:  make(map[coltsfootward.ServiceName]*crossingPlan),
+		rooms:  make(map[coltsfootward.ServiceName]*crossing.Room),
 		bytes:  make(map[coltsfootward.RouteName]float64),
 		counts: make(map[crossingPair]*CrossingCount),
 	}
@@ -184,12 +193,72 @@
 	return c
 }
 
+// staysNear reports whether no other domain has room for a service.
+func (p *crossingComponent) staysNear(service coltsfootward.ServiceName) bool {
+	room, ok := p.rooms[service]
+	return ok && room.None()
+}
+
+// chooseNear returns the server for the call's next attempt while no other domain has
+// room. It leaves the domain only if that has no server that can be chosen.
+func (p *crossingComponent) chooseNear(call *entryCall) (coltsfootward.Instance, bool) {
+	pool := p.node.placement.poolFor(call.head.Service).pool
+	to, reason, ok := pool.ChooseNear(p.node.now.Monotonic, p.node.source, p.node.placement.placementRequest(call), placement.Crossing{})
+	if reason != "" {
+		p.count(call, to.Domain).Requests[reason]++
+	}
+	return to, ok
+}
+
+// updateRooms judges for each contended service whether another domain has room.
+func (p *crossingComponent) updateRooms(now time.Duration) {
+	for service := range p.rooms {
+		if _, ok := p.node.demand.summary(service); !ok {
+			p.reportRoom(service, demand.Summary{}, p.staysNear(service), false)
+			delete(p.rooms, service)
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(p.node.demand.summaries)) {
+		s, ok := p.node.demand.summary(service)
+		if !ok {
+			continue
+		}
+		if p.rooms[service] == nil {
+			p.rooms[service] = &crossing.Room{}
+		}
+		var domains []crossing.Domain
+		for name, capacity := range p.node.placement.poolFor(service).pool.Capacity(now) {
+			domains = append(domains, crossing.Domain{Name: name, Demand: s.From(name).Demand, Capacity: capacity})
+		}
+		before := p.staysNear(service)
+		p.rooms[service].Update(p.node.options.Self.Domain, domains)
+		p.reportRoom(service, s, before, p.staysNear(service))
+	}
+}
+
+// reportRoom reports when requests for a service begin and end to stay in the domain.
+func (p *crossingComponent) reportRoom(service coltsfootward.ServiceName, s demand.Summary, before, after bool) {
+	switch {
+	case after && !before:
+		p.node.report(record.CrossingEnded, field("service", string(service)), field("cause", "no other domain has room"),
+			field("entries", number(s.Entries)), field("age", rounded(p.node.now.Monotonic-s.At)))
+	case before && !after:
+		p.node.report(record.CrossingBegan, field("service", string(service)), field("cause", "another domain has room, or the service is not contended"))
+	}
+}
+
 func (p *crossingComponent) tick() {
 	now := p.node.now.Monotonic
-	if !p.node.options.crossesSurplus() || now < p.nextUpdate {
+	if now < p.nextUpdate {
 		return
 	}
 	p.nextUpdate = now + planInterval
+	if p.node.options.crossesToRoom() {
+		p.updateRooms(now)
+	}
+	if !p.node.options.crossesSurplus() {
+		return
+	}
 	for _, service := range slices.Sorted(maps.Keys(p.node.demand.summaries)) {
 		if s, ok := p.node.demand.summary(service); ok {
 			p.update(now, s)
--- a/core/node/placement.go
+++ b/core/node/placement.go
@@ -106,6 +106,9 @@
 	if p.node.options.crossesSurplus() {
 		return p.node.crossing.choose(call)
 	}
+	if p.node.crossing.staysNear(call.head.Service) {
+		return p.node.crossing.chooseNear(call)
+	}
 	return p.poolFor(call.head.Service).pool.Choose(p.node.now.Monotonic, p.node.source, p.placementRequest(call))
 }
 
