cmd/soak: log the faults and what each server states in its answers

A run now writes soak.log beside the logs of the nodes, with the same clock: each fault with its node and length, each request that reaches a server while it is made to state something, and the fields that the answer to it carried.

--- a/cmd/soak/condition.go
+++ b/cmd/soak/condition.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -45,9 +47,9 @@
 // server of a node.
 func (f *soakFleet) countArrivals(i int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.ledger.recordArrival(i, r.URL.Path == "/health")
+		f.ledger.recordArrival(i, r)
 		next.ServeHTTP(w, r)
-		f.ledger.recordAnswer(i)
+		f.ledger.recordAnswer(i, w.Header())
 	})
 }
 
@@ -56,12 +58,12 @@
 	if !r.ledger.beginCondition(conditionSpan{node: n.Number(), limit: limits[r.source.IntN(len(limits))]}, n.applyCondition) {
 		return
 	}
-	r.countFault("limit")
+	r.countFault("limit", n.Number(), limitedTime)
 	r.wait.Go(func() {
 		time.Sleep(limitedTime)
 		r.ledger.endCondition(n.Number())
 		n.backend.RemoveLimit()
-		r.ledger.faultEnded()
+		r.ledger.faultEnded(n.Number())
 	})
 }
 
@@ -71,12 +73,12 @@
 	if !r.ledger.beginCondition(conditionSpan{node: n.Number(), leaving: true}, n.applyCondition) {
 		return
 	}
-	r.countFault("leaving")
+	r.countFault("leaving", n.Number(), leavingTime)
 	r.wait.Go(func() {
 		time.Sleep(leavingTime)
 		r.ledger.endCondition(n.Number())
 		n.crash()
-		r.ledger.faultEnded()
+		r.ledger.faultEnded(n.Number())
 	})
 }
 
@@ -121,18 +123,27 @@
 	return nil
 }
 
-func (l *ledger) recordArrival(node int, health bool) {
+func (l *ledger) recordArrival(node int, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.arrivals[node] = append(l.arrivals[node], arrival{at: l.now(), health: health})
+	l.arrivals[node] = append(l.arrivals[node], arrival{at: l.now(), health: r.URL.Path == "/health"})
+	if l.currentCondition(node) != nil {
+		l.log.Info("request_arrived", l.elapsed(), zap.Int("node", node), zap.String("path", r.URL.Path))
+	}
 }
 
-func (l *ledger) recordAnswer(node int) {
+func (l *ledger) recordAnswer(node int, header http.Header) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.currentCondition(node); s != nil && s.answered == 0 {
+	s := l.currentCondition(node)
+	if s == nil {
+		return
+	}
+	if s.answered == 0 {
 		s.answered = l.now()
 	}
+	l.log.Info("request_answered", l.elapsed(), zap.Int("node", node),
+		zap.Strings("limit", header.Values(fields.Limit)), zap.Strings("leaving", header.Values(fields.Leaving)))
 }
 
 // disturbed records that a fault has hit a node or the connections to its backend
--- a/cmd/soak/crash.go
+++ b/cmd/soak/crash.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -31,7 +33,7 @@
 // sendCrashingRequests sends the request that crashes backend servers to random nodes,
 // beside the callers' requests.
 func (r *run) sendCrashingRequests() {
-	r.countFault("crashing request")
+	r.countFault("crashing request", allNodes, crashSendTime)
 	client := &http.Client{Timeout: callerDeadline + clientMargin}
 	for i := range int(crashSendTime / crashInterval) {
 		n := r.anyNode()
@@ -56,13 +58,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.crashes = append(l.crashes, crashRun{at: l.now(), node: node, id: id})
+	l.log.Info("backend_server_crashed", l.elapsed(), zap.Int("node", node), zap.String("request", id))
 }
 
 // faultEnded records the end of a fault, after which the nodes need some time to
 // exchange what they know.
-func (l *ledger) faultEnded() {
+func (l *ledger) faultEnded(node int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.log.Info("fault_ended", l.elapsed(), zap.Int("node", node))
 	l.lastFault = max(l.lastFault, l.now())
 }
 
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -7,12 +7,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // ledger records the outcomes that callers saw and the requests that backend servers
 // ran. It is safe for concurrent use.
 type ledger struct {
 	began time.Time
+	log   *zap.Logger
 
 	mu       sync.Mutex
 	outcomes map[string]outcome
@@ -48,7 +51,7 @@
 
 func newLedger() *ledger {
 	return &ledger{
-		began: time.Now(), outcomes: make(map[string]outcome), runs: make(map[string]int),
+		began: time.Now(), log: zap.NewNop(), outcomes: make(map[string]outcome), runs: make(map[string]int),
 		arrivals: make(map[int][]arrival), disturbances: make(map[int][]time.Duration),
 	}
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -84,7 +84,13 @@
 	if options.Duration == 0 {
 		options.Duration = 15 * time.Second
 	}
+	log, closeLog, err := newLog(options.Directory)
+	if err != nil {
+		return Report{}, err
+	}
+	defer closeLog()
 	r := &run{options: options, source: rand.New(rand.NewPCG(options.Seed, 1)), ledger: newLedger(), faults: make(map[string]int), version: 3}
+	r.ledger.log = log
 	fleet, err := newSoakFleet(options.Program, options.Directory, options.Nodes, r.ledger)
 	if err != nil {
 		return Report{}, fmt.Errorf("soak: start the fleet: %w", err)
@@ -158,10 +164,16 @@
 	r.findings = append(r.findings, fmt.Sprintf(format, args...))
 }
 
-func (r *run) countFault(fault string) {
+// allNodes stands for the node of a fault that hits all nodes.
+const allNodes = -1
+
+// countFault counts and logs a fault that begins at a node. duration is zero if its end
+// is not known yet.
+func (r *run) countFault(fault string, node int, duration time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults[fault]++
+	r.ledger.logFault(fault, node, duration)
 }
 
 // randomDuration returns a random duration of at least from and less than to.
@@ -193,7 +205,7 @@
 }
 
 func (r *run) changeConfiguration() {
-	r.countFault("configuration")
+	r.countFault("configuration", allNodes, 0)
 	r.version += 1 + r.source.IntN(3)
 	if err := r.fleet.configure(r.version); err != nil {
 		r.addFinding("%v", err)
@@ -208,7 +220,7 @@
 	if ended == nil {
 		return true
 	}
-	r.countFault("term")
+	r.countFault("term", n.Number(), 0)
 	inTime := true
 	select {
 	case <-ended:
@@ -237,7 +249,7 @@
 		r.wait.Go(func() {
 			time.Sleep(duration)
 			f()
-			r.ledger.faultEnded()
+			r.ledger.faultEnded(n.Number())
 		})
 	}
 	faults := []ConnectionFault{FaultDelay, FaultSilence, FaultOneWay, FaultReset}
@@ -246,7 +258,7 @@
 	case 0, 1:
 		r.ledger.disturbed(n.Number())
 		if ended := n.Signal(syscall.SIGKILL); ended != nil {
-			r.countFault("kill")
+			r.countFault("kill", n.Number(), duration)
 			afterDuration(func() {
 				<-ended
 				r.restart(n)
@@ -255,7 +267,7 @@
 	case 2:
 		r.ledger.disturbed(n.Number())
 		if n.Signal(syscall.SIGSTOP) != nil {
-			r.countFault("pause")
+			r.countFault("pause", n.Number(), duration)
 			afterDuration(func() { n.Signal(syscall.SIGCONT) })
 		}
 	case 3:
@@ -264,19 +276,19 @@
 		// period is not required; the node only has to be restarted.
 		r.wait.Go(func() {
 			r.stopAndRestart(n, 2*grace)
-			r.ledger.faultEnded()
+			r.ledger.faultEnded(n.Number())
 		})
 	case 4, 5:
 		r.ledger.disturbed(n.Number())
-		r.countFault("backend server: " + string(fault))
+		r.countFault("backend server: "+string(fault), n.Number(), duration)
 		n.backendProxy.setFault(fault)
 		afterDuration(func() { n.backendProxy.setFault(FaultNone) })
 	case 6:
-		r.countFault("store of one node: " + string(fault))
+		r.countFault("store of one node: "+string(fault), n.Number(), duration)
 		n.storeProxy.setFault(fault)
 		afterDuration(func() { n.storeProxy.setFault(FaultNone) })
 	case 7:
-		r.countFault("store away")
+		r.countFault("store away", allNodes, duration)
 		r.fleet.store.Fail(http.StatusServiceUnavailable)
 		afterDuration(func() { r.fleet.store.Fail(0) })
 	case 8:
@@ -286,7 +298,7 @@
 	default:
 		r.changeConfiguration()
 		if r.source.IntN(3) == 0 {
-			r.countFault("store forgets its history")
+			r.countFault("store forgets its history", allNodes, 0)
 			r.fleet.store.DropHistory()
 		}
 	}
