cmd/soak: count a condition from the first answer that states it

The ledger took the first answer after a condition began for the one that states it, whatever the answer said.

An answer now counts if it carries the field. An answer to a request that arrived while the condition held and that lacks the field is a finding of its own, so that the soak reports a stand-in that does not state what it is made to state. TestLedgerFindsEachViolation has the three cases; without the change "server does not state its limit" gives no finding, and "answer from before the limit" gives one. The bounds of the checks are unchanged.

--- a/cmd/soak/condition.go
+++ b/cmd/soak/condition.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,9 +48,9 @@
 // server of a node.
 func (f *soakFleet) countArrivals(i int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.ledger.recordArrival(i, r)
+		due := f.ledger.recordArrival(i, r)
 		next.ServeHTTP(w, r)
-		f.ledger.recordAnswer(i, w.Header())
+		f.ledger.recordAnswer(due, w.Header())
 	})
 }
 
@@ -115,35 +116,56 @@
 
 // currentCondition must be called with the lock held.
 func (l *ledger) currentCondition(node int) *conditionSpan {
-	for i := range l.conditions {
-		if s := &l.conditions[i]; s.node == node && s.to == 0 {
-			return s
-		}
+	if i := l.currentIndex(node); i != noCondition {
+		return &l.conditions[i]
 	}
 	return nil
 }
 
-func (l *ledger) recordArrival(node int, r *http.Request) {
+// currentIndex returns the index of a server's present condition, or noCondition. It must
+// be called with the lock held.
+func (l *ledger) currentIndex(node int) int {
+	return slices.IndexFunc(l.conditions, func(s conditionSpan) bool { return s.node == node && s.to == 0 })
+}
+
+// noCondition is returned by recordArrival if the server states nothing.
+const noCondition = -1
+
+// recordArrival records a request that reaches a backend server. It returns the index of
+// the condition that the answer has to state, or noCondition.
+func (l *ledger) recordArrival(node int, r *http.Request) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.arrivals[node] = append(l.arrivals[node], arrival{at: l.now(), health: r.URL.Path == "/health"})
-	if l.currentCondition(node) != nil {
+	due := l.currentIndex(node)
+	if due != noCondition {
 		l.log.Info("request_arrived", l.elapsed(), zap.Int("node", node), zap.String("path", r.URL.Path))
 	}
+	return due
 }
 
-func (l *ledger) recordAnswer(node int, header http.Header) {
+// recordAnswer records the header of an answer and the condition that it had to state
+// unless that has ended meanwhile. An answer that lacks it is a fault of the soak, which
+// would expect the node to know what no server has stated.
+func (l *ledger) recordAnswer(due int, header http.Header) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.currentCondition(node)
-	if s == nil {
+	if due == noCondition || l.conditions[due].to != 0 {
 		return
 	}
-	if s.answered == 0 {
+	s := &l.conditions[due]
+	l.log.Info("request_answered", l.elapsed(), zap.Int("node", s.node),
+		zap.Strings("limit", header.Values(fields.Limit)), zap.Strings("leaving", header.Values(fields.Leaving)))
+	field := fields.Limit
+	if s.leaving {
+		field = fields.Leaving
+	}
+	switch {
+	case header.Get(field) == "":
+		l.addFinding("the backend server of node %d did not state its condition at %v: %s is missing", s.node, l.now(), field)
+	case s.answered == 0:
 		s.answered = l.now()
 	}
-	l.log.Info("request_answered", l.elapsed(), zap.Int("node", node),
-		zap.Strings("limit", header.Values(fields.Limit)), zap.Strings("leaving", header.Values(fields.Leaving)))
 }
 
 // disturbed records that a fault has hit a node or the connections to its backend
--- a/cmd/soak/ledger_test.go
+++ b/cmd/soak/ledger_test.go
@@ -53,6 +53,21 @@
 	limited := conditionSpan{node: 1, limit: 10, from: time.Second, answered: time.Second, to: 10 * time.Second}
 	leaving := conditionSpan{node: 1, leaving: true, from: time.Second, answered: time.Second, to: 10 * time.Second}
 	disturbed := func(l *ledger) { l.disturbances[1] = append(l.disturbances[1], 2*time.Second) }
+	answer := func(header http.Header) func(*ledger) {
+		return func(l *ledger) {
+			l.beginCondition(conditionSpan{node: 1, limit: 0.5}, func(conditionSpan) {})
+			l.recordAnswer(l.recordArrival(1, httptest.NewRequest(http.MethodGet, "/urea/1", nil)), header)
+		}
+	}
+	answerFromBefore := func(l *ledger) {
+		due := l.recordArrival(1, httptest.NewRequest(http.MethodGet, "/urea/1", nil))
+		l.beginCondition(conditionSpan{node: 1, limit: 0.5}, func(conditionSpan) {})
+		l.recordAnswer(due, http.Header{})
+		l.began = l.began.Add(-2 * contactTime)
+		for range 20 {
+			l.recordArrival(1, httptest.NewRequest(http.MethodGet, "/urea/1", nil))
+		}
+	}
 	for _, test := range []struct {
 		name, want string
 		steps      []func(*ledger)
@@ -72,6 +87,9 @@
 		{"above a server's limit", "want at most 65 at a limit of 10", []func(*ledger){arrive(limited, 66)}},
 		{"request to a server that leaves", "said that it leaves", []func(*ledger){arrive(leaving, 1)}},
 		{"node that was killed meanwhile", "", []func(*ledger){arrive(leaving, 1), disturbed}},
+		{"server states its limit", "", []func(*ledger){answer(http.Header{fields.Limit: {"0.5"}})}},
+		{"server does not state its limit", "did not state its condition", []func(*ledger){answer(http.Header{})}},
+		{"answer from before the limit", "", []func(*ledger){answerFromBefore}},
 		{"servers crash again and again", "crashes backend servers", []func(*ledger){crashes}},
 	} {
 		l := newLedger()
