core/node: ask the backend server after a start before filling its slots

What callers saw: a server in need that names 0 or 0.5 requests a second, or says that it leaves, got as many requests as it has slots when its node started anew. They were answered late, or cut off when the server ended.

Cause: what a server states is known only to the process that has read an answer. A started node took "nothing stated yet" for "nothing stated", and with calls that take a second it filled all slots before the first answer.

The node made no health check.

Fix: a node of a hosted deployment that has started asks its server by a health check once it knows the server and a configuration, and sends it one request at a time until the first answer. A health check that finds the server is applied before the server is announced. Slowdown and coldness come with the same check.

Own deployments have no health checks and are unchanged. Dispatch.ConditionStated is now ConditionExpected.

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -243,8 +243,8 @@
 	})
 	if recovered {
 		h.components.reporter.event(record.BackendFound, "backend", health.ID)
+		h.postHealth(health) // first, so that no request is dispatched before what the server states is known
 		h.announceBackend()
-		h.postHealth(health)
 	}
 	return true
 }
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -53,9 +53,10 @@
 	// Unrepeatable is set for a request that the transport must not send a
 	// second time.
 	Unrepeatable bool
-	// ConditionStated is set if the upstream has stated a condition. The driver then
-	// reports BackendAnswered for a response that states nothing, too.
-	ConditionStated bool
+	// ConditionExpected is set if the upstream has stated a condition, or has not answered
+	// since the node started. The driver then reports BackendAnswered for a response that
+	// states nothing, too.
+	ConditionExpected bool
 }
 
 // Replay answers a repeated request with the complete response to the first
--- a/core/node/condition.go
+++ b/core/node/condition.go
@@ -34,6 +34,10 @@
 type conditionTracker struct {
 	node    *Node
 	current coltsfootward.BackendCondition
+	// known is set once the server has answered since the node started. Until then it may
+	// have stated a condition that only an earlier process of the node has learned.
+	// checkRequested is set once a health check was requested to learn it.
+	known, checkRequested bool
 	// backend and start identify the server and its current start, if it reports them.
 	backend, start string
 	// limitedAt is when the server named a limit last, leavingAt when it said last that
@@ -93,6 +97,40 @@
 	if ok && e.Unreadable == "" && !e.Condition.Limited && call.dispatchedAt > p.limitedAt {
 		p.endLimit()
 	}
+	p.learned()
+}
+
+// checked processes the condition stated with the response to a health check.
+func (p *conditionTracker) checked(c coltsfootward.BackendCondition) {
+	p.stated(c)
+	p.learned()
+}
+
+// learned records that the server has answered, and dispatches what waited for that.
+func (p *conditionTracker) learned() {
+	if p.known {
+		return
+	}
+	p.known = true
+	p.node.upstream.dispatchQueued()
+}
+
+// learn requests a health check if the server has not answered yet since the node
+// started. The path of health checks is part of the configuration.
+func (p *conditionTracker) learn() {
+	local := p.node.membership.local
+	if p.known || p.checkRequested || local.Service == "" || local.Draining || p.node.configuration.current.Revision() == 0 {
+		return
+	}
+	p.checkRequested = true
+	p.node.upstream.checkBackend()
+}
+
+// mayStart reports whether a request may be dispatched now. A node that has just started
+// sends the server one request at a time until its first answer: without that, a server
+// with a limit would get as many requests as it has slots.
+func (p *conditionTracker) mayStart() bool {
+	return !p.limitReached() && (p.known || p.node.upstream.inFlight == 0)
 }
 
 // stated applies what the server states. A health check need not state all that other
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -132,7 +132,7 @@
 	case BackendChecked:
 		n.upstream.crashes.responded()
 		n.upstream.cold.checked(e)
-		n.upstream.condition.stated(e.Condition)
+		n.upstream.condition.checked(e.Condition)
 		n.upstream.stated.observed(e.Load, e.UnusableLoad, 0)
 	case DrainRequested:
 		n.drain()
--- a/core/nodetest/backend.go
+++ b/core/nodetest/backend.go
@@ -74,6 +74,8 @@
 	ColdTime time.Duration
 	// Condition is what the server states about itself with each response.
 	Condition coltsfootward.BackendCondition
+	// IgnoresChecks makes health checks reach the server without a response.
+	IgnoresChecks bool
 	// Slowdown multiplies the service times of requests whose service begins now; zero means 1.
 	Slowdown float64
 	// StatesLoad makes the server state its load with each response. The slowdown that it states
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -53,6 +53,9 @@
 		return
 	}
 	m.Backend.Checked = append(m.Backend.Checked, m.rig.Now())
+	if m.Backend.IgnoresChecks {
+		return
+	}
 	m.deliver(func() node.Event {
 		return node.BackendChecked{Cold: m.Backend.Cold(), Condition: m.Backend.Condition, Load: m.Backend.load()}
 	})
--- a/io/upstream/condition.go
+++ b/io/upstream/condition.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		event.Unreadable = err.Error()
 	}
-	if err != nil || d.action.ConditionStated || condition != (coltsfootward.BackendCondition{}) {
+	if err != nil || d.action.ConditionExpected || condition != (coltsfootward.BackendCondition{}) {
 		d.server.loop.Post(event)
 	}
 }
