core/admission: do not take pauses of the machine for overload

What callers saw: on a machine with more work than processors, calls of own deployments were refused as overloaded although the server had 120 slots and 1 to 3 calls in service: 40 of 3,968 at 500 a second and 197 of 8,091 at 1,000 (coltsload latency beside twelve busy processes on five cores).

Cause: the concurrency limit was judged on windows of 32 calls, 22 to 54 ms at that rate, and one pause of the machine lasts 6 to 31 ms. It was then lowered to 0.7 times the calls in service, 2 slots of 120 at the least, although a server with nearly all slots free is not slow because of its concurrency.

Evidence: a trial build printed the window of each lowering: mean latencies of 2.2 to 16 times the baseline beside gaps of 6 to 31 ms between answers, with 1.7 to 19.5 calls in service; the direct calls have the same pauses.

Fix: a window lasts 250 ms at least, and the limit is lowered only if a tenth of it was in use.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -6,6 +6,10 @@
 	// windowSamples is the number of completed requests in an evaluation window. With
 	// fewer, the scatter of service times would be mistaken for a trend.
 	windowSamples = 32
+	// windowTime is the shortest duration of an evaluation window. A busy machine pauses
+	// its processes for 5 to 30 ms, during which requests pile up; most of a shorter window
+	// may consist of requests that one pause has delayed.
+	windowTime = 250 * time.Millisecond
 	// fastRaiseSamples is the number of completed requests that suffice to raise a
 	// lowered limit. A full window may have begun while the server was slow, and
 	// would keep the limit low for a second after the server has recovered.
@@ -25,6 +29,10 @@
 	minTrialFactor   = 0.3
 	// raiseFraction is the fraction by which one evaluation raises the limit.
 	raiseFraction = 0.5
+	// busyFraction is the fraction of the limit that must have been in service on average
+	// for the limit to be lowered. With fewer, a slow server is not slow because of its
+	// concurrency, and a limit just below that would refuse every burst.
+	busyFraction = 0.1
 	// reducedConcurrency is the factor to which concurrency must have fallen before a
 	// trial is evaluated, and reducedLatency the factor to which latency must have
 	// fallen for the trial to be successful.
@@ -63,7 +71,8 @@
 	// limitChanged is the time when the limit last changed. Requests that started
 	// earlier are not counted.
 	limitChanged time.Duration
-	// The sums of the current window.
+	// The begin and the sums of the current window.
+	windowBegan    time.Duration
 	samples        int
 	ratioSum       float64
 	concurrencySum float64
@@ -164,13 +173,16 @@
 	if s.Aborted {
 		return
 	}
+	if l.samples == 0 {
+		l.windowBegan = s.Began
+	}
 	l.samples++
 	l.ratioSum += latency / c.baseline
 	l.concurrencySum += float64(s.Running)
 	l.latestSamples++
 	l.latestRatioSum += latency / c.baseline
 	switch {
-	case l.samples >= windowSamples:
+	case l.samples >= windowSamples && s.Ended-l.windowBegan >= windowTime:
 		l.evaluateWindow(s.Ended)
 	case l.latestSamples >= fastRaiseSamples:
 		l.evaluateLatest(s.Ended)
@@ -216,7 +228,7 @@
 	l.samples, l.ratioSum, l.concurrencySum = 0, 0, 0
 	l.latestSamples, l.latestRatioSum = 0, 0
 	switch {
-	case ratio > slowRatio && concurrency > 1:
+	case ratio > slowRatio && concurrency > max(1, busyFraction*l.limit):
 		l.lower(now, ratio, concurrency)
 	case ratio < normalRatio:
 		l.priorRatio = 0
