cmd/soak: play the settings for contended services

The soak gave its nodes none of the settings with which a deployment turns on retry grants, attribution of calls, shares over the fleet and crossing by room, and its servers made no calls, stated no slowdown and rejected nothing: a fault of these parts could not be found by it.

Seeds without it keep their faults: the kinds of contended runs come last.

--- a/cmd/coltssoak/main.go
+++ b/cmd/coltssoak/main.go
@@ -22,6 +22,7 @@
 	Nodes     int           `long:"nodes" default:"4" description:"node processes"`
 	Callers   int           `long:"callers" default:"12" description:"callers that send requests all the time"`
 	Duration  time.Duration `long:"duration" default:"15s" description:"how long faults come with each seed"`
+	Contended bool          `long:"contended" description:"nodes have the settings for contended services; servers make calls, are slow and reject"`
 }
 
 // The exit codes.
@@ -68,7 +69,7 @@
 		var report soak.Report
 		if err == nil {
 			report, err = soak.Run(soak.Options{
-				Program: o.Program, Directory: seedDirectory, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, Duration: o.Duration,
+				Program: o.Program, Directory: seedDirectory, Seed: seed, Nodes: o.Nodes, Callers: o.Callers, Duration: o.Duration, Contended: o.Contended,
 			})
 		}
 		if err != nil {
--- a/cmd/fleet/node.go
+++ b/cmd/fleet/node.go
@@ -34,6 +34,9 @@
 	Grace, Notice time.Duration
 	// RetryShare and RetryBurst limit the node's own retries.
 	RetryShare, RetryBurst float64
+	// Contended turns on what a node decides for contended services: retry grants,
+	// attribution of calls, shares over the fleet and crossing by room.
+	Contended bool
 }
 
 // readyTimeout bounds one readiness check.
@@ -54,7 +57,7 @@
 // process.
 func NewNode(o Options) (*Node, error) {
 	type table = map[string]any
-	text, err := toml.Marshal(table{
+	settings := table{
 		"deployment": table{"kind": "hosted"},
 		"instance":   table{"id": fmt.Sprintf("node-%d", o.Number), "domain": o.Domain, "domains": o.Domains},
 		"listen": table{
@@ -64,8 +67,14 @@
 		"backend":  table{"address": o.Backend, "service": o.Service},
 		"platform": table{"url": "http://" + o.Store},
 		"stop":     table{"grace": o.Grace.String(), "notice": o.Notice.String()},
-		"retries":  table{"share": o.RetryShare, "capacity": o.RetryBurst},
-	})
+		"retries":  table{"share": o.RetryShare, "capacity": o.RetryBurst, "grants": o.Contended},
+	}
+	if o.Contended {
+		settings["calls"] = table{"attribution": "deadline"}
+		settings["shares"] = table{"scope": "fleet"}
+		settings["placement"] = table{"crossing": "room"}
+	}
+	text, err := toml.Marshal(settings)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: settings of node %d: %w", o.Number, err)
 	}
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"coltsfootward/cmd/fleet"
@@ -17,6 +18,8 @@
 const (
 	host        = "soak.example"
 	serviceName = "quotes"
+	// callRoute is the route of the calls that backend servers make.
+	callRoute = "call"
 	// poorRate and poorBurst are the rate limit, in requests per second, and the burst
 	// of the organisation poor. The rate of the organisation farm, farmRate, is never
 	// reached.
@@ -38,6 +41,9 @@
 	platform *httptest.Server
 	nodes    []*node
 	ledger   *ledger
+	// contended is set if servers make calls and nodes have the settings for contended
+	// services.
+	contended bool
 }
 
 // node is one node process with its backend server and the proxies in front of the
@@ -47,13 +53,17 @@
 	backend                  *hosting.Backend
 	server                   *httptest.Server
 	backendProxy, storeProxy *proxy
+	// slow and rejecting are set while the backend server is slow, or rejects requests, of
+	// which arrived counts those that have arrived meanwhile.
+	slow, rejecting atomic.Bool
+	arrived         atomic.Int64
 }
 
 // newSoakFleet starts count nodes of the program in two failure domains, with their
 // settings and logs in directory. The ledger records the requests that backend servers
 // run.
-func newSoakFleet(program, directory string, count int, l *ledger) (*soakFleet, error) {
-	f := &soakFleet{store: hosting.NewStore(), ledger: l}
+func newSoakFleet(program, directory string, count int, contended bool, l *ledger) (*soakFleet, error) {
+	f := &soakFleet{store: hosting.NewStore(), ledger: l, contended: contended}
 	f.platform = httptest.NewServer(f.store)
 	if err := f.start(program, directory, count); err != nil {
 		f.close()
@@ -85,6 +95,13 @@
 }
 
 func (f *soakFleet) configure(version int) error {
+	routes := []hosting.Route{
+		{Host: host, Name: "urea", Service: serviceName, Idempotent: true, Priority: 1},
+		{Host: host, Name: "order", Service: serviceName},
+	}
+	if f.contended {
+		routes = append(routes, hosting.Route{Host: host, Name: callRoute, Service: serviceName, Idempotent: true, Public: true, Priority: 1})
+	}
 	return f.store.Configure(hosting.Document{
 		Version:  version,
 		Services: []hosting.Service{{Name: serviceName, MaxConnections: maxConnections}},
@@ -92,10 +109,7 @@
 			{Name: "farm", Key: "key-of-farm", Rate: farmRate, Burst: farmRate},
 			{Name: "poor", Key: "key-of-poor", Rate: poorRate, Burst: poorBurst},
 		},
-		Routes: []hosting.Route{
-			{Host: host, Name: "urea", Service: serviceName, Idempotent: true, Priority: 1},
-			{Host: host, Name: "order", Service: serviceName},
-		},
+		Routes: routes,
 	})
 }
 
@@ -108,8 +122,17 @@
 			n.crash()
 			panic(http.ErrAbortHandler)
 		}
+		if n.rejects() {
+			w.Header().Set(fields.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		f.ledger.recordRun(r)
-		time.Sleep(5 * time.Millisecond)
+		if f.contended && r.Method == http.MethodPost && !n.callChildren(r) {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		n.work()
 		fmt.Fprintf(w, "answer to %s", r.Header.Get(fields.Request))
 	}
 	n.server = httptest.NewServer(f.countArrivals(i, n.backend))
@@ -125,7 +148,7 @@
 	n.Node, err = fleet.NewNode(fleet.Options{
 		Program: program, Directory: directory, Number: i, Domain: domains[i%2], Domains: domains, Ports: ports,
 		Backend: n.backendProxy.address(), Service: serviceName, Store: n.storeProxy.address(),
-		Grace: grace, Notice: notice, RetryShare: retryShare, RetryBurst: retryBurst,
+		Grace: grace, Notice: notice, RetryShare: retryShare, RetryBurst: retryBurst, Contended: f.contended,
 	})
 	return n, err
 }
--- a/cmd/soak/ledger.go
+++ b/cmd/soak/ledger.go
@@ -63,6 +63,9 @@
 func (l *ledger) recordRun(r *http.Request) {
 	id := r.Header.Get(fields.Request)
 	organisation, _, _ := strings.Cut(id, "-")
+	if routeOf(id) == callRoute {
+		organisation = "" // calls of backend servers carry no key
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
@@ -82,10 +85,14 @@
 
 // routeOf returns the route that a request's id names.
 func routeOf(id string) string {
-	if strings.Contains(id, "-order-") {
+	switch {
+	case strings.Contains(id, "-call-"):
+		return callRoute
+	case strings.Contains(id, "-order-"):
 		return "order"
+	default:
+		return "urea"
 	}
-	return "urea"
 }
 
 // addFinding must be called with the lock held.
--- a/cmd/soak/regression_test.go
+++ b/cmd/soak/regression_test.go
@@ -10,5 +10,5 @@
 // Guards against a backend server that gets more requests than the limit that it names
 // since its latest start, when its node is killed and started anew.
 func TestSoakSeed9105(t *testing.T) {
-	runSeed(t, buildNode(t), 9105, 10*time.Second)
+	runSeed(t, Options{Program: buildNode(t), Seed: 9105, Duration: 10 * time.Second})
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -25,6 +25,9 @@
 	Callers int
 	// Duration is how long faults are injected; zero means 15 s.
 	Duration time.Duration
+	// Contended gives nodes the settings for contended services. Servers then make calls
+	// for orders, and are at times slow or reject requests.
+	Contended bool
 }
 
 // Report is the result of a run.
@@ -91,7 +94,7 @@
 	defer closeLog()
 	r := &run{options: options, source: rand.New(rand.NewPCG(options.Seed, 1)), ledger: newLedger(), faults: make(map[string]int), version: 3}
 	r.ledger.log = log
-	fleet, err := newSoakFleet(options.Program, options.Directory, options.Nodes, r.ledger)
+	fleet, err := newSoakFleet(options.Program, options.Directory, options.Nodes, options.Contended, r.ledger)
 	if err != nil {
 		return Report{}, fmt.Errorf("soak: start the fleet: %w", err)
 	}
@@ -239,6 +242,13 @@
 	}
 }
 
+// The numbers of kinds of faults that injectFault chooses from. The kinds of contended runs
+// come last, so that a seed without them keeps its faults.
+const (
+	faultKinds          = 11
+	contendedFaultKinds = 14
+)
+
 // injectFault injects one fault, which is removed after a random duration. Faults may
 // overlap: the end of a pause, of a proxy's fault or of a store failure also ends later
 // ones of the same node, proxy or store.
@@ -254,7 +264,11 @@
 	}
 	faults := []ConnectionFault{FaultDelay, FaultSilence, FaultOneWay, FaultReset}
 	fault := faults[r.source.IntN(len(faults))]
-	switch r.source.IntN(11) {
+	kinds := faultKinds
+	if r.options.Contended {
+		kinds = contendedFaultKinds
+	}
+	switch r.source.IntN(kinds) {
 	case 0, 1:
 		r.ledger.disturbed(n.Number())
 		if ended := n.Signal(syscall.SIGKILL); ended != nil {
@@ -295,6 +309,10 @@
 		r.nameLimit(n)
 	case 9:
 		r.leave(n)
+	case 11, 12:
+		r.slow(n, duration, afterDuration)
+	case 13:
+		r.reject(n, duration, afterDuration)
 	default:
 		r.changeConfiguration()
 		if r.source.IntN(3) == 0 {
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -25,24 +25,30 @@
 func TestGuaranteesUnderFaults(t *testing.T) {
 	program := buildNode(t)
 	for _, seed := range []uint64{1, 4} {
-		runSeed(t, program, seed, 6*time.Second)
+		runSeed(t, Options{Program: program, Seed: seed, Duration: 6 * time.Second})
 	}
 }
 
-// runSeed fails the test if the run of a seed violates a guarantee.
-func runSeed(t *testing.T, program string, seed uint64, duration time.Duration) {
+// Checks the same guarantees with the settings for contended services: servers make calls
+// for orders, state slowdowns and reject requests.
+func TestGuaranteesOfContendedServices(t *testing.T) {
+	runSeed(t, Options{Program: buildNode(t), Seed: 20002, Duration: 6 * time.Second, Contended: true})
+}
+
+// runSeed fails the test if a run violates a guarantee.
+func runSeed(t *testing.T, o Options) {
 	t.Helper()
-	directory := t.TempDir()
-	report, err := Run(Options{Program: program, Directory: directory, Seed: seed, Duration: duration})
+	o.Directory = t.TempDir()
+	report, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: %d requests, %d of %d served after the faults, faults %v", seed, report.Requests, report.ServedAfterFaults, report.RequestsAfterFaults, report.Faults)
+	t.Logf("seed %d: %d requests, %d of %d served after the faults, faults %v", o.Seed, report.Requests, report.ServedAfterFaults, report.RequestsAfterFaults, report.Faults)
 	for _, finding := range report.Findings {
-		t.Errorf("seed %d: %s", seed, finding)
+		t.Errorf("seed %d: %s", o.Seed, finding)
 	}
 	if t.Failed() {
-		showLogs(t, directory)
+		showLogs(t, o.Directory)
 	}
 }
 
--- a/standin/hosting/document.go
+++ b/standin/hosting/document.go
@@ -33,6 +33,8 @@
 	Host, Name, Service string
 	// Idempotent means that a request may safely run twice.
 	Idempotent bool
+	// Public means that a request needs no key.
+	Public bool
 	// Priority orders the routes; the lowest value is the most important.
 	Priority int
 }
@@ -64,7 +66,7 @@
 		}
 		paths[r.Host] = append(paths[r.Host], object{
 			"name": r.Name, "prefix": "/" + r.Name + "/", "kind": kind, "timeout": "2s", "target_latency": "500ms",
-			"priority": r.Priority, "max_attempts": 2, "service": r.Service,
+			"priority": r.Priority, "max_attempts": 2, "service": r.Service, "public": r.Public,
 		})
 	}
 	for _, host := range slices.Sorted(maps.Keys(paths)) {
