core/node: repeat the health check after a start; clearer names

A single health check after a node's start could be lost together with the answer to the one request that is under way; the server would then have got one request at a time until the request's deadline. The check is repeated every 2 s until there is a response.

conditionTracker.known, learn and learned are now responded, checkAfterStart and recordResponse, as said of health checks elsewhere.

--- a/core/node/action.go
+++ b/core/node/action.go
@@ -53,7 +53,7 @@
 	// Unrepeatable is set for a request that the transport must not send a
 	// second time.
 	Unrepeatable bool
-	// ConditionExpected is set if the upstream has stated a condition, or has not answered
+	// ConditionExpected is set if the upstream has stated a condition, or has not responded
 	// since the node started. The driver then reports BackendAnswered for a response that
 	// states nothing, too.
 	ConditionExpected bool
--- a/core/node/condition.go
+++ b/core/node/condition.go
@@ -23,6 +23,9 @@
 	// limitReportStep is the relative change of a named limit from which the change is
 	// reported, and sent to other nodes soon.
 	limitReportStep = 0.1
+	// startCheckInterval is the time between two health checks of a server that has not
+	// responded since the node started.
+	startCheckInterval = 2 * time.Second
 	// leavingHold is how long a server that said that it leaves is held to it against
 	// announcements that don't identify the server's start.
 	leavingHold = 30 * time.Second
@@ -34,10 +37,11 @@
 type conditionTracker struct {
 	node    *Node
 	current coltsfootward.BackendCondition
-	// known is set once the server has answered since the node started. Until then it may
-	// have stated a condition that only an earlier process of the node has learned.
-	// checkRequested is set once a health check was requested to learn it.
-	known, checkRequested bool
+	// responded is set once the server has responded since the node started. Until then it
+	// may have stated a condition that only an earlier process of the node has learned.
+	responded bool
+	// nextCheck is when the next health check after the node's start may be requested.
+	nextCheck time.Duration
 	// backend and start identify the server and its current start, if it reports them.
 	backend, start string
 	// limitedAt is when the server named a limit last, leavingAt when it said last that
@@ -97,40 +101,41 @@
 	if ok && e.Unreadable == "" && !e.Condition.Limited && call.dispatchedAt > p.limitedAt {
 		p.endLimit()
 	}
-	p.learned()
+	p.recordResponse()
 }
 
 // checked processes the condition stated with the response to a health check.
 func (p *conditionTracker) checked(c coltsfootward.BackendCondition) {
 	p.stated(c)
-	p.learned()
+	p.recordResponse()
 }
 
-// learned records that the server has answered, and dispatches what waited for that.
-func (p *conditionTracker) learned() {
-	if p.known {
+// recordResponse records that the server has responded, and dispatches the requests that
+// waited for its first response.
+func (p *conditionTracker) recordResponse() {
+	if p.responded {
 		return
 	}
-	p.known = true
+	p.responded = true
 	p.node.upstream.dispatchQueued()
 }
 
-// learn requests a health check if the server has not answered yet since the node
+// checkAfterStart requests a health check if the server has not responded since the node
 // started. The path of health checks is part of the configuration.
-func (p *conditionTracker) learn() {
-	local := p.node.membership.local
-	if p.known || p.checkRequested || local.Service == "" || local.Draining || p.node.configuration.current.Revision() == 0 {
+func (p *conditionTracker) checkAfterStart() {
+	local, now := p.node.membership.local, p.node.now.Monotonic
+	if p.responded || now < p.nextCheck || local.Service == "" || local.Draining || p.node.configuration.current.Revision() == 0 {
 		return
 	}
-	p.checkRequested = true
+	p.nextCheck = now + startCheckInterval
 	p.node.upstream.checkBackend()
 }
 
 // mayStart reports whether a request may be dispatched now. A node that has just started
-// sends the server one request at a time until its first answer: without that, a server
+// sends the server one request at a time until its first response: without that, a server
 // with a limit would get as many requests as it has slots.
 func (p *conditionTracker) mayStart() bool {
-	return !p.limitReached() && (p.known || p.node.upstream.inFlight == 0)
+	return !p.limitReached() && (p.responded || p.node.upstream.inFlight == 0)
 }
 
 // stated applies what the server states. A health check need not state all that other
--- a/core/node/membership.go
+++ b/core/node/membership.go
@@ -155,7 +155,7 @@
 		code = record.BackendDraining
 	}
 	p.node.report(code, field("service", string(e.Service)), field("slots", number(e.Slots)))
-	p.node.upstream.condition.learn()
+	p.node.upstream.condition.checkAfterStart()
 	p.node.upstream.dispatchQueued()
 }
 
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -68,7 +68,7 @@
 	p := &upstreamComponent{node: n, calls: make(map[CallID]*upstreamCall), admission: admissioncontrol.NewController(0)}
 	p.cold = coldTracker{node: n, startedAt: n.now.Monotonic}
 	p.crashes = newCrashDetector(n)
-	p.condition = conditionTracker{node: n, known: !n.options.Routed}
+	p.condition = conditionTracker{node: n, responded: !n.options.Routed}
 	p.stated = statedLoad{node: n}
 	if n.options.Routed {
 		p.admission.FixLimit()
@@ -232,7 +232,7 @@
 		StartBy:        call.startBy,
 		Unrepeatable:   call.head.Unrepeatable,
 
-		ConditionExpected: !p.condition.known || p.condition.current != coltsfootward.BackendCondition{},
+		ConditionExpected: !p.condition.responded || p.condition.current != coltsfootward.BackendCondition{},
 	})
 }
 
@@ -295,7 +295,7 @@
 	if p.checkDue {
 		p.checkBackend()
 	}
-	p.condition.learn()
+	p.condition.checkAfterStart()
 	p.crashes.tick()
 	p.reportOverload()
 	p.reportLimit()
