core/tally: count requests by route, importance and depth

While any request is refused or fails, each node now reports once a second, for every route, importance and depth, what entered and what its backend server got: asked, served, failed, refused by reason, and the slot time (events 204 and 323, gauges entered and received).

--- a/cmd/daemon/metrics.go
+++ b/cmd/daemon/metrics.go
@@ -242,6 +242,10 @@
 	// CallLimits holds, by route, how many milliseconds after the start of their parent
 	// those calls expire at the latest, where the node has learned it.
 	CallLimits map[coltsfootward.RouteName]int64 `json:"call_limits"`
+	// Entered and Received count the requests of the last second, by route, importance
+	// and depth: those that entered at the node, and the calls for its backend server.
+	Entered  []routeCount `json:"entered"`
+	Received []routeCount `json:"received"`
 	// Shares are the services whose capacity is divided between organisations, with the
 	// organisations that compete for it.
 	Shares []serviceShares `json:"shares"`
@@ -299,6 +303,8 @@
 		LoadNoticesReceived:     stated.NoticesReceived,
 		Attributions:            n.Attributions(),
 		CallLimits:              callLimits(n),
+		Entered:                 routeCounts(n.RouteCounts().Entered),
+		Received:                routeCounts(n.RouteCounts().Received),
 		Shares:                  sharesOf(n),
 	}
 }
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -9,6 +9,7 @@
 	"coltsfootward/core/attribution"
 	"coltsfootward/core/message"
 	"coltsfootward/core/quarantine"
+	"coltsfootward/core/tally"
 )
 
 // retryAfterJitter is the width of the range from which jitteredRetryAfter
@@ -99,6 +100,8 @@
 	// hops counts all attempts of the request, including those that no backend
 	// server saw.
 	hops int
+	// refusedAtGate is set once a gate has refused the request.
+	refusedAtGate bool
 	// crossTo is the failure domain that the request is sent to; empty means the node's
 	// own.
 	crossTo coltsfootward.FailureDomain
@@ -129,9 +132,12 @@
 func (p *entryComponent) arrived(e RequestArrived) {
 	call, refusal := p.open(e)
 	if refusal != nil {
+		p.node.tally.entered.Asked(tally.Class{})
+		p.node.tally.entered.Refused(tally.Class{}, string(refusal.Kind))
 		p.refuse(e.Call, e.Request, *refusal)
 		return
 	}
+	p.node.tally.entered.Asked(tallyClass(call.head))
 	call.fingerprint = quarantine.FingerprintOf(call.head, e.Body)
 	p.calls[call.id] = call
 	if r := p.node.quarantine.entryRefusal(call.fingerprint); r != nil {
--- a/core/node/entry_end.go
+++ b/core/node/entry_end.go
@@ -28,6 +28,7 @@
 func (p *entryComponent) finish(call *entryCall, r coltsfootward.Refusal, evidence ...record.Field) {
 	delete(p.calls, call.id)
 	p.recordChildEnd(call, true)
+	p.countRefusal(call, r)
 	if call.mayHaveRun && r.Execution == coltsfootward.ExecutionNotRun {
 		r = r.WithExecution(coltsfootward.ExecutionUnknown)
 	}
@@ -44,6 +45,15 @@
 	p.refuse(call.id, call.head.Request, r, append(p.evidence(call), evidence...)...)
 }
 
+// countRefusal counts a call that ends without a response of a backend server.
+func (p *entryComponent) countRefusal(call *entryCall, r coltsfootward.Refusal) {
+	reason := string(r.Kind)
+	if call.refusedAtGate {
+		reason = reasonGate
+	}
+	p.node.tally.entered.Refused(tallyClass(call.head), reason)
+}
+
 // replay answers the call with the response to the first request under its
 // idempotency key, and removes the call.
 func (p *entryComponent) replay(call *entryCall, response *claim.RetainedResponse) {
@@ -95,6 +105,11 @@
 		return
 	}
 	delete(p.calls, e.Call)
+	if e.Complete {
+		p.node.tally.entered.Served(tallyClass(call.head))
+	} else {
+		p.node.tally.entered.Failed(tallyClass(call.head))
+	}
 	used := call.allocation
 	if e.Attempts >= 0 {
 		used = min(e.Attempts, used)
@@ -121,6 +136,7 @@
 		return
 	}
 	delete(p.calls, id)
+	p.node.tally.entered.Refused(tallyClass(call.head), string(coltsfootward.RefusalCancelled))
 	execution := coltsfootward.ExecutionNotRun
 	if call.inFlight || call.answered || call.mayHaveRun {
 		execution = coltsfootward.ExecutionUnknown
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -183,6 +183,7 @@
 		p.node.demand.requestAdmitted(call)
 		return false
 	}
+	call.refusedAtGate = true
 	p.finish(call, coltsfootward.NewRefusal(coltsfootward.RefusalOverloaded, fmt.Sprintf("service %q, which the request needs, %s for requests of this importance", saturated.Service, shortOf(saturated))).
 		WithRetryAfter(p.node.placement.coldRetryAfter(saturated.Service)+p.node.jitter(gateRetryAfter(call.objective))), p.gateEvidence(call, saturated)...)
 	return true
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -56,6 +56,7 @@
 	demand *demandComponent
 	// crossing chooses the failure domain that a request is sent to.
 	crossing *crossingComponent
+	tally    *tallyComponent
 	table    *tableComponent
 }
 
@@ -87,6 +88,7 @@
 	n.shares = newSharesComponent(n)
 	n.demand = newDemandComponent(n)
 	n.crossing = newCrossingComponent(n)
+	n.tally = &tallyComponent{node: n}
 	return n
 }
 
@@ -187,6 +189,7 @@
 	n.crossing.tick()
 	n.quarantine.tick()
 	n.entry.tick()
+	n.tally.tick()
 }
 
 func (n *Node) handleMessage(e MessageArrived) {
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -39,6 +39,8 @@
 	childRefused    bool
 	childRetryAfter time.Duration
 	fingerprint     quarantine.Fingerprint
+	// shedBy is the reason for which admission control refused the call.
+	shedBy admissioncontrol.Reason
 }
 
 // upstreamComponent queues and dispatches all requests for the local backend
@@ -94,6 +96,7 @@
 		call.startBy = now + e.Head.StartWithin - e.Age
 	}
 	p.calls[call.id] = call
+	p.node.tally.received.Asked(tallyClass(call.head))
 	if r := p.check(call); r != nil {
 		p.refuse(call, *r)
 		return
@@ -278,7 +281,9 @@
 		case admissioncontrol.ReasonLimited:
 			r = p.condition.withRetryAfter(r)
 		}
-		p.refuse(p.calls[CallID(shed.Request.ID)], r)
+		call := p.calls[CallID(shed.Request.ID)]
+		call.shedBy = shed.Reason
+		p.refuse(call, r)
 	}
 }
 
--- a/core/node/upstream_end.go
+++ b/core/node/upstream_end.go
@@ -26,6 +26,7 @@
 		p.node.callees.RequestEnded(p.node.now.Monotonic, call.dispatchedAt, call.head.Route, e.Failed)
 	}
 	p.recordDone(call, e.Kind)
+	p.countEnd(call, e)
 	switch e.Kind {
 	case DispatchUnsent:
 		p.refuse(call, coltsfootward.NewRefusal(coltsfootward.RefusalConnectionLost, "the backend server could not be reached"))
@@ -63,6 +64,20 @@
 	p.admission.DoneAtSlowdown(p.node.now.Expiry, id, kind != DispatchAnswered, slowdown)
 }
 
+// countEnd counts a dispatched call that has ended. Those that are refused are counted by
+// sendRefusal.
+func (p *upstreamComponent) countEnd(call *upstreamCall, e DispatchEnded) {
+	class := tallyClass(call.head)
+	p.node.tally.received.Used(class, p.node.now.Monotonic-call.dispatchedAt)
+	switch {
+	case e.Kind != DispatchAnswered:
+	case e.Failed:
+		p.node.tally.received.Failed(class)
+	default:
+		p.node.tally.received.Served(class)
+	}
+}
+
 // refuseRejected answers a call that the backend server reported not to have
 // run. The server has seen it, so it counts as an attempt.
 func (p *upstreamComponent) refuseRejected(call *upstreamCall) {
@@ -74,6 +89,11 @@
 
 // sendRefusal sends a call's refusal to the peer and logs it.
 func (p *upstreamComponent) sendRefusal(call *upstreamCall, r coltsfootward.Refusal, attempts int) {
+	reason := string(r.Kind)
+	if call.shedBy != "" {
+		reason = string(call.shedBy)
+	}
+	p.node.tally.received.Refused(tallyClass(call.head), reason)
 	granted := p.node.grants.grant(call, r, attempts)
 	fields := append(refusalFields(call.head.Request, r), p.evidence(call)...)
 	p.node.report(record.CallRefused, append(fields, p.node.grants.evidence(call, granted)...)...)
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -23,6 +23,7 @@
 	RequestRefused      Code = 201
 	AttemptFailed       Code = 202
 	CallRefused         Code = 203
+	RouteCounted        Code = 204
 	BackendAnnounced    Code = 301
 	BackendDraining     Code = 302
 	LimitChanged        Code = 303
@@ -44,6 +45,7 @@
 	BackendSlowdown     Code = 320
 	BackendLoadUnusable Code = 321
 	LoadNoticeReceived  Code = 322
+	BackendCounted      Code = 323
 	CrossingBegan       Code = 330
 	CrossingEnded       Code = 331
 	CollectorSkipped    Code = 332
@@ -103,6 +105,7 @@
 	{RequestRefused, "request_refused", "info", "A request was refused. kind, execution and detail describe the refusal, retry_after when the caller may retry. The other fields are the values on which the decision was based; coltsfootctl explain describes them in words."},
 	{AttemptFailed, "attempt_failed", "info", "An attempt ended without a response; the request may be retried. instance is the instance that it was sent to, hop its sequence number, took its duration."},
 	{CallRefused, "call_refused", "info", "The node refused a call that an entry node sent to it for the backend server beside it. running, queued, limit and backlog describe the load of the server, left is the time that remained until the caller's deadline."},
+	{RouteCounted, "route_counted", "info", "The requests of one route, importance (band, 0 to 15) and depth that entered at the node within a second: asked, of which served were answered, failed were broken off and refused were refused, by reason (gate: the gate of a service had no room). Requests in progress are counted when they end. Reported for all routes while any request is refused or fails, so that routes can be compared."},
 	{BackendAnnounced, "backend_announced", "info", "A backend server announced itself or changed its announcement."},
 	{BackendDraining, "backend_draining", "info", "A backend server accepts no new work."},
 	{LimitChanged, "limit_changed", "info", "The limit of concurrent requests to the backend server changed; reported at most once a second. A limit below its slots means that the server slows down with more requests; check the slots that it announces and its machine."},
@@ -124,6 +127,7 @@
 	{BackendSlowdown, "backend_slowdown", "info", "The backend server states that work takes slowdown times as long as usual on its machine; reported at most once a second, when entry nodes were notified. before is the figure reported last, notified the number of entry nodes. While it is high, entry nodes prefer other servers. If it stays high, check the machine."},
 	{BackendLoadUnusable, "backend_load_unusable", "warn", "A response of the backend server states its load with a figure that cannot be used; only that figure is ignored. Reported at most once a minute. Correct the server's responses."},
 	{LoadNoticeReceived, "load_notice_received", "info", "The node of a backend server reported a change of the server's load: its stated slowdown and its age, and the wait there. age is the age of the notice. Reported at most once a second."},
+	{BackendCounted, "backend_counted", "info", "The calls for the backend server beside the node within a second, of one route, importance (band, 0 to 15) and depth: asked, of which served were answered with success, failed with a failure and refused were refused, by reason. slot_time is how long those that ended held slots: limit seconds at most. Reported for all routes while any call is refused or fails."},
 	{CrossingBegan, "crossing_began", "info", "The node began to send requests to other failure domains because the demand of its own domain for a service exceeds the domain's slots. demand and slots are those of the domain, entries is the number of entry nodes whose demand is included, age the age of these figures; to_ with the name of a domain is the fraction of the demand that is sent there."},
 	{CrossingEnded, "crossing_ended", "info", "The node no longer sends requests for a service to other failure domains, except where its own domain has no server that can be chosen; cause is the reason."},
 	{CollectorSkipped, "collector_skipped", "info", "A collector of the demand for a service did not answer two reports. The node reports to another one for a few seconds; next is empty if there is none."},
