core/emulation: show a route that is starved by more important ones

Outcome tells what each class got by the second, and how much of the slot time in use was for requests that ended well.

--- a/core/emulation/caller.go
+++ b/core/emulation/caller.go
@@ -50,7 +50,7 @@
 			return
 		}
 		rate := c.PerSecond
-		if w.disturbance.Burst > 0 && w.disturbance.BurstSpan.contains(now) {
+		if w.inBurst(c, now) {
 			rate *= w.disturbance.Burst
 		}
 		if draw < rate/peak {
@@ -60,6 +60,12 @@
 	})
 }
 
+// inBurst reports whether callers send more requests of a class than usual.
+func (w *world) inBurst(c Class, now time.Duration) bool {
+	d := w.disturbance
+	return d.Burst > 0 && d.BurstSpan.contains(now) && (d.BurstClass == "" || d.BurstClass == c.Name)
+}
+
 func (w *world) arrive(c Class, now time.Duration) {
 	req := &callerRequest{class: c, arrived: now, retries: callerRetries}
 	req.organisation, req.entry = w.drawCaller(now)
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -207,6 +207,32 @@
 	}
 }
 
+// Bureau returns the deployment of a municipal payroll office on many small instances.
+// A payslip view makes eight calls to the deepest service one after the other, and a
+// deduction, which is less important, makes eight in two parallel chains.
+func Bureau() Deployment {
+	return Deployment{
+		Name:    "bureau",
+		Domains: []coltsfootward.FailureDomain{"north", "east", "south"},
+		Services: []Service{
+			{Name: "portal", Upstreams: 12, Slots: 67, Speeds: []float64{0.5, 1, 1, 1.5}},
+			{Name: "deductions", Upstreams: 9, Slots: 95, Speeds: []float64{0.5, 1, 1, 1.5}},
+			{Name: "disbursement", Upstreams: 4, Slots: 225, Speeds: []float64{0.6, 1, 1.4}},
+			{Name: "advances", Upstreams: 5, Slots: 20, Speeds: []float64{1.6, 1.6, 1.6, 1.6, 0.7}},
+		},
+		Classes: []Class{
+			{Name: "payslip", Service: "portal", PerSecond: 526, Work: 90 * time.Millisecond, Objective: 1200 * time.Millisecond, Deadline: 5 * time.Second, Timeout: 800 * time.Millisecond, Worth: 0.96, LateWorth: 0.48, Priority: coltsfootward.PriorityHigh, ChildCalls: ChildCalls{Class: "tax", Count: 2}},
+			{Name: "deduction", Service: "deductions", PerSecond: 217, Work: 120 * time.Millisecond, Objective: 3 * time.Second, Deadline: 5 * time.Second, Timeout: 800 * time.Millisecond, Worth: 1.4, LateWorth: 0.72, Priority: coltsfootward.PriorityNormal, Unrepeatable: true, ChildCalls: ChildCalls{Class: "account", Count: 2, Parallel: true}},
+			{Name: "transfer", Service: "disbursement", PerSecond: 149, Work: 63 * time.Millisecond, Objective: 200 * time.Millisecond, Deadline: 800 * time.Millisecond, Timeout: 800 * time.Millisecond, Worth: 5.5, LateWorth: 1.1, Priority: coltsfootward.PriorityCritical, Unrepeatable: true},
+			{Name: "advance", Service: "advances", PerSecond: 70, Work: 72 * time.Millisecond, Objective: 250 * time.Millisecond, Deadline: time.Second, Timeout: time.Second, Worth: 0.96, LateWorth: 0.48, Priority: coltsfootward.PriorityHigh, Unrepeatable: true},
+			{Name: "tax", Service: "deductions", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Timeout: 2500 * time.Millisecond, ChildCalls: ChildCalls{Class: "account", Count: 1}},
+			{Name: "account", Service: "disbursement", Work: 15 * time.Millisecond, Deadline: 2 * time.Second, Timeout: 2 * time.Second, ChildCalls: ChildCalls{Class: "contract", Count: 4}},
+			{Name: "contract", Service: "advances", Work: 22 * time.Millisecond, Deadline: 700 * time.Millisecond, Timeout: 700 * time.Millisecond},
+		},
+		RetryShare: 0.2, RetryBurst: 37,
+	}
+}
+
 // Fleet returns the deployment of a publisher of price bulletins on many small
 // instances. Each instance gets about three callers' requests per second, so it
 // seldom receives load reports of the services that those requests need.
--- a/core/emulation/outcome.go
+++ b/core/emulation/outcome.go
@@ -38,7 +38,11 @@
 	// CrossedBytes is the number of bytes of requests and responses between domains.
 	CrossedBytes int64
 
+	// ClassSeconds counts the requests of each class like Seconds.
+	ClassSeconds map[coltsfootward.RouteName][]Counts
+
 	arrivals, crossed map[coltsfootward.ServiceName]int
+	uses              map[coltsfootward.ServiceName][]Use
 	// attributions counts the child calls that reached backend servers, by route.
 	attributions map[coltsfootward.RouteName]Attributions
 	// limitSpanRates holds, for each backend server of the disturbed service, the
@@ -52,14 +56,20 @@
 		Classes:       make(map[coltsfootward.RouteName]*Counts),
 		Seconds:       make([]Counts, int(length.Seconds())+1),
 		Organisations: make(map[coltsfootward.OrganisationName]*Counts),
+		ClassSeconds:  make(map[coltsfootward.RouteName][]Counts),
 		arrivals:      make(map[coltsfootward.ServiceName]int),
 		crossed:       make(map[coltsfootward.ServiceName]int),
+		uses:          make(map[coltsfootward.ServiceName][]Use),
 
 		attributions:   make(map[coltsfootward.RouteName]Attributions),
 		limitSpanRates: make(map[coltsfootward.InstanceID]float64),
 	}
 	for _, c := range d.Classes {
 		o.Classes[c.Name] = &Counts{}
+		o.ClassSeconds[c.Name] = make([]Counts, len(o.Seconds))
+	}
+	for _, s := range d.Services {
+		o.uses[s.Name] = make([]Use, len(o.Seconds))
 	}
 	for _, organisation := range d.Organisations {
 		o.Organisations[organisation.Name] = &Counts{}
@@ -79,7 +89,9 @@
 	if organisations := o.Deployment.Organisations; len(organisations) > 0 {
 		change(o.Organisations[organisations[c.organisation].Name])
 	}
-	change(&o.Seconds[min(int(arrived.Seconds()), len(o.Seconds)-1)])
+	second := min(int(arrived.Seconds()), len(o.Seconds)-1)
+	change(&o.Seconds[second])
+	change(&o.ClassSeconds[c.Name][second])
 }
 
 func (o *Outcome) addRequest(c requestKind, arrived time.Duration) {
@@ -110,8 +122,17 @@
 
 // Between sums the counts of the requests first sent in the seconds [from, to).
 func (o *Outcome) Between(from, to int) Counts {
+	return sumOf(o.Seconds[max(from, 0):min(to, len(o.Seconds))])
+}
+
+// ClassBetween is Between for the requests of one class.
+func (o *Outcome) ClassBetween(class coltsfootward.RouteName, from, to int) Counts {
+	return sumOf(o.ClassSeconds[class][max(from, 0):min(to, len(o.Seconds))])
+}
+
+func sumOf(seconds []Counts) Counts {
 	var sum Counts
-	for _, n := range o.Seconds[max(from, 0):min(to, len(o.Seconds))] {
+	for _, n := range seconds {
 		sum.Requests += n.Requests
 		sum.OnTime += n.OnTime
 		sum.Late += n.Late
@@ -129,6 +150,20 @@
 // Arrivals returns how many requests reached a service's backend servers.
 func (o *Outcome) Arrivals(service coltsfootward.ServiceName) int { return o.arrivals[service] }
 
+// Use is the slot time that the backend servers of a service spent within a second, in slot
+// seconds.
+type Use struct {
+	// Available is the number of slots of the servers that run.
+	Available float64
+	// Busy is the slot time in use, Useful the part of it for callers' requests that
+	// were answered with success in the end.
+	Busy, Useful float64
+}
+
+// Uses returns the use of a service by the second of the run. Useful is known only if
+// child calls expire with their parent.
+func (o *Outcome) Uses(service coltsfootward.ServiceName) []Use { return o.uses[service] }
+
 // Attributions counts child calls that reached backend servers. Right and Wrong are those
 // that were attributed to a request of the right and of another root request.
 type Attributions struct{ Calls, Right, Wrong int }
--- a/core/emulation/run.go
+++ b/core/emulation/run.go
@@ -49,6 +49,8 @@
 	// means 1.
 	Burst     float64
 	BurstSpan Span
+	// BurstClass is the only class that the burst concerns; all if it is empty.
+	BurstClass coltsfootward.RouteName
 	// Service is the service that the following fields concern.
 	Service coltsfootward.ServiceName
 	// LostServers is how many of its backend servers are killed at LostAt and
@@ -110,6 +112,7 @@
 	}
 	w.rig.Run(length + 10*time.Second)
 	w.countArrivals()
+	w.measureUse()
 	return w.outcome
 }
 
