core/pressure: do not count a request in the limit that it is judged by

Callers of small organisations saw requests refused while the service that refused them had free slots. An entry node of a large deployment sees one or two requests of an organisation in the memory of its histogram. Each request was counted before the limit was computed, so that among so few it moved the limit below its own position: where a tenth was to be admitted, 0.065 was. The limit is now that of the requests before it.

TestSparseOrganisationsGetTheirShare failed before with 0.065 of the requests admitted, want 0.100.

--- a/core/pressure/division.go
+++ b/core/pressure/division.go
@@ -144,8 +144,11 @@
 		d.observeUnnamed(organisation, cost)
 	}
 	h := d.histogram(organisation)
+	// The request itself is not counted in the limit: among few others it would move the
+	// limit below its own position.
+	limit := h.limit(fraction)
 	position := h.observe(rank, cost)
-	return fraction >= 1 || position < h.limit(fraction)
+	return fraction >= 1 || position < limit
 }
 
 // histogram returns the histogram that a request of the organisation counts in.
--- a/core/pressure/division_test.go
+++ b/core/pressure/division_test.go
@@ -151,3 +151,39 @@
 		t.Errorf("%.2f of the small organisations' requests admitted", got)
 	}
 }
+
+// Guards against organisations that get less than their share because an entry node sees
+// few of their requests.
+func TestSparseOrganisationsGetTheirShare(t *testing.T) {
+	const organisations, stepsPerSecond = 12, 100
+	for _, excess := range []float64{0.7, 0.9} {
+		g := dividedGates(excess)
+		source := rand.New(rand.NewPCG(1, 1))
+		summary := demand.Summary{Service: "deep", Total: demand.ByBand{normalBand: 1200}}
+		for i := range organisations {
+			summary.Organisations = append(summary.Organisations, demand.Organisation{
+				Name: coltsfootward.OrganisationName(fmt.Sprint(i)), Demand: demand.ByBand{normalBand: 100},
+			})
+		}
+		asked, admitted := 0, 0
+		for step := range 600 * stepsPerSecond {
+			now := time.Duration(step) * time.Second / stepsPerSecond
+			g.ObserveResponse(now, "cheap", []pressure.Report{{Service: "deep", Excess: excess, Cost: 0.1}})
+			summary.At = now
+			g.SetDemand(now, summary, fairshare.Weights{})
+			g.Tick(now)
+			for i := range organisations {
+				if source.Float64() >= 0.6/stepsPerSecond {
+					continue
+				}
+				asked++
+				if _, ok := g.AdmitFor("cheap", normalBand<<26|source.Uint32N(1<<26), coltsfootward.OrganisationName(fmt.Sprint(i))); ok {
+					admitted++
+				}
+			}
+		}
+		if got, want := float64(admitted)/float64(asked), 1-excess; math.Abs(got-want) > 0.1*want {
+			t.Errorf("%.3f of the requests admitted, want %.3f", got, want)
+		}
+	}
+}
