core/pressure: count the calls of a class by attribution where it is known

Cause: nodes estimate which routes a class calls from delays and failures under overload. The calls of more important requests are served first; their class is then neither delayed nor failed and is taken to make no calls. Entry nodes neither count nor refuse its requests, and the whole shortage is charged to the least important ones. Class of fault: an estimate that is confounded by the control that it serves.

Child calls that are attributed to their request say which class makes them. Where that is known for at least half of the calls to a route, they are counted instead. Elsewhere the estimate stays.

This alone does not end the starvation.

--- a/core/node/attribution.go
+++ b/core/node/attribution.go
@@ -92,17 +92,18 @@
 
 // attribute finds the parent of a routed child call, and lets the call inherit what its
 // order, its shares and its retries depend on. A wrong parent must not affect anything
-// else: identity, keys, rates, or what reaches the backend server.
-func (p *attributionComponent) attribute(call *entryCall, e RequestArrived) {
+// else: identity, keys, rates, or what reaches the backend server. It returns nil if the
+// parent is not known.
+func (p *attributionComponent) attribute(call *entryCall, e RequestArrived) *upstreamCall {
 	if !p.enabled() {
-		return
+		return nil
 	}
 	var source parentSource = deadlineParents{component: p, route: call.head.Route}
 	parent, outcome := source.parent(e)
 	call.attribution = outcome
 	p.reportLimits()
 	if parent == nil {
-		return
+		return nil
 	}
 	call.attributedTo = parent.head.Request
 	call.inheritImportance(parent)
@@ -110,6 +111,7 @@
 	call.head.Account = accountOf(parent)
 	call.head.Retry = parent.head.Retry
 	call.head.Attributed = true
+	return parent
 }
 
 // inheritImportance gives a child call the importance of its parent.
--- a/core/node/entry_route.go
+++ b/core/node/entry_route.go
@@ -100,8 +100,7 @@
 	if organisation.Name == "" {
 		call.head.Depth = 1
 		call.head.Retry = p.node.source.Float64() < p.node.upstream.inFlightRetryRatio()
-		p.node.attribution.attribute(call, e)
-		p.node.callees.CallStarted(p.node.now.Monotonic, route.Name)
+		p.recordChildStart(call, p.node.attribution.attribute(call, e))
 	}
 	return call
 }
@@ -207,6 +206,17 @@
 	return min(max(objective/objectiveDivisor, minGateRetryAfter), maxGateRetryAfter)
 }
 
+// recordChildStart records a routed child call of the local backend server, and the request
+// that makes it if that is known.
+func (p *entryComponent) recordChildStart(call *entryCall, parent *upstreamCall) {
+	now := p.node.now.Monotonic
+	if parent == nil {
+		p.node.callees.CallStarted(now, call.head.Route)
+		return
+	}
+	p.node.callees.CallAttributed(now, call.head.Route, parent.head.Route)
+}
+
 // recordChildEnd records how long a routed child call of the local backend
 // server took and whether it failed.
 func (p *entryComponent) recordChildEnd(call *entryCall, failed bool) {
--- a/core/pressure/callees.go
+++ b/core/pressure/callees.go
@@ -177,6 +177,11 @@
 	normalVector []float64
 	// callsPerRequest is the solution of the fit for each class.
 	callsPerRequest []float64
+	// attributed is the decayed number of calls for each class that are known to be
+	// made by its requests, attributedCount that for all classes, and startedCount the
+	// decayed number of all calls.
+	attributed                    []float64
+	attributedCount, startedCount float64
 }
 
 func (c *Callees) class(name coltsfootward.RouteName) *classStats {
@@ -200,6 +205,7 @@
 	for _, m := range c.routes {
 		m.normalVector = append(m.normalVector, 0)
 		m.callsPerRequest = append(m.callsPerRequest, 0)
+		m.attributed = append(m.attributed, 0)
 	}
 	return k
 }
@@ -226,6 +232,7 @@
 	for _, m := range c.routes {
 		m.normalVector[least] = 0
 		m.callsPerRequest[least] = 0
+		m.attributed[least] = 0
 	}
 }
 
@@ -250,7 +257,10 @@
 			delete(k.delayed, least)
 		}
 	}
-	m := &routeStats{normalVector: make([]float64, len(c.classes)), callsPerRequest: make([]float64, len(c.classes))}
+	m := &routeStats{
+		normalVector: make([]float64, len(c.classes)), callsPerRequest: make([]float64, len(c.classes)),
+		attributed: make([]float64, len(c.classes)),
+	}
 	c.routes[route] = m
 	return m
 }
@@ -284,6 +294,7 @@
 	}
 	for _, m := range c.routes {
 		m.callCount = m.callCount*windowDecay + m.windows[index]
+		m.decayAttributed()
 		m.windows[index] = 0
 	}
 }
@@ -371,10 +382,12 @@
 		k.expectedFailures >= minExpectedFailures && k.failures >= affectedShare*k.expectedFailures
 }
 
-// CallStarted records the start of a child call.
+// CallStarted records the start of a child call of an unknown request.
 func (c *Callees) CallStarted(now time.Duration, route coltsfootward.RouteName) {
 	c.advance(now)
-	c.route(route).windows[c.newestWindow%openWindows]++
+	m := c.route(route)
+	m.windows[c.newestWindow%openWindows]++
+	m.startedCount++
 }
 
 // Callee is a route that requests of a class call.
@@ -394,19 +407,29 @@
 		c.solvedAt = now
 		c.solve()
 	}
-	k := c.classes[i]
-	if k.unaffected() {
-		return nil
-	}
 	var callees []Callee
 	for _, route := range slices.Sorted(maps.Keys(c.routes)) {
-		if c.callsRoute(i, route) {
-			callees = append(callees, Callee{Route: route, CallsPerRequest: max(c.routes[route].callsPerRequest[i], minCallsPerRequest)})
+		if calls, ok := c.callsOf(i, route); ok {
+			callees = append(callees, Callee{Route: route, CallsPerRequest: calls})
 		}
 	}
 	return callees
 }
 
+// callsOf returns how many calls to a route a request of the class at index i makes. It
+// returns false if the class does not count as a caller of the route.
+func (c *Callees) callsOf(i int, route coltsfootward.RouteName) (float64, bool) {
+	m := c.routes[route]
+	if m.attributes() {
+		calls := m.attributedCalls(i, c.classes[i].requests)
+		return calls, calls >= minCallsPerRequest
+	}
+	if c.classes[i].unaffected() || !c.callsRoute(i, route) {
+		return 0, false
+	}
+	return max(m.callsPerRequest[i], minCallsPerRequest), true
+}
+
 // callsRoute reports whether requests of the class at index i call a route. The fit
 // must attribute calls to the class and, once calls to the route have slowed down,
 // the class must have slowed down as well. The delay alone is not sufficient: on a
