core/admission: serve every priority a part of the queue

Cause: strict priority between the lanes of the queue. Every priority and depth now earns credit of a quarter of its part of the waiting slot time, and is served before more important ones once the credit covers a request. At most a quarter of the slot time goes to less important requests this way, however many of them wait.

TestQueueServesEveryPriority fails before. TestQueueMatchesNaiveQueue wanted each popped request to be of the most important lane; that is the fault itself. It now bounds the exceptions to a quarter.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -46,14 +46,23 @@
 // priorities each.
 const priorityCount = 16
 
+// leastShare is the part of its share of the waiting slot time that every lane is served.
+// Without it, less important requests that an entry node has admitted would wait until
+// their callers' deadlines while more important ones keep arriving, and the work already
+// done for them would be lost.
+const leastShare = 0.25
+
 // Queue holds waiting requests. Requests of higher priority leave first. Within a
 // priority, deep requests leave before root requests, because slots at other services
-// are held for them. Among requests of the same priority and depth, the organisations
+// are held for them. Each priority and depth nevertheless gets leastShare of its share of the
+// waiting slot time. Among requests of the same priority and depth, the organisations
 // are served in proportion to their weights, measured in slot time. The zero value is
 // ready for use. Queue is not safe for concurrent use.
 type Queue struct {
 	lanes [2 * priorityCount]lane
 	size  int
+	// cost is the slot time of all waiting requests.
+	cost float64
 }
 
 // lane is the part of the queue for one priority and depth.
@@ -65,6 +74,9 @@
 type lane struct {
 	flows       []*flow
 	virtualTime float64
+	// cost is the slot time of the waiting requests. credit is the slot time that the
+	// lane may be served before more important ones.
+	cost, credit float64
 	// idle holds the virtual times of organisations without waiting requests, because
 	// these times may be later than the lane's virtual time.
 	idle map[coltsfootward.OrganisationName]float64
@@ -89,6 +101,8 @@
 	i, _ := slices.BinarySearchFunc(f.waiting, r, compareRank)
 	f.waiting = slices.Insert(f.waiting, i, r)
 	f.cost += r.slotTime()
+	l.cost += r.slotTime()
+	q.cost += r.slotTime()
 	q.size++
 }
 
@@ -132,21 +146,51 @@
 
 // Pop removes and returns the request to serve next.
 func (q *Queue) Pop() (Request, bool) {
+	l := q.nextLane()
+	if l == nil {
+		return Request{}, false
+	}
+	return q.serve(l), true
+}
+
+// nextLane returns the lane to serve next: the first one whose credit covers a request or,
+// if there is none, the most important one. It returns nil if no request waits.
+func (q *Queue) nextLane() *lane {
+	var first *lane
 	for i := range q.lanes {
 		l := &q.lanes[i]
-		if len(l.flows) == 0 {
-			continue
+		switch {
+		case len(l.flows) == 0:
+		case first == nil:
+			first = l
+		case l.credit >= l.nextFlow().waiting[0].slotTime():
+			return l
 		}
-		return q.serve(l), true
 	}
-	return Request{}, false
+	return first
 }
 
-func (q *Queue) serve(l *lane) Request {
-	next := slices.MinFunc(l.flows, func(a, b *flow) int {
+// nextFlow returns the flow of a lane that is served next.
+func (l *lane) nextFlow() *flow {
+	return slices.MinFunc(l.flows, func(a, b *flow) int {
 		return cmp.Or(cmp.Compare(a.virtualTime, b.virtualTime), cmp.Compare(a.organisation, b.organisation))
 	})
+}
+
+// grantCredit gives each lane its least share of a slot time that is served.
+func (q *Queue) grantCredit(served float64) {
+	for i := range q.lanes {
+		if l := &q.lanes[i]; len(l.flows) > 0 {
+			l.credit += leastShare * served * l.cost / q.cost
+		}
+	}
+}
+
+func (q *Queue) serve(l *lane) Request {
+	next := l.nextFlow()
 	r := next.waiting[0]
+	q.grantCredit(r.slotTime())
+	l.credit = max(l.credit-r.slotTime(), 0)
 	l.virtualTime = next.virtualTime
 	next.virtualTime += r.slotTime() / next.weight
 	q.remove(l, next, 0)
@@ -154,9 +198,15 @@
 }
 
 func (q *Queue) remove(l *lane, f *flow, i int) {
-	f.cost -= f.waiting[i].slotTime()
+	cost := f.waiting[i].slotTime()
+	f.cost -= cost
+	l.cost -= cost
+	q.cost -= cost
 	f.waiting = slices.Delete(f.waiting, i, i+1)
 	q.size--
+	if q.size == 0 {
+		q.cost = 0 // without the rounding errors of the differences
+	}
 	if len(f.waiting) == 0 {
 		l.removeFlow(f)
 	}
@@ -169,7 +219,7 @@
 func (l *lane) removeFlow(f *flow) {
 	l.flows = slices.DeleteFunc(l.flows, func(other *flow) bool { return other == f })
 	if len(l.flows) == 0 {
-		l.virtualTime = 0
+		l.virtualTime, l.cost, l.credit = 0, 0, 0
 		clear(l.idle)
 		return
 	}
@@ -233,7 +283,7 @@
 }
 
 // totalCost returns the expected slot time, in seconds, of all waiting requests.
-func (q *Queue) totalCost() float64 { return q.costOfLanes(len(q.lanes)) }
+func (q *Queue) totalCost() float64 { return q.cost }
 
 // costAhead returns the expected slot time, in seconds, of the requests that leave
 // before r. first is set if r is placed before all others in its lane.
@@ -269,9 +319,7 @@
 func (q *Queue) costOfLanes(lanes int) float64 {
 	total := 0.0
 	for i := range lanes {
-		for _, f := range q.lanes[i].flows {
-			total += f.cost
-		}
+		total += q.lanes[i].cost
 	}
 	return total
 }
