core/fairshare: admit a least part of every importance in a lasting shortage

Once strict priority has given an importance less than half of the mean admitted fraction for a second, every importance gets that half, from at most a fifth of the capacity. A more important request is never admitted to a smaller fraction. The same holds without the fleet's demand and for gates for retries.

--- a/cmd/explain/cause.go
+++ b/cmd/explain/cause.go
@@ -106,11 +106,11 @@
 	case f["asked"] == "":
 		text += fmt.Sprintf(", and this one has importance %s (0 is the most important)", f["band"])
 	case f["account"] == "others":
-		text += fmt.Sprintf(", and its organisation %s is one of those that are not counted by name: together they ask for %s slots and get %s",
-			f["organisation"], f["asked"], f["share"])
+		text += fmt.Sprintf(", and its organisation %s is one of those that are not counted by name: together they ask for %s slots at importance %s and get %s",
+			f["organisation"], f["asked"], f["band"], f["share"])
 	default:
-		text += fmt.Sprintf(", and its organisation %s (weight %s) asks for %s slots and its share is %s",
-			f["account"], f["weight"], f["asked"], f["share"])
+		text += fmt.Sprintf(", and its organisation %s (weight %s) asks for %s slots at importance %s and its share is %s",
+			f["account"], f["weight"], f["asked"], f["band"], f["share"])
 	}
 	return text + limitShortfall(refused) + coldTime(refused, "; so many of its servers are cold, for another %s, that it can handle little")
 }
--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -25,45 +25,54 @@
 }
 
 // Division is the admitted fraction of the demand for a service, by importance band and
-// organisation. Bands before the contended one are admitted whole, bands after it are
-// not admitted. The zero value admits nothing; use Divide. A Division is immutable.
+// organisation. Bands before the contended one are admitted whole, the others in part. The
+// zero value admits nothing; use Divide. A Division is immutable.
 type Division struct {
 	contended int
-	// level is the capacity that an organisation of weight 1 may use of the contended
-	// band.
+	// least is the admitted fraction of a band without demand in the summary.
+	least float64
+	// bands holds the bands that are admitted in part.
+	bands [demand.Bands]*BandDivision
+}
+
+// BandDivision is what the organisations get of one band that is admitted in part. A
+// BandDivision is immutable.
+type BandDivision struct {
+	// level is the capacity that an organisation of weight 1 may use of the band.
 	level float64
-	// total is the contended band as a whole, and others the organisations that the
-	// summary does not name.
+	// total is the band as a whole, and others the organisations that the summary does
+	// not name.
 	total, others Share
 	shares        map[coltsfootward.OrganisationName]Share
 }
 
 // Divide returns the division of a service's capacity, which is the part of the
-// summary's demand that is not to be refused. Refused is a fraction, 0 to 1.
+// summary's demand that is not to be refused. Refused is a fraction, 0 to 1, and level that
+// of an Aging.
 //
-// Bands are admitted whole as long as they fit. In the band that does not fit, each
+// Bands are admitted as AdmitBands says. In a band that is admitted in part, each
 // organisation gets the smaller of its demand and its weight times a common level
 // (weighted max-min fairness). The organisations that are not named count as equal ones
 // of weight 1.
-func Divide(s demand.Summary, refused float64, weights Weights) Division {
-	capacity := (1 - min(max(refused, 0), 1)) * s.Total.Total()
-	// Without a tolerance, rounding makes the last band contended although nothing is
-	// to be refused.
+func Divide(s demand.Summary, refused, level float64, weights Weights) Division {
+	admitted, least := AdmitBands(s.Total, refused, level)
+	d := Division{contended: demand.Bands, least: least}
+	// Without a tolerance, rounding makes a band contended although nothing is to be
+	// refused.
 	tolerance := 1e-9 * s.Total.Total()
 	for band, asked := range s.Total {
-		if asked > capacity+tolerance {
-			return divideBand(s, band, capacity, weights)
+		if asked > admitted[band]+tolerance {
+			d.contended = min(d.contended, band)
+			d.bands[band] = divideBand(s, band, admitted[band], weights)
 		}
-		capacity = max(capacity-asked, 0)
 	}
-	return Division{contended: demand.Bands, level: math.Inf(1)}
+	return d
 }
 
-func divideBand(s demand.Summary, band int, capacity float64, weights Weights) Division {
-	d := Division{
-		contended: band,
-		total:     Share{Demand: s.Total[band], Admitted: capacity},
-		shares:    make(map[coltsfootward.OrganisationName]Share, len(s.Organisations)),
+func divideBand(s demand.Summary, band int, capacity float64, weights Weights) *BandDivision {
+	d := &BandDivision{
+		total:  Share{Demand: s.Total[band], Admitted: capacity},
+		shares: make(map[coltsfootward.OrganisationName]Share, len(s.Organisations)),
 	}
 	var claims []Claim
 	var asked []float64
@@ -127,17 +136,42 @@
 	return math.Inf(1)
 }
 
-// Contended returns the band that does not fit, or demand.Bands if all fit.
+// Contended returns the most important band that is not admitted whole, or demand.Bands if
+// all are.
 func (d Division) Contended() int { return d.contended }
 
+// Band returns the division of a band. It returns false if the band is admitted whole, or
+// has no demand in the summary.
+func (d Division) Band(band int) (*BandDivision, bool) {
+	if band < 0 || band >= demand.Bands || d.bands[band] == nil {
+		return nil, false
+	}
+	return d.bands[band], true
+}
+
+// Fraction returns the fraction of an organisation's requests of a band that are
+// admitted.
+func (d Division) Fraction(band int, name coltsfootward.OrganisationName) float64 {
+	divided, ok := d.Band(band)
+	switch {
+	case ok:
+		share, _ := divided.Share(name)
+		return share.Fraction()
+	case band < d.contended:
+		return 1
+	default:
+		return d.least
+	}
+}
+
 // Level returns the capacity, in slot seconds per second, that an organisation of weight
-// 1 may use of the contended band. It is infinite if no organisation is held back.
-func (d Division) Level() float64 { return d.level }
+// 1 may use of the band. It is infinite if no organisation is held back.
+func (d *BandDivision) Level() float64 { return d.level }
 
-// Share returns the share of an organisation in the contended band. named is false if the
-// summary does not name the organisation; the share is then that of all such
-// organisations together.
-func (d Division) Share(name coltsfootward.OrganisationName) (share Share, named bool) {
+// Share returns the share of an organisation in the band. named is false if the summary
+// does not name the organisation; the share is then that of all such organisations
+// together.
+func (d *BandDivision) Share(name coltsfootward.OrganisationName) (share Share, named bool) {
 	if share, named = d.shares[name]; named {
 		return share, true
 	}
@@ -150,11 +184,14 @@
 	return d.total, false
 }
 
+// Total returns the share of all organisations together.
+func (d *BandDivision) Total() Share { return d.total }
+
 // Others returns the share of all organisations together that the summary does not name.
-func (d Division) Others() Share { return d.others }
+func (d *BandDivision) Others() Share { return d.others }
 
 // Shares returns the shares of the named organisations, most demand first.
-func (d Division) Shares() []Share {
+func (d *BandDivision) Shares() []Share {
 	shares := make([]Share, 0, len(d.shares))
 	for _, s := range d.shares {
 		shares = append(shares, s)
@@ -164,16 +201,3 @@
 	})
 	return shares
 }
-
-// Fraction returns the fraction of an organisation's requests of a band that are
-// admitted.
-func (d Division) Fraction(band int, name coltsfootward.OrganisationName) float64 {
-	switch {
-	case band < d.contended:
-		return 1
-	case band > d.contended:
-		return 0
-	}
-	share, _ := d.Share(name)
-	return share.Fraction()
-}
--- a/core/fairshare/doc.go
+++ b/core/fairshare/doc.go
@@ -8,6 +8,6 @@
 // fraction as a large one that causes the shortage.
 //
 // Divide is a pure function: entry nodes with the same summary and the same fraction to
-// refuse compute the same division. The package keeps no state, so a node whose inputs
-// were wrong for a while decides as the others again with the next summary.
+// refuse compute the same division. The only state is that of Aging, which forgets within
+// agingTime, so a node whose inputs were wrong for a while soon decides as the others again.
 package fairshare
--- a/core/node/evidence.go
+++ b/core/node/evidence.go
@@ -91,7 +91,7 @@
 		field("excess", decimal(state.Excess)),
 		field("age", rounded(state.Age)),
 		field("rank", number(call.head.ShedRank)),
-		field("limit", number(state.Limit)),
+		field("limit", number(state.Limit(call.head.ShedRank))),
 	}
 	pool := p.node.placement.poolFor(service)
 	shortfall, known := p.node.shares.limitShortfall(service, pool)
--- a/core/node/shares.go
+++ b/core/node/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -138,7 +139,7 @@
 		p.divided[name] = true
 		s, _ := p.node.demand.summary(name)
 		p.node.report(record.SharesBegan, field("service", string(name)), field("band", number(d.Contended())),
-			field("level", decimal(d.Level())), field("demand", decimal(s.Total.Total())),
+			field("level", decimal(levelOf(d))), field("demand", decimal(s.Total.Total())),
 			field("age", rounded(p.node.now.Monotonic-s.At)), field("entries", number(s.Entries)))
 	}
 }
@@ -154,10 +155,11 @@
 		field("band", number(queuePriority(call.head))), field("contended_band", number(d.Contended())),
 		field("summary_age", rounded(p.node.now.Monotonic-s.At)),
 	}
-	if d.Contended() != queuePriority(call.head) {
+	divided, ok := d.Band(pressure.Band(call.head.ShedRank))
+	if !ok {
 		return fields
 	}
-	share, named := d.Share(call.head.Organisation)
+	share, named := divided.Share(call.head.Organisation)
 	account := "others"
 	if named {
 		account = string(share.Organisation)
@@ -169,7 +171,7 @@
 // ServiceShares is how the capacity of a service is divided between organisations.
 type ServiceShares struct {
 	Service coltsfootward.ServiceName
-	// Band is the importance band that does not fit. Shares holds the organisations
+	// Band is an importance band that is admitted in part. Shares holds the organisations
 	// that compete in it, most demand first, and Others the remaining ones together.
 	Band   int
 	Shares []fairshare.Share
@@ -178,8 +180,17 @@
 	Age time.Duration
 }
 
+// levelOf returns the level of the most important band that is admitted in part.
+func levelOf(d fairshare.Division) float64 {
+	divided, ok := d.Band(d.Contended())
+	if !ok {
+		return math.Inf(1)
+	}
+	return divided.Level()
+}
+
 // DividedServices returns how the capacity is divided of each service for which it is
-// divided, sorted by service.
+// divided, sorted by service and band.
 func (n *Node) DividedServices() []ServiceShares {
 	var all []ServiceShares
 	for _, service := range slices.Sorted(maps.Keys(n.placement.pools)) {
@@ -188,10 +199,14 @@
 			continue
 		}
 		s, _ := n.demand.summary(service)
-		all = append(all, ServiceShares{
-			Service: service, Band: d.Contended(), Shares: d.Shares(), Others: d.Others(),
-			Age: n.now.Monotonic - s.At,
-		})
+		for band := range demand.Bands {
+			if divided, ok := d.Band(band); ok {
+				all = append(all, ServiceShares{
+					Service: service, Band: band, Shares: divided.Shares(), Others: divided.Others(),
+					Age: n.now.Monotonic - s.At,
+				})
+			}
+		}
 	}
 	return all
 }
--- a/core/pressure/division.go
+++ b/core/pressure/division.go
@@ -17,13 +17,13 @@
 	// uniform. Within the memory of a histogram, an entry node of a large fleet gets
 	// fewer requests of an organisation than that.
 	priorRequests = 8.0
-	// maximumUnnamed bounds the organisations that a gate tells apart although the
+	// maximumUnnamed bounds the organisations that a band tells apart although the
 	// summary does not name them.
 	maximumUnnamed = 256
 	// minimumUnnamed is the demand, in slot time, below which an organisation that is
 	// not named is forgotten.
 	minimumUnnamed = 1e-4
-	// maximumHistograms bounds the histograms of a gate, and so its memory. Further
+	// maximumHistograms bounds the histograms of a band, and so the memory of a gate. Further
 	// organisations share one.
 	maximumHistograms = 64
 )
@@ -35,19 +35,25 @@
 	valid bool
 	// current is the division in force.
 	current fairshare.Division
+	weights fairshare.Weights
+	// bands holds the recent demand at this node in the bands that are admitted in part.
+	bands [bands]*bandDemand
+}
+
+// bandDemand is the recent demand at this node in a band that is admitted in part.
+type bandDemand struct {
+	divided *fairshare.BandDivision
 	// ranks holds the recent ranks of the organisations that the summary names. The
 	// empty name stands for all others.
 	ranks map[coltsfootward.OrganisationName]*rankHistogram
-	// unnamed holds the recent demand at this node of organisations that the summary
-	// does not name, in slot time. unnamedLevel is what each of them gets, for a weight
-	// of 1.
+	// unnamed holds the recent demand of organisations that the summary does not name,
+	// in slot time. unnamedLevel is what each of them gets, for a weight of 1.
 	unnamed      map[coltsfootward.OrganisationName]float64
 	unnamedLevel float64
-	weights      fairshare.Weights
 }
 
-// rankHistogram holds the recent demand of an organisation in the contended band by rank,
-// in slot time. It decays.
+// rankHistogram holds the recent demand of an organisation in a band by rank, in slot
+// time. It decays.
 type rankHistogram struct {
 	demand     [rankPositions]float64
 	sum, count float64
@@ -75,75 +81,84 @@
 }
 
 // update computes the division that admits a fraction of the fleet's demand.
-func (d *division) update(s demand.Summary, admitted float64, weights fairshare.Weights) {
-	before := d.current.Contended()
-	wasValid := d.valid
-	d.valid = true
-	d.current = fairshare.Divide(s, 1-admitted, weights)
-	if !wasValid || before != d.current.Contended() {
-		clear(d.ranks) // they describe another band
-		clear(d.unnamed)
-	}
-	maps.DeleteFunc(d.ranks, func(name coltsfootward.OrganisationName, _ *rankHistogram) bool {
-		_, named := d.current.Share(name)
+func (d *division) update(s demand.Summary, admitted, level float64, weights fairshare.Weights) {
+	d.valid, d.weights = true, weights
+	d.current = fairshare.Divide(s, 1-admitted, level, weights)
+	for band := range d.bands {
+		divided, ok := d.current.Band(band)
+		switch {
+		case !ok:
+			d.bands[band] = nil
+			continue
+		case d.bands[band] == nil:
+			d.bands[band] = &bandDemand{}
+		}
+		d.bands[band].update(divided, weights)
+	}
+}
+
+func (b *bandDemand) update(divided *fairshare.BandDivision, weights fairshare.Weights) {
+	b.divided = divided
+	maps.DeleteFunc(b.ranks, func(name coltsfootward.OrganisationName, _ *rankHistogram) bool {
+		_, named := divided.Share(name)
 		return name != "" && !named
 	})
-	for _, h := range d.ranks {
+	for _, h := range b.ranks {
 		h.decay()
 	}
-	d.weights = weights
-	d.updateUnnamed()
+	b.updateUnnamed(weights)
 }
 
 // updateUnnamed divides what this node may admit of the organisations that the summary
 // does not name between them. Those that ask for little are admitted whole.
-func (d *division) updateUnnamed() {
-	for name := range d.unnamed {
-		d.unnamed[name] *= demandDecay
+func (b *bandDemand) updateUnnamed(weights fairshare.Weights) {
+	for name := range b.unnamed {
+		b.unnamed[name] *= demandDecay
 	}
-	maps.DeleteFunc(d.unnamed, func(_ coltsfootward.OrganisationName, asked float64) bool { return asked < minimumUnnamed })
+	maps.DeleteFunc(b.unnamed, func(_ coltsfootward.OrganisationName, asked float64) bool { return asked < minimumUnnamed })
 	var claims []fairshare.Claim
 	total := 0.0
-	for _, name := range slices.Sorted(maps.Keys(d.unnamed)) {
-		claims = append(claims, fairshare.Claim{Demand: d.unnamed[name], Weight: d.weights.Of(name)})
-		total += d.unnamed[name]
+	for _, name := range slices.Sorted(maps.Keys(b.unnamed)) {
+		claims = append(claims, fairshare.Claim{Demand: b.unnamed[name], Weight: weights.Of(name)})
+		total += b.unnamed[name]
 	}
-	share, _ := d.current.Share("")
-	d.unnamedLevel = fairshare.Level(claims, share.Fraction()*total)
+	share, _ := b.divided.Share("")
+	b.unnamedLevel = fairshare.Level(claims, share.Fraction()*total)
 }
 
-// fraction returns the fraction of an organisation's requests in the contended band that
-// are admitted.
-func (d *division) fraction(organisation coltsfootward.OrganisationName) float64 {
-	share, named := d.current.Share(organisation)
-	asked, known := d.unnamed[organisation]
+// fraction returns the fraction of an organisation's requests in the band that are
+// admitted.
+func (b *bandDemand) fraction(organisation coltsfootward.OrganisationName, weights fairshare.Weights) float64 {
+	share, named := b.divided.Share(organisation)
+	asked, known := b.unnamed[organisation]
 	if named || !known || asked <= 0 {
 		return share.Fraction()
 	}
-	return min(d.weights.Of(organisation)*d.unnamedLevel/asked, 1)
+	return min(weights.Of(organisation)*b.unnamedLevel/asked, 1)
 }
 
 // observeUnnamed counts a request of an organisation that the summary does not name.
-func (d *division) observeUnnamed(organisation coltsfootward.OrganisationName, cost float64) {
-	if d.unnamed == nil {
-		d.unnamed = make(map[coltsfootward.OrganisationName]float64)
+func (b *bandDemand) observeUnnamed(organisation coltsfootward.OrganisationName, cost float64) {
+	if b.unnamed == nil {
+		b.unnamed = make(map[coltsfootward.OrganisationName]float64)
 	}
-	if _, known := d.unnamed[organisation]; known || len(d.unnamed) < maximumUnnamed {
-		d.unnamed[organisation] += cost
+	if _, known := b.unnamed[organisation]; known || len(b.unnamed) < maximumUnnamed {
+		b.unnamed[organisation] += cost
 	}
 }
 
 // admits counts a request and reports whether it is admitted.
 func (d *division) admits(rank uint32, cost float64, organisation coltsfootward.OrganisationName) bool {
 	band := bandOf(rank)
-	if band != d.current.Contended() {
-		return band < d.current.Contended()
+	b := d.bands[band]
+	if b == nil {
+		return positionOf(rank, false) < d.current.Fraction(band, organisation)/2
 	}
-	fraction := d.fraction(organisation)
-	if _, named := d.current.Share(organisation); !named {
-		d.observeUnnamed(organisation, cost)
+	fraction := b.fraction(organisation, d.weights)
+	if _, named := b.divided.Share(organisation); !named {
+		b.observeUnnamed(organisation, cost)
 	}
-	h := d.histogram(organisation)
+	h := b.histogram(organisation)
 	// The request itself is not counted in the limit: among few others it would move the
 	// limit below its own position.
 	limit := h.limit(fraction)
@@ -152,21 +167,21 @@
 }
 
 // histogram returns the histogram that a request of the organisation counts in.
-func (d *division) histogram(organisation coltsfootward.OrganisationName) *rankHistogram {
-	if _, named := d.current.Share(organisation); !named {
+func (b *bandDemand) histogram(organisation coltsfootward.OrganisationName) *rankHistogram {
+	if _, named := b.divided.Share(organisation); !named {
 		organisation = ""
 	}
-	if h, ok := d.ranks[organisation]; ok {
+	if h, ok := b.ranks[organisation]; ok {
 		return h
 	}
-	if len(d.ranks) >= maximumHistograms && organisation != "" {
-		return d.histogram("")
+	if len(b.ranks) >= maximumHistograms && organisation != "" {
+		return b.histogram("")
 	}
-	if d.ranks == nil {
-		d.ranks = make(map[coltsfootward.OrganisationName]*rankHistogram)
+	if b.ranks == nil {
+		b.ranks = make(map[coltsfootward.OrganisationName]*rankHistogram)
 	}
 	h := &rankHistogram{}
-	d.ranks[organisation] = h
+	b.ranks[organisation] = h
 	return h
 }
 
--- a/core/pressure/gate.go
+++ b/core/pressure/gate.go
@@ -103,8 +103,8 @@
 	// demand is the recent demand by rank, in slot time. It decays.
 	demand [buckets]float64
 	costs  bandCosts
-	// limit is the rank above which requests are refused.
-	limit uint32
+	// limits are the ranks above which requests of each band are refused.
+	limits [bands]uint32
 	// lastReturned is the admitted fraction when Moved last returned the gate.
 	lastReturned float64
 	// summary is the demand of the fleet if it is known, weights are those of the
@@ -112,6 +112,7 @@
 	summary  demand.Summary
 	weights  fairshare.Weights
 	division division
+	aging    fairshare.Aging
 }
 
 // State describes how far a gate is closed.
@@ -122,14 +123,17 @@
 	// refused, and Age is the age of that report.
 	Excess float64
 	Age    time.Duration
-	// Admitted is the admitted fraction of the demand. Limit is the rank above which
-	// requests are refused.
+	// Admitted is the admitted fraction of the demand.
 	Admitted float64
-	Limit    uint32
+	// limits are the ranks above which requests of each band are refused.
+	limits [bands]uint32
 }
 
+// Limit returns the rank above which requests of the importance of a rank are refused.
+func (s State) Limit(rank uint32) uint32 { return s.limits[bandOf(rank)] }
+
 func (g *gate) state(now time.Duration, key Key) State {
-	return State{Service: key.Service, Resource: key.Resource, Excess: g.excess, Age: now - g.reportedAt, Admitted: g.admitted, Limit: g.limit}
+	return State{Service: key.Service, Resource: key.Resource, Excess: g.excess, Age: now - g.reportedAt, Admitted: g.admitted, limits: g.limits}
 }
 
 // State returns the state of the gate for a service's slots.
@@ -163,7 +167,7 @@
 	}
 	found, ok := g.gates[key]
 	if !ok {
-		found = &gate{admitted: 1, lastReturned: 1, limit: math.MaxUint32}
+		found = &gate{admitted: 1, lastReturned: 1, limits: unlimited}
 		g.gates[key] = found
 	}
 	return found
@@ -318,7 +322,7 @@
 		effective := gate.costs.effectiveRank(rank, cost)
 		gate.costs.observe(rank, cost)
 		gate.demand[bucketOf(effective)] += cost
-		admitted := effective <= gate.limit
+		admitted := effective <= gate.limits[bandOf(rank)]
 		if gate.division.valid {
 			admitted = gate.division.admits(rank, cost, organisation)
 		}
@@ -362,32 +366,68 @@
 		g.admitted = 1 - g.excess
 	}
 	g.admitted = min(g.admitted, 1-g.minRefused)
-	g.limit = g.rankAt(g.admitted)
 	if g.summary.Valid(now) {
-		g.division.update(g.summary, g.admitted, g.weights)
+		g.aging.Observe(gateInterval, g.summary.Total, 1-g.admitted)
+		g.division.update(g.summary, g.admitted, g.aging.Level(), g.weights)
 	} else {
+		g.aging.Observe(gateInterval, g.ownDemand(), 1-g.admitted)
 		g.division = division{}
 	}
+	g.limits = g.limitsAt(g.admitted)
 	for i := range g.demand {
 		g.demand[i] *= demandDecay
 	}
 	g.costs.decay()
 }
 
-// rankAt returns the rank below which the given fraction of the demand lies.
-func (g *gate) rankAt(fraction float64) uint32 {
+// unlimited are the limits of a gate that refuses nothing.
+var unlimited = func() (limits [bands]uint32) {
+	for band := range limits {
+		limits[band] = math.MaxUint32
+	}
+	return limits
+}()
+
+// bucketsPerBand is the number of buckets of the demand in a band.
+const bucketsPerBand = buckets / bands
+
+// limitsAt returns the ranks that admit the given fraction of the demand.
+func (g *gate) limitsAt(fraction float64) [bands]uint32 {
 	if fraction >= 1 {
-		return math.MaxUint32
+		return unlimited
 	}
-	total := 0.0
-	for _, n := range g.demand {
-		total += n
+	asked := g.ownDemand()
+	limits := unlimited
+	admitted, least := fairshare.AdmitBands(asked, 1-fraction, g.aging.Level())
+	for band, slotTime := range admitted {
+		switch {
+		case asked[band] == 0:
+			limits[band] = bandStart(band) + uint32(least*hashRange/2)
+		case slotTime < asked[band]:
+			limits[band] = g.rankAt(band, slotTime)
+		}
 	}
-	wanted := fraction * total
+	return limits
+}
+
+// ownDemand returns the recent demand at this node.
+func (g *gate) ownDemand() demand.ByBand {
+	var asked demand.ByBand
 	for i, n := range g.demand {
+		asked[i/bucketsPerBand] += n
+	}
+	return asked
+}
+
+// bandStart returns the lowest rank of a band.
+func bandStart(band int) uint32 { return uint32(band) << hashBits }
+
+// rankAt returns the rank in a band below which the given part of its demand lies.
+func (g *gate) rankAt(band int, wanted float64) uint32 {
+	const width = hashRange / bucketsPerBand
+	for i, n := range g.demand[band*bucketsPerBand : (band+1)*bucketsPerBand] {
 		if n > wanted {
-			width := float64(uint32(1) << (rankBits - bucketBits))
-			return uint32((float64(i) + wanted/n) * width)
+			return bandStart(band) + uint32((float64(i)+wanted/n)*width)
 		}
 		wanted -= n
 	}
