--- a/cmd/coltsload/emulate.go
+++ b/cmd/coltsload/emulate.go
@@ -21,7 +21,7 @@
 
 // emulate runs a routed deployment under a virtual clock.
 type emulate struct {
-	Deployment string        `long:"deployment" choice:"publisher" choice:"consortium" choice:"fleet" choice:"payroll" default:"consortium" description:"the deployment"`
+	Deployment string        `long:"deployment" choice:"publisher" choice:"consortium" choice:"fleet" choice:"payroll" choice:"bureau" default:"consortium" description:"the deployment"`
 	Duration   time.Duration `long:"duration" default:"20s" description:"how long callers send requests"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of every random choice"`
 	Service    string        `long:"service" description:"the service that has the trouble; the deepest one without it"`
@@ -32,6 +32,7 @@
 	Limit      float64       `long:"limit" default:"-1" description:"limit in requests per second that backend servers of the service name meanwhile; negative for none"`
 	Limited    int           `long:"limited" default:"1" description:"how many of the service's backend servers name the limit"`
 	Leaving    int           `long:"leaving" description:"how many of the service's backend servers say in their answers that they leave"`
+	Hosted     bool          `long:"hosted" description:"plays the settings of a hosted deployment in place of --retry-grants and --crossing, and prints the use of the service's slots"`
 	Grants     bool          `long:"retry-grants" description:"lets the nodes of backend servers grant the retries"`
 	Crossing   node.Crossing `long:"crossing" choice:"occupancy" choice:"surplus" default:"occupancy" description:"which requests go to another failure domain, as the setting placement.crossing"`
 	Wave       float64       `long:"wave" description:"part by which the demand of each failure domain varies around its mean; the waves of 17 s reach the domains one after the other"`
@@ -48,19 +49,29 @@
 		d = emulation.Fleet()
 	case "payroll":
 		d = emulation.Payroll()
+	case "bureau":
+		d = emulation.Bureau()
+	}
+	d.Crossing, d.CrossingMargin, d.RetryGrants = c.Crossing, crossing.DefaultMargin, c.Grants
+	if c.Hosted {
+		d = d.Hosted()
 	}
-	d.Crossing, d.CrossingMargin = c.Crossing, crossing.DefaultMargin
 	disturbance, err := c.disturbance(d)
 	if err != nil {
 		return err
 	}
-	d.RetryGrants = c.Grants
 	began := time.Now()
 	o := emulation.Run(d, disturbance, c.Duration, c.Seed)
 	fmt.Printf("%s, seed %d, trouble at %s from %s on for %s\n\n%s\n", d.Name, c.Seed, disturbance.Service, disturbanceStart, c.For, o)
 	for _, s := range d.Services {
 		fmt.Printf("%-13s %6d arrivals at backend servers, %6d from other domains\n", s.Name, o.Arrivals(s.Name), o.Crossed(s.Name))
 	}
+	if c.Hosted {
+		fmt.Printf("\nslots of %s by second: available, in use, in use for requests that ended well\n", disturbance.Service)
+		for second, u := range o.Uses(disturbance.Service) {
+			fmt.Printf("%3d %6.0f %6.0f %6.0f\n", second, u.Available, u.Busy, u.Useful)
+		}
+	}
 	if o.CrossedBytes > 0 {
 		fmt.Printf("%.1f MB between failure domains\n", float64(o.CrossedBytes)/1e6)
 	}
--- a/core/emulation/deployment.go
+++ b/core/emulation/deployment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/crossing"
 	"coltsfootward/core/node"
 )
 
@@ -95,6 +96,15 @@
 	return d
 }
 
+// Hosted returns a copy with the settings of the hosted deployments.
+func (d Deployment) Hosted() Deployment {
+	d = d.WithAttribution(node.AttributionDeadline)
+	d.RetryGrants = true
+	d.ShareScope = node.ShareScopeFleet
+	d.Crossing, d.CrossingMargin = node.CrossingRoom, crossing.DefaultMargin
+	return d
+}
+
 // class returns the class with the given name, or the zero value if there is
 // none.
 func (d Deployment) class(name coltsfootward.RouteName) Class {
--- a/core/emulation/starvation_test.go
+++ b/core/emulation/starvation_test.go
@@ -7,17 +7,12 @@
 	"time"
 
 	"coltsfootward"
-	"coltsfootward/core/crossing"
 	"coltsfootward/core/emulation"
-	"coltsfootward/core/node"
 )
 
-// shortBureau returns Bureau with the settings of a hosted deployment.
+// shortBureau returns Bureau as a hosted deployment with twelve organisations.
 func shortBureau() emulation.Deployment {
-	d := emulation.Bureau().WithAttribution(node.AttributionDeadline)
-	d.RetryGrants = true
-	d.ShareScope = node.ShareScopeFleet
-	d.Crossing, d.CrossingMargin = node.CrossingRoom, crossing.DefaultMargin
+	d := emulation.Bureau().Hosted()
 	for i := range 12 {
 		d.Organisations = append(d.Organisations, emulation.Organisation{Name: coltsfootward.OrganisationName(fmt.Sprint("organisation ", i)), Demand: 1})
 	}
