--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -184,9 +184,6 @@
 	return d.total, false
 }
 
-// Total returns the share of all organisations together.
-func (d *BandDivision) Total() Share { return d.total }
-
 // Others returns the share of all organisations together that the summary does not name.
 func (d *BandDivision) Others() Share { return d.others }
 
--- a/core/pressure/attributed_test.go
+++ b/core/pressure/attributed_test.go
@@ -52,7 +52,7 @@
 func TestFewAttributedCallsAreNotTrusted(t *testing.T) {
 	var c pressure.Callees
 	calls := 0
-	now := shortage(&c, func(now time.Duration, class coltsfootward.RouteName) {
+	now := shortage(&c, func(now time.Duration, _ coltsfootward.RouteName) {
 		if calls++; calls%10 == 0 {
 			c.CallAttributed(now, "deep", "other")
 			return
