--- a/review/2/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Plays case 2; TROUBLE=0 plays it without the tenant that sends more.
-cd "$(dirname "$0")/../.."
-exec target/review/case2
--- a/review/3/case_test.go
+++ b/review/3/case_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// A node is stopped while pipelined idempotent requests are at work. All that it has passed on
-// to upstreams must be answered.
+// One tenant sends 7.5 times its usual, with large bodies. The nodes must stay within their
+// memory: if they are killed, the requests of all tenants end without an answer.
 func TestReview3(t *testing.T) {
 	if err := os.Chdir("../.."); err != nil {
 		t.Fatal(err)
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,41 +1,50 @@
 //go:build review
 
-// Command 3 plays case 3: a machine of the system is stopped and started again while
-// clients on it send further idempotent requests before the first has been answered. It
-// exits with 1 if the node has passed requests on to an upstream and then ends their
-// connection without an answer.
+// Command 3 plays case 3: one tenant sends many times its usual. Its requests have bodies
+// within max_body_bytes. The nodes that its clients use exceed their memory and are killed,
+// with the requests of other tenants. It exits with 1 if a node passed more than three
+// requests of kept connections on to an upstream and its end closed these connections
+// without an answer.
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"coltsfootward/review/stand"
 )
 
 const (
-	host = "loja.example"
-	key  = "key-of-balcao"
-	// clientsPerMachine clients each send depth requests at once on a kept connection.
-	clientsPerMachine = 12
-	depth             = 3
-	pause             = 200 * time.Millisecond
-	// workMean is that of the kind boot-fit; timeout and deadline are those of its route.
-	workMean = 480 * time.Millisecond
-	timeout  = 5 * time.Second
-	deadline = 5 * time.Second
-	// stops is how many machines are stopped, one after the other.
-	stops = 3
+	host     = "loja.example"
+	hotKey   = "key-of-filial"
+	otherKey = "key-of-balcao"
+	// The disruption, hot_tenant: x times the usual, for_s, two times.
+	hotFactor = 7.5
+	hotTime   = 6500 * time.Millisecond
+	hotSpells = 1
+	hotGap    = 5 * time.Second
+	// usualPerSecond is what the tenant usually sends to each of the hotMachines.
+	usualPerSecond = 1.0
+	hotMachines    = 2
+	// bodyBytes is the size of its requests, and linkBytes what a client sends in a
+	// second: 64 Mbit/s.
+	bodyBytes = 16 << 20
+	linkBytes = 8 << 20
+	// otherClients of another tenant at each machine send small requests, each on a
+	// connection that it keeps, with pauses of otherPause on average.
+	otherClients = 8
+	otherPause   = 50 * time.Millisecond
+	work         = 150 * time.Millisecond
+	deadline     = 6 * time.Second
+	// routeTimeout is the timeout of the route of the small requests.
+	routeTimeout = 1500 * time.Millisecond
+	// allowed is how many requests a machine may lose so.
+	allowed = 3
 )
 
 func main() { os.Exit(play()) }
@@ -48,16 +57,21 @@
 		return failed(err)
 	}
 	defer record.Close()
-	configuration := stand.Configuration("r7", host, map[string]int{"fichas": 394},
-		[]stand.Object{{"name": "balcao", "api_keys": []string{key}, "priority": 1, "rate_per_s": 2000, "burst": 2000}},
-		stand.Route("boot-fit", "/fit/", "idempotent", "fichas", "5000ms", "1200ms", 1))
+	limit := usualPerSecond * hotMachines * 1.6
+	configuration := stand.Configuration("r7", host, map[string]int{"caixa": 400, "estoque": 400},
+		[]stand.Object{
+			{"name": "filial", "api_keys": []string{hotKey}, "priority": 2, "rate_per_s": limit, "burst": limit + 1},
+			{"name": "balcao", "api_keys": []string{otherKey}, "priority": 1, "rate_per_s": 1000, "burst": 1000},
+		},
+		stand.Route("card-hold", "/hold/", "non_idempotent", "caixa", "5000ms", "2500ms", 0),
+		stand.Route("skis-free", "/free/", "idempotent", "estoque", "1500ms", "1500ms", 1))
 	var places []stand.Place
 	for _, zone := range []string{"zona-um", "zona-dois", "zona-tres"} {
-		places = append(places, stand.Place{Zone: zone, Service: "fichas", Slots: 100}, stand.Place{Zone: zone, Service: "fichas", Slots: 100})
+		places = append(places, stand.Place{Zone: zone, Service: "caixa", Slots: 60}, stand.Place{Zone: zone, Service: "estoque", Slots: 60})
 	}
 	f, err := stand.NewFleet(record, configuration, places, func(_ *stand.Upstream, run *stand.Run) {
-		time.Sleep(time.Duration(float64(workMean) * (0.6 + 0.8*rand.Float64())))
-		run.Answer(200, "fits "+run.ID)
+		time.Sleep(work)
+		run.Answer(200, "held "+run.ID)
 	})
 	if err != nil {
 		return failed(err)
@@ -66,27 +80,62 @@
 	if err := f.WaitReady(); err != nil {
 		return failed(err)
 	}
-	p := &play3{fleet: f, record: record, stopped: make(map[string]time.Time)}
+	watch := stand.WatchMemory(f)
+	c := &clients{record: record, answers: make(map[string]map[string]int)}
+	c.factor.Store(1.0)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	for _, m := range f.Machines {
-		serving := &atomic.Bool{}
-		serving.Store(true)
-		wait.Go(func() { p.probe(m, serving, stop) })
-		for range clientsPerMachine {
-			wait.Go(func() { p.client(m, serving, stop) })
+	for i, m := range f.Machines {
+		if i < hotMachines {
+			wait.Go(func() { c.upload(m, stop) })
+		}
+		for range otherClients {
+			wait.Go(func() { c.read(m, stop) })
 		}
 	}
-	time.Sleep(4 * time.Second)
-	for i := range stops {
+	time.Sleep(5 * time.Second)
+	for range hotSpells {
 		if trouble {
-			p.restart(f.Machines[2*i])
+			record.Add("trouble  the tenant filial sends %v times its usual for %v", hotFactor, hotTime)
+			c.factor.Store(hotFactor)
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(hotTime)
+		c.factor.Store(1.0)
+		time.Sleep(hotGap)
 	}
 	close(stop)
 	wait.Wait()
-	return p.judge()
+	ends, peaks := watch.Close()
+	lost, most := c.lost(f), 0
+	for _, n := range lost {
+		most = max(most, n)
+	}
+	result := fmt.Sprintf("lost %v; processes killed for their memory: %v; most memory in MB: %v; answers %v", lost, ends, peaks, c.answers)
+	record.Add("result   %s", result)
+	fmt.Println(result)
+	if most > allowed {
+		return 1
+	}
+	return 0
+}
+
+// lost counts, by machine, the small requests of kept connections that the node passed on
+// to an upstream and whose connection it closed without an answer.
+func (c *clients) lost(f *stand.Fleet) map[string]int {
+	runs := make(map[string]int)
+	for _, m := range f.Machines {
+		for id, n := range m.Upstream.Runs() {
+			runs[id] += n
+		}
+	}
+	lost := make(map[string]int)
+	for _, r := range c.closed {
+		if r.kept && runs[r.id] > 0 && r.took < routeTimeout {
+			lost[r.machine]++
+			c.record.Add("LOST     %s of balcao, on a kept connection to %s: passed on to an upstream, closed without an answer after %.3f s", r.id, r.machine, r.took.Seconds())
+		}
+	}
+	return lost
 }
 
 func failed(err error) int {
@@ -94,184 +143,98 @@
 	return 2
 }
 
-// request is a request that a client sent.
-type request struct {
-	id, machine  string
-	sent, ended  time.Time
-	status       int
-	answeredFull bool
-}
-
-type play3 struct {
-	fleet  *stand.Fleet
+// clients sends requests and counts the answers by tenant.
+type clients struct {
 	record *stand.Record
+	factor atomic.Value
+
+	mu      sync.Mutex
+	answers map[string]map[string]int
+	closed  []closedRequest
+}
 
-	mu       sync.Mutex
-	requests []*request
-	// stopped is when SIGTERM was sent, by machine.
-	stopped map[string]time.Time
+// closedRequest is a small request whose connection ended without an answer. kept is set
+// if an earlier request of the connection was answered.
+type closedRequest struct {
+	id, machine string
+	kept        bool
+	took        time.Duration
 }
 
-// restart stops a node with SIGTERM, kills it after the grace period, and starts it again.
-func (p *play3) restart(m *stand.Machine) {
-	p.mu.Lock()
-	p.stopped[m.Name] = time.Now()
-	p.mu.Unlock()
-	p.record.Add("trouble  SIGTERM to %s", m.Name)
-	ended := m.Signal(syscall.SIGTERM)
-	select {
-	case <-ended:
-		p.record.Add("ended    %s", m.Name)
-	case <-time.After(stand.Grace):
-		p.record.Add("trouble  SIGKILL to %s", m.Name)
-		<-m.Signal(syscall.SIGKILL)
+func (c *clients) count(tenant string, answer stand.Answer) {
+	text := answer.String()
+	if answer.Status == 0 {
+		text = "none"
 	}
-	_ = m.Start()
-	p.record.Add("start    %s", m.Name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answers[tenant] == nil {
+		c.answers[tenant] = make(map[string]int)
+	}
+	c.answers[tenant][text]++
 }
 
-// probe asks the node every second whether it is ready. After two misses the clients on
-// the machine open no connection to it, until it is ready again; they keep using those
-// that are open.
-func (p *play3) probe(m *stand.Machine, serving *atomic.Bool, stop chan struct{}) {
-	misses := 0
-	time.Sleep(time.Duration(rand.Float64() * float64(time.Second)))
+// upload sends the tenant's requests to a machine.
+func (c *clients) upload(m *stand.Machine, stop chan struct{}) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
 	for {
-		if m.Ready() {
-			misses = 0
-		} else {
-			misses++
-			p.record.Add("ready    %s: miss %d", m.Name, misses)
-		}
-		serving.Store(misses < 2)
+		perSecond := usualPerSecond * c.factor.Load().(float64)
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Second):
+		case <-time.After(time.Duration((0.8 + 0.4*rand.Float64()) / perSecond * float64(time.Second))):
 		}
+		wait.Go(func() {
+			id := stand.NewID()
+			c.record.Add("sent     %s to %s by filial: POST /hold/%s, %d bytes", id, m.Name, id, bodyBytes)
+			answer := stand.SendBody(m, id, "POST", host, "/hold/"+id, hotKey, &slowReader{remaining: bodyBytes, started: time.Now()}, bodyBytes, deadline)
+			c.record.Add("answered %s: %s", id, answer)
+			c.count("filial", answer)
+		})
 	}
 }
 
-// client sends requests on a kept connection, depth of them before the first is answered.
-func (p *play3) client(m *stand.Machine, serving *atomic.Bool, stop chan struct{}) {
-	var conn net.Conn
-	var reader *bufio.Reader
-	time.Sleep(time.Duration(rand.Float64() * float64(time.Second)))
+// read sends small requests of the other tenant to a machine, one after the other on a kept
+// connection.
+func (c *clients) read(m *stand.Machine, stop chan struct{}) {
+	var kept stand.Kept
+	defer kept.Close()
 	for {
 		select {
 		case <-stop:
-			if conn != nil {
-				conn.Close()
-			}
 			return
-		case <-time.After(time.Duration(rand.Float64() * 2 * float64(pause))):
-		}
-		if conn != nil && closed(conn, reader) {
-			conn.Close()
-			conn = nil
+		case <-time.After(time.Duration(rand.ExpFloat64() * float64(otherPause))):
 		}
-		if conn == nil {
-			if !serving.Load() {
-				continue
-			}
-			var err error
-			if conn, err = net.DialTimeout("tcp", m.Ports.Callers, time.Second); err != nil {
-				conn = nil
-				continue
-			}
-			reader = bufio.NewReader(conn)
+		if kept.Connect(m) != nil {
+			continue
 		}
-		if !p.exchange(m, conn, reader) {
-			conn.Close()
-			conn = nil
+		used, sent, id := kept.Used, time.Now(), stand.NewID()
+		c.record.Add("sent     %s to %s by balcao: GET /free/%s, request %d of its connection", id, m.Name, id, used+1)
+		answer := kept.Get(id, host, "/free/"+id, otherKey, deadline)
+		c.record.Add("answered %s: %s", id, answer)
+		c.count("balcao", answer)
+		if answer.Status == 0 {
+			c.mu.Lock()
+			c.closed = append(c.closed, closedRequest{id: id, machine: m.Name, kept: used > 0, took: time.Since(sent)})
+			c.mu.Unlock()
 		}
 	}
 }
 
-// closed reports whether the node has closed an idle connection.
-func closed(conn net.Conn, reader *bufio.Reader) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-	_, err := reader.Peek(1)
-	timeout, ok := err.(net.Error)
-	return !ok || !timeout.Timeout()
-}
-
-// exchange sends depth requests and reads their answers in order. It returns false if the
-// connection is to be closed.
-func (p *play3) exchange(m *stand.Machine, conn net.Conn, reader *bufio.Reader) bool {
-	var text strings.Builder
-	var batch []*request
-	for range depth {
-		r := &request{id: stand.NewID(), machine: m.Name, sent: time.Now()}
-		batch = append(batch, r)
-		fmt.Fprintf(&text, "GET /fit/%s HTTP/1.1\r\nHost: %s\r\nColtsfootward-Request-Id: %s\r\nColtsfootward-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n\r\n",
-			r.id, host, r.id, deadline.Milliseconds(), key)
-		p.record.Add("sent     %s to %s: GET /fit/%s", r.id, m.Name, r.id)
-	}
-	p.mu.Lock()
-	p.requests = append(p.requests, batch...)
-	p.mu.Unlock()
-	_ = conn.SetDeadline(time.Now().Add(deadline))
-	_, err := io.WriteString(conn, text.String())
-	open := err == nil
-	for _, r := range batch {
-		if open {
-			open = p.receive(reader, r)
-		}
-		r.ended = time.Now()
-		if r.answeredFull {
-			p.record.Add("answered %s: %d", r.id, r.status)
-		} else {
-			p.record.Add("closed   %s: the connection ended without an answer", r.id)
-		}
-	}
-	return open
-}
-
-// receive reads the answer to a request. It returns false if no further answer follows.
-func (p *play3) receive(reader *bufio.Reader, r *request) bool {
-	response, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(io.Discard, response.Body)
-	r.status, r.answeredFull = response.StatusCode, err == nil
-	return err == nil && !response.Close
+// slowReader is a body that a client sends over its link.
+type slowReader struct {
+	remaining, sent int
+	started         time.Time
 }
 
-// judge checks the rule LOST for the planned stops.
-func (p *play3) judge() int {
-	runs := make(map[string]int)
-	for _, m := range p.fleet.Machines {
-		for id, n := range m.Upstream.Runs() {
-			runs[id] += n
-		}
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.remaining == 0 {
+		return 0, io.EOF
 	}
-	answered, lost, unread := 0, 0, 0
-	for _, r := range p.requests {
-		stopped, planned := p.stopped[r.machine]
-		switch {
-		case r.answeredFull:
-			answered++
-		case !planned || r.ended.Before(stopped) || r.ended.After(stopped.Add(stand.Grace+time.Second)):
-			p.record.Add("other    %s at %s had no answer, away from planned work", r.id, r.machine)
-		case runs[r.id] == 0:
-			unread++ // sent behind another and not passed on to an upstream
-		case r.ended.Sub(r.sent) >= timeout-250*time.Millisecond:
-			// The route's timeout was reached.
-		case r.ended.Sub(stopped) >= stand.Grace*5/6 && r.sent.Sub(stopped) <= 3*time.Second:
-			// The upstream was still at work in the last sixth of the grace period.
-		default:
-			lost++
-			p.record.Add("LOST     %s, sent to %s %.3f s after SIGTERM, passed on to an upstream, the connection ended %.3f s after SIGTERM",
-				r.id, r.machine, r.sent.Sub(stopped).Seconds(), r.ended.Sub(stopped).Seconds())
-		}
-	}
-	result := fmt.Sprintf("%d requests, %d answered, %d not passed on, %d passed on to an upstream and lost", len(p.requests), answered, unread, lost)
-	p.record.Add("result   %s", result)
-	fmt.Println(result)
-	if lost > 0 {
-		return 1
-	}
-	return 0
+	n := min(len(p), r.remaining, 64<<10)
+	r.remaining -= n
+	r.sent += n
+	time.Sleep(time.Until(r.started.Add(time.Duration(float64(r.sent) / linkBytes * float64(time.Second)))))
+	return n, nil
 }
