--- a/review/3/main.go
+++ b/review/3/main.go
@@ -32,9 +32,9 @@
 	usualPerSecond = 1.0
 	hotMachines    = 2
 	// bodyBytes is the size of its requests, and linkBytes what a client sends in a
-	// second: 64 Mbit/s.
-	bodyBytes = 16 << 20
-	linkBytes = 8 << 20
+	// second: 56 Mbit/s.
+	bodyBytes = 14 << 20
+	linkBytes = 7 << 20
 	// otherClients of another tenant at each machine send small requests, each on a
 	// connection that it keeps, with pauses of otherPause on average.
 	otherClients = 8
