--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -34,7 +34,7 @@
 }
 
 // Run is a request that the upstream runs. Serve writes the answer with Answer, and may
-// set Late, bytes that are written when the next request has been read on the connection.
+// set Late, bytes that are written when the connection's next request has begun to run.
 type Run struct {
 	Request *http.Request
 	ID      string
@@ -132,12 +132,6 @@
 		if err != nil {
 			return
 		}
-		if len(late) > 0 {
-			if _, err := conn.Write(late); err != nil {
-				return
-			}
-			late = nil
-		}
 		expected := request.Header.Get("Coltsfootward-Expect-Instance")
 		switch {
 		case request.URL.Path == "/health":
@@ -147,6 +141,9 @@
 		default:
 			run := &Run{Request: request, ID: request.Header.Get("Coltsfootward-Request-Id"), Body: n, upstream: u, conn: conn}
 			u.begin(run)
+			if len(late) > 0 {
+				_, _ = conn.Write(late) // a closed connection shows with the answer
+			}
 			u.serve(u, run)
 			u.end(run)
 			late = run.Late
