--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -61,12 +61,17 @@
 }
 
 // NewFleet starts the store, writes the configuration and starts a machine for each place.
-func NewFleet(record *Record, configuration any, places []Place, serve func(u *Upstream, run *Run)) (*Fleet, error) {
+func NewFleet(record *Record, configuration any, places []Place, serve func(u *Upstream, run *Run)) (_ *Fleet, err error) {
 	directory, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	f := &Fleet{Store: hosting.NewStore(), Record: record, directory: directory}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
 	if f.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -140,13 +145,19 @@
 // leaves the files.
 func (f *Fleet) Close() {
 	for _, m := range f.Machines {
-		m.Upstream.Close()
+		if m.Upstream != nil {
+			m.Upstream.Close()
+		}
 		if ended := m.Signal(syscall.SIGKILL); ended != nil {
 			<-ended
 		}
-		m.log.Close()
+		if m.log != nil {
+			m.log.Close()
+		}
+	}
+	if f.listener != nil {
+		f.listener.Close()
 	}
-	f.listener.Close()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(f.directory)
 	} else {
