--- a/review/stand2/stand.go
+++ b/review/stand2/stand.go
@@ -184,6 +184,9 @@
 	return filled
 }
 
+// SetStore puts a handler in front of the store. Call it before the nodes run.
+func (d *Deployment) SetStore(h http.Handler) { d.server.Handler = h }
+
 // Configure writes the operator's configuration.
 func (d *Deployment) Configure(configuration Object) {
 	text, err := json.Marshal(configuration)
