--- a/review/4/main.go
+++ b/review/4/main.go
@@ -95,14 +95,16 @@
 		b := hosting.NewBackend(fmt.Sprintf("i-%d", i), m.Service, m.App(), m.Control(), size)
 		b.DiscardRuns = true
 		b.Serve = func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(stand2.FieldRequest)
+			record.Add("upstream %d runs %s", i, id)
 			if m.Service == "publications" {
-				received.add(r.Header.Get(stand2.FieldRequest))
+				received.add(id)
 			}
 			select {
 			case <-time.After(takes):
 			case <-r.Context().Done():
 			}
-			fmt.Fprintf(w, "answer to %s", r.Header.Get(stand2.FieldRequest))
+			fmt.Fprintf(w, "answer to %s", id)
 		}
 		listener, err := net.Listen("tcp", m.App())
 		if err != nil {
@@ -142,9 +144,7 @@
 					id := fmt.Sprintf("kept-%d-%d-%d", i, k, n)
 					a := c.Send(context.Background(), http.MethodGet, host, "/bulletin-file/"+id, id, deadline, nil, nil)
 					kept.Add(1)
-					if a.Err != nil {
-						record.Add("%s: %v", id, a.Err)
-					}
+					record.Add("%s: %d %v", id, a.Status, a.Err)
 					if a.Err != nil && received.has(id) {
 						mu.Lock()
 						lost = append(lost, id)
@@ -167,6 +167,7 @@
 				}
 				a := c.Send(stay, http.MethodGet, host, "/archive-quote/"+id, id, deadline, nil, nil)
 				cancel()
+				record.Add("%s: %d %v, leaves: %t", id, a.Status, a.Err, leaves)
 				switch {
 				case a.Err != nil && leaves:
 					left.Add(1)
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -120,6 +120,7 @@
 		b.DiscardRuns = true
 		b.Serve = func(w http.ResponseWriter, r *http.Request) {
 			ran.Add(1)
+			record.Add("upstream %d runs %s", i, r.Header.Get(stand2.FieldRequest))
 			time.Sleep(20 * time.Millisecond)
 			fmt.Fprintf(w, "answer to %s", r.Header.Get(stand2.FieldRequest))
 		}
--- a/review/stand2/stand.go
+++ b/review/stand2/stand.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -130,6 +131,12 @@
 	}
 	d := &Deployment{Store: hosting.NewStore(), Folder: folder, Bounds: bounds}
 	atFailure = append(atFailure, d.Close)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		Fail("stopped from outside")
+	}()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		Fail("store: %v", err)
