--- a/review/4/main.go
+++ b/review/4/main.go
@@ -22,7 +22,7 @@
 const (
 	host = "bulletin.example"
 	// length is the time in which upstreams become cold and clients leave.
-	length = 98 * time.Second
+	length = 84 * time.Second
 	// The services' figures: slots and work of an upstream of archives, and the work of
 	// the one of publications.
 	slots       = 20
--- a/review/stand2/stand.go
+++ b/review/stand2/stand.go
@@ -26,6 +26,9 @@
 	"coltsfootward/standin/hosting"
 )
 
+// longest bounds a script's duration, so that it has ended after 120 s.
+const longest = 114 * time.Second
+
 // Names of the platform's header fields.
 const (
 	FieldRequest  = "Coltsfootward-Request-Id"
@@ -134,8 +137,12 @@
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-stopped
-		Fail("stopped from outside")
+		select {
+		case <-stopped:
+			Fail("stopped from outside")
+		case <-time.After(longest):
+			Fail("not ended after %v", longest)
+		}
 	}()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
