--- a/review/4/main.go
+++ b/review/4/main.go
@@ -36,6 +36,8 @@
 	// leaveShare of the clients leave, within leaveWithin.
 	leaveShare  = 0.3
 	leaveWithin = 1500 * time.Millisecond
+	// leaveFor is how long a give_up lasts, and how long the pause until the next one is.
+	leaveFor = 5500 * time.Millisecond
 	// keptClients is the number of clients with kept connections on each machine of
 	// archives; lookups is the number of clients of archives.
 	keptClients = 8
@@ -131,6 +133,8 @@
 		return nil
 	}
 	running := func() bool { return ctx.Err() == nil && ended() == nil }
+	began := time.Now()
+	giveUp := func() bool { return stand2.Trouble() && time.Since(began)/leaveFor%2 == 0 }
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var lost []string
@@ -161,7 +165,7 @@
 			for n := 0; running(); n++ {
 				id := fmt.Sprintf("lookup-%d-%d", i, n)
 				stay, cancel := context.WithCancel(context.Background())
-				leaves := stand2.Trouble() && rand.Float64() < leaveShare
+				leaves := giveUp() && rand.Float64() < leaveShare
 				if leaves {
 					stay, cancel = context.WithTimeout(stay, time.Duration(rand.Int64N(int64(leaveWithin))))
 				}
