--- a/review/4/main.go
+++ b/review/4/main.go
@@ -37,7 +37,7 @@
 	leaveShare  = 0.3
 	leaveWithin = 1500 * time.Millisecond
 	// leaveFor is how long a give_up lasts, and how long the pause until the next one is.
-	leaveFor = 5500 * time.Millisecond
+	leaveFor = 5 * time.Second
 	// keptClients is the number of clients with kept connections on each machine of
 	// archives; lookups is the number of clients of archives.
 	keptClients = 8
