Hosted nodes notice that the store has lost their long polls

Cause: followers of the document wait for a change in a call of up to 28 s. A call that the store has lost looks like a document that does not change. The store had lost the calls of all followers at once.

Change: the digest's table age now covers the hosted document and counts only for a node that holds the sender's revision. When the last confirmation is older than half of configuration_spread, the first follower makes a call that does not wait and tells the other followers; they make one themselves, one after the other, if they hear of none. A call that fails or finds a change ends the long poll, and after a failure no call waits until one was answered.

--- a/cmd/daemon/hosted.go
+++ b/cmd/daemon/hosted.go
@@ -55,7 +55,9 @@
 	upstream   *upstream.Server
 	server     *caller.Server
 	watcher    *document.Watcher
-	started    time.Time
+	// documentChecks holds a request for a check of the configuration document.
+	documentChecks chan struct{}
+	started        time.Time
 	// nextCheck is when the limit that the backend server names allows the next health
 	// check. Only findBackend uses it.
 	nextCheck time.Time
@@ -78,7 +80,7 @@
 // configuration.
 func (c *components) startHosted(l listeners, server *upstream.Server, documents coltsfootward.Documents) {
 	fields := platform.Fields()
-	h := &hosted{components: c, upstream: server, started: time.Now(), done: make(chan struct{})}
+	h := &hosted{components: c, upstream: server, started: time.Now(), done: make(chan struct{}), documentChecks: make(chan struct{}, 1)}
 	h.backendMachine.Service = coltsfootward.ServiceName(c.settings.Backend.Service)
 	h.backendMachine.Address = c.settings.Backend.Address
 	h.current.Store(&coltsfootward.Configuration{})
@@ -96,11 +98,14 @@
 	c.serve(l.backend, h.heartbeatRouter())
 	c.serve(l.ready, h.readyRouter())
 	h.watcher = document.New(document.Options{
-		Source:     documents,
-		Task:       h.documentTask,
-		OnDocument: h.applyDocument,
-		OnError:    h.platformFailed,
-		OnResponse: h.platformResponded,
+		Source:      documents,
+		Task:        h.documentTask,
+		Checks:      h.documentChecks,
+		OnDocument:  h.applyDocument,
+		OnConfirmed: h.documentConfirmed,
+		OnPollLost:  h.documentPollLost,
+		OnError:     h.platformFailed,
+		OnResponse:  h.platformResponded,
 	})
 	h.wait.Go(h.findBackend)
 }
@@ -120,6 +125,23 @@
 	}
 }
 
+func (h *hosted) documentConfirmed(at time.Time) {
+	h.components.loop.Post(node.DocumentConfirmed{Age: time.Since(at)})
+}
+
+func (h *hosted) documentPollLost(cause error) {
+	h.components.reporter.event(record.DocumentPollLost, "cause", cause.Error())
+}
+
+// requestDocumentCheck requests a check of the document. It does not block: a request
+// that has not been taken yet serves for this one, too.
+func (h *hosted) requestDocumentCheck() {
+	select {
+	case h.documentChecks <- struct{}{}:
+	default:
+	}
+}
+
 // platformFailed logs a document that can't be used, and the first of several
 // successive calls that got no usable response from the platform.
 func (h *hosted) platformFailed(err error) {
--- a/cmd/daemon/parts.go
+++ b/cmd/daemon/parts.go
@@ -79,6 +79,11 @@
 				c.hosted.setConfiguration(configuration)
 			}
 		},
+		CheckDocument: func() {
+			if c.hosted != nil {
+				c.hosted.requestDocumentCheck()
+			}
+		},
 		CheckBackend: func() {
 			if c.hosted != nil {
 				c.hosted.checkBackend()
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -119,6 +119,11 @@
 // ConfigurationInForce reports that a full configuration has come into force.
 type ConfigurationInForce struct{ Configuration coltsfootward.Configuration }
 
+// CheckDocument requests a call to the platform that shows whether the
+// configuration document has changed. The driver reports DocumentConfirmed if
+// the platform responds.
+type CheckDocument struct{}
+
 // CheckBackend requests a health check of the local backend server. The driver
 // reports BackendChecked if the server responds.
 type CheckBackend struct{}
@@ -142,5 +147,6 @@
 func (ScanTable) isAction()            {}
 func (TransactTable) isAction()        {}
 func (CheckBackend) isAction()         {}
+func (CheckDocument) isAction()        {}
 func (Report) isAction()               {}
 func (Drained) isAction()              {}
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -219,7 +219,6 @@
 
 // digestReceived processes a peer's digest.
 func (p *configurationComponent) digestReceived(e MessageArrived, m message.ConfigurationDigest) {
-	p.contact.noteTableRead(p.node.now.Expiry - e.Age - max(m.TableAge, 0))
 	p.node.domains.adopt(m.OutOfService)
 	p.node.quarantine.reconcile(e.From, m.Crashes)
 	for _, digest := range m.Withdrawn {
@@ -227,7 +226,9 @@
 	}
 	if m.Revision > p.current.Revision() {
 		p.pullFrom(e.From)
+		return
 	}
+	p.contact.noteTableRead(p.node.now.Expiry - e.Age - max(m.TableAge, 0))
 }
 
 // pullFrom requests newer changes from a peer, at most once per pullInterval.
--- a/core/node/document.go
+++ b/core/node/document.go
@@ -40,8 +40,90 @@
 	// sends it to the others.
 	documentTimeout     = 1500 * time.Millisecond
 	soloDocumentTimeout = 100 * time.Millisecond
+	// documentCheckInterval is the shortest time between two checks of the document by
+	// the same node.
+	documentCheckInterval = 500 * time.Millisecond
 )
 
+// documentComponent makes sure that changes of the document reach the nodes
+// even if no long poll delivers them.
+//
+// A node that follows the document waits in a long poll, which shows nothing if
+// the platform has lost the call. The platform may lose the calls of all nodes
+// at once, and silence then looks like a document that does not change. The
+// followers therefore keep track of when the platform last confirmed the
+// document to any of them. The first one for which that is too long ago checks
+// the document and tells the others.
+type documentComponent struct {
+	node *Node
+	// confirmedAt is the latest confirmation, by Instant.Expiry, for which
+	// checkAge was drawn.
+	confirmedAt time.Duration
+	// checkAge is the age of the confirmation from which on the node checks the
+	// document.
+	checkAge  time.Duration
+	nextCheck time.Duration
+}
+
+func (p *documentComponent) tick() {
+	configuration := p.node.configuration
+	now := p.node.now
+	if configuration.current.Revision() == 0 || now.Monotonic < p.nextCheck {
+		return
+	}
+	if at := configuration.contact.lastTableRead; at != p.confirmedAt || p.checkAge == 0 {
+		p.confirmedAt = at
+		p.checkAge = p.drawCheckAge()
+	}
+	if configuration.contact.tableAge(now) < p.checkAge {
+		return
+	}
+	p.nextCheck = now.Monotonic + documentCheckInterval
+	if p.node.DocumentTask() == DocumentFollow {
+		p.node.act(CheckDocument{})
+	}
+}
+
+// drawCheckAge returns a new checkAge. That of the first follower is the
+// shortest, so that the others check the document only if its checks fail or do
+// not reach them, and do so one after the other. The longest leaves a quarter
+// of ConfigurationSpread for the check and for the changes that it finds.
+func (p *documentComponent) drawCheckAge() time.Duration {
+	spread := p.node.options.ConfigurationSpread
+	if p.isFirstFollower() {
+		return spread / 2
+	}
+	return spread*5/8 + time.Duration(p.node.source.Int64N(int64(spread/8)+1))
+}
+
+// isFirstFollower reports whether this node comes first among the followers of
+// all failure domains.
+func (p *documentComponent) isFirstFollower() bool {
+	m := p.node.membership.machine
+	for _, domain := range m.Domains() {
+		if first := m.FirstAlive(domain, 1); len(first) > 0 {
+			return first[0].ID == p.node.options.Self.ID
+		}
+	}
+	return false
+}
+
+// confirmed records that the platform has confirmed the document, and tells the
+// other followers.
+func (p *documentComponent) confirmed(age time.Duration) {
+	configuration := p.node.configuration
+	configuration.contact.noteTableRead(p.node.now.Expiry - age)
+	m := p.node.membership.machine
+	for _, domain := range m.Domains() {
+		for _, follower := range m.FirstAlive(domain, documentReaders) {
+			if follower.ID != p.node.options.Self.ID {
+				digest := configuration.ownDigest()
+				p.node.act(Send{To: follower, Message: &digest})
+			}
+		}
+	}
+}
+
 // adopt puts a full configuration in force if it is newer than the current one,
 // and sends it to other nodes. An older one, from a late read or from an
 // outdated peer, is ignored: the revision never decreases during a run.
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -63,6 +63,11 @@
 // service, as read from the platform.
 type DomainsRead struct{ OutOfService coltsfootward.OutOfService }
 
+// DocumentConfirmed reports that the platform has confirmed the document and
+// the domains out of service that were delivered last. Age is an upper bound on
+// the time since then.
+type DocumentConfirmed struct{ Age time.Duration }
+
 // BackendLost reports that nothing listens at the local backend server's
 // address.
 type BackendLost struct{}
@@ -244,6 +249,7 @@
 func (FinishRequested) isEvent()   {}
 func (ConfigurationRead) isEvent() {}
 func (DomainsRead) isEvent()       {}
+func (DocumentConfirmed) isEvent() {}
 func (BackendLost) isEvent()       {}
 func (RequestArrived) isEvent()    {}
 func (CallCancelled) isEvent()     {}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,7 @@
 	finishing bool
 
 	configuration *configurationComponent
+	document      documentComponent
 	confirmation  *confirmationComponent
 	domains       domainsComponent
 	membership    *membershipComponent
@@ -67,6 +68,7 @@
 	n.table = newTableComponent(n)
 	n.quarantine = newQuarantineComponent(n)
 	n.configuration = newConfigurationComponent(n)
+	n.document = documentComponent{node: n}
 	n.confirmation = newConfirmationComponent(n)
 	n.domains = domainsComponent{node: n}
 	n.membership = newMembershipComponent(n)
@@ -144,6 +146,8 @@
 		n.configuration.adopt(e.Configuration)
 	case DomainsRead:
 		n.domains.adopt(e.OutOfService)
+	case DocumentConfirmed:
+		n.document.confirmed(e.Age)
 	case FinishRequested:
 		n.finishing = true
 	case BackendLost:
@@ -176,6 +180,7 @@
 	n.membership.tick()
 	if n.options.Routed {
 		n.assigned.tick()
+		n.document.tick()
 	} else {
 		n.configuration.tick()
 		n.lease.tick()
--- a/core/nodetest/link.go
+++ b/core/nodetest/link.go
@@ -35,6 +35,8 @@
 		m.Backend.cancel(a.Call)
 	case node.Send:
 		m.send(a)
+	case node.CheckDocument:
+		m.rig.Documents.check(m)
 	case node.CheckBackend:
 		m.rig.After(breakDetectionDelay, m.checkBackend)
 	case node.Report:
--- a/core/nodetest/rig.go
+++ b/core/nodetest/rig.go
@@ -31,6 +31,8 @@
 type Rig struct {
 	// Table is the fake of the platform's table, which all nodes share.
 	Table *Table
+	// Documents is the fake of the operators' document, which all nodes share.
+	Documents *Documents
 	// Delay returns the one-way delay between two instances; nil means
 	// DefaultDelay.
 	Delay func(from, to coltsfootward.Instance) time.Duration
@@ -56,6 +58,7 @@
 		partitioned: make(map[link]bool),
 	}
 	r.Table = newTable(r)
+	r.Documents = &Documents{rig: r}
 	return r
 }
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -61,6 +61,7 @@
 	KeysHonoured        Code = 404
 	SnapshotInForce     Code = 405
 	DocumentUnread      Code = 406
+	DocumentPollLost    Code = 407
 	SlotHeld            Code = 501
 	SlotLost            Code = 502
 	ClaimRefused        Code = 601
@@ -143,6 +144,7 @@
 	{KeysHonoured, "keys_honoured", "info", "The node has contact with the platform or with most failure domains again and accepts keys."},
 	{SnapshotInForce, "snapshot_in_force", "info", "The node was further behind than the history of its peers reaches and loaded a full configuration."},
 	{DocumentUnread, "document_unread", "warn", "The configuration document could not be read or is invalid; the configuration in force is kept."},
+	{DocumentPollLost, "document_poll_lost", "info", "A check of the configuration document failed, or found a change that the long poll for changes had not delivered; the node ended the poll and makes a new one. cause tells which."},
 	{SlotHeld, "slot_held", "info", "The node holds the slot and grants the slot's part of every organisation's rate."},
 	{SlotLost, "slot_lost", "info", "The node no longer holds the slot: its term ended, it released the slot, or another node acquired it."},
 	{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; decision is the reason."},
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -40,6 +40,8 @@
 	// ConfigurationInForce, if not nil, is called with each full configuration that comes into
 	// force.
 	ConfigurationInForce func(coltsfootward.Configuration)
+	// CheckDocument, if not nil, starts a check of the configuration document.
+	CheckDocument func()
 	// CheckBackend, if not nil, starts a health check of the backend server.
 	CheckBackend func()
 	// Drained is called once a drain is complete.
@@ -196,6 +198,10 @@
 		if l.handlers.ConfigurationInForce != nil {
 			l.handlers.ConfigurationInForce(a.Configuration)
 		}
+	case node.CheckDocument:
+		if l.handlers.CheckDocument != nil {
+			l.handlers.CheckDocument()
+		}
 	case node.CheckBackend:
 		if l.handlers.CheckBackend != nil {
 			l.handlers.CheckBackend()
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // ErrConflict is returned by Table.Transact when a condition did not hold;
@@ -97,10 +98,10 @@
 	// Read returns the present document. If the error is ErrNoDocument or a
 	// *DocumentError, the document's other fields are valid.
 	Read(ctx context.Context) (Document, error)
-	// WaitForChange waits until the document differs from last, or until the platform
-	// ends the long poll, and returns the present document. Besides the errors of
-	// Read it may return ErrHistoryLost.
-	WaitForChange(ctx context.Context, last Document) (Document, error)
+	// WaitForChange waits until the document differs from last, at most for the given
+	// time, and returns the present document. With a wait of zero it returns at once.
+	// Besides the errors of Read it may return ErrHistoryLost.
+	WaitForChange(ctx context.Context, last Document, wait time.Duration) (Document, error)
 }
 
 // DocumentError describes an error in a configuration document.
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -34,14 +34,17 @@
 	// droppedVersion is the newest row version whose history was dropped.
 	droppedVersion uint64
 	changed        chan struct{}
-	started        time.Time
-	failStatus     int
-	calls          int
+	// lost is closed when the waiting feeds are lost.
+	lost       chan struct{}
+	started    time.Time
+	failStatus int
+	silent     bool
+	calls      int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[rowID]Row), changed: make(chan struct{}), started: time.Now()}
+	return &Store{rows: make(map[rowID]Row), changed: make(chan struct{}), lost: make(chan struct{}), started: time.Now()}
 }
 
 // Fail makes every call fail with that status and without an effect. Zero ends the
@@ -52,6 +55,22 @@
 	s.failStatus = status
 }
 
+// SetSilent sets whether calls are left without a response. Calls that are made while the
+// store is silent get none later either.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// LoseFeeds leaves the feeds that wait for a change without a response for good.
+func (s *Store) LoseFeeds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.lost)
+	s.lost = make(chan struct{})
+}
+
 // DropHistory drops the history of changes, so that feeds that start before the present
 // version get 410 Gone.
 func (s *Store) DropHistory() {
@@ -106,8 +125,12 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	status := s.failStatus
+	status, silent := s.failStatus, s.silent
 	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if status != 0 {
 		w.WriteHeader(status)
 		return
@@ -172,6 +195,9 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	lost := s.lost
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		if after < s.droppedVersion {
@@ -189,6 +215,9 @@
 		s.mu.Unlock()
 		select {
 		case <-changed:
+		case <-lost:
+			<-r.Context().Done()
+			return
 		case <-r.Context().Done():
 			return
 		case <-timeout:
