Sides of a partition share every rate instead of each granting it

Cause: slots of hosted deployments are assigned by the roster alone, silence takes members off the roster, and both sides then held every slot. The rule that an isolated node stops granting covers a node alone.

Change: a holder grants the fraction of its domain's members that are alive, of all that have not announced that they leave. The share falls when a member is suspected, before the other side takes over, and rises once no member's state has changed for 5 s. Peers state how many members they know, so that a node that restarts within the cut counts those that were gone before.

--- a/core/message/configuration.go
+++ b/core/message/configuration.go
@@ -19,6 +19,9 @@
 	// TableAge is the age of the latest read of the platform's table that the sender
 	// knows of, by itself or, through gossip, by any other node.
 	TableAge time.Duration `msgpack:"table_age"`
+	// DomainMembers is the number of members of the sender's failure domain that have
+	// not left, as far as the sender knows.
+	DomainMembers int `msgpack:"domain_members,omitempty"`
 	// Crashes is a hash of the crash reports that the sender holds.
 	Crashes uint64 `msgpack:"crashes,omitempty"`
 }
--- a/core/node/assigned_slots.go
+++ b/core/node/assigned_slots.go
@@ -60,6 +60,8 @@
 	// rosterChanges is the roster's change count for which the holders were
 	// computed.
 	rosterChanges uint64
+	// share is the share of the slots that this node grants.
+	share domainShare
 	// remoteHolders caches the holders of other failure domains' slots until
 	// the roster changes.
 	remoteHolders map[slotID]coltsfootward.Instance
@@ -71,6 +73,7 @@
 		started:       n.now.Monotonic,
 		holders:       make([]coltsfootward.Instance, n.options.Slots),
 		terms:         make([]slotTerm, n.options.Slots),
+		share:         newDomainShare(n),
 		remoteHolders: make(map[slotID]coltsfootward.Instance),
 	}
 }
@@ -100,9 +103,12 @@
 	resumed := s.checkResumed()
 	changes := s.node.membership.machine.Changes()
 	if changes == s.rosterChanges && !resumed {
+		s.share.tick()
 		return
 	}
 	s.rosterChanges = changes
+	s.share.rosterChanged()
+	s.share.tick()
 	clear(s.remoteHolders)
 	roster := s.runningMembers(s.node.options.Self.Domain)
 	for i := range s.holders {
@@ -162,7 +168,9 @@
 	if s.holders[id.index].ID != s.node.options.Self.ID || s.stopped || !s.mayGrant() {
 		return slotTerm{}, false
 	}
-	return s.terms[id.index], true
+	term := s.terms[id.index]
+	term.share = s.share.granted
+	return term, true
 }
 
 func (s *assignedSlots) holder(id slotID) (coltsfootward.Instance, bool) {
--- a/core/node/bucket.go
+++ b/core/node/bucket.go
@@ -50,7 +50,7 @@
 	if !ok {
 		return rate.NewBucket(rate.Part{}, p.node.now.Monotonic)
 	}
-	part := a.division.Part(p.node.now, p.node.options.Self.Domain, index)
+	part := a.division.Part(p.node.now, p.node.options.Self.Domain, index).Scaled(term.share)
 	id := bucketID{slot: index, organisation: organisation}
 	held, ok := p.buckets[id]
 	if !ok || held.epoch != term.epoch {
--- a/core/node/configuration.go
+++ b/core/node/configuration.go
@@ -212,13 +212,15 @@
 		Withdrawn: p.withdrawn.list(maxDigestWithdrawn),
 		TableAge:  p.contact.tableAge(p.node.now),
 
-		OutOfService: p.node.domains.current,
-		Crashes:      p.node.quarantine.register.Digest(),
+		OutOfService:  p.node.domains.current,
+		Crashes:       p.node.quarantine.register.Digest(),
+		DomainMembers: p.node.assigned.share.known,
 	}
 }
 
 // digestReceived processes a peer's digest.
 func (p *configurationComponent) digestReceived(e MessageArrived, m message.ConfigurationDigest) {
+	p.node.assigned.share.sizeStated(e.From, m.DomainMembers)
 	p.node.domains.adopt(m.OutOfService)
 	p.node.quarantine.reconcile(e.From, m.Crashes)
 	for _, digest := range m.Withdrawn {
--- a/core/node/slots.go
+++ b/core/node/slots.go
@@ -15,6 +15,8 @@
 	began coltsfootward.Instant
 	// first is set if the slot had no earlier holder that granted anything.
 	first bool
+	// share is the fraction of the slot's part that this node may grant.
+	share float64
 }
 
 // releasedSlot is a slot that this node has released for good.
@@ -98,7 +100,7 @@
 	if !ok || !slot.Held(l.node.now) {
 		return slotTerm{}, false
 	}
-	return slotTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.UnusedBefore()}, true
+	return slotTerm{epoch: slot.Epoch(), began: slot.Began(), first: slot.UnusedBefore(), share: 1}, true
 }
 
 func (l leasedSlots) takeReleased() []releasedSlot { return l.node.lease.takeReleased() }
--- a/core/nodetest/member.go
+++ b/core/nodetest/member.go
@@ -294,6 +294,11 @@
 	m.deliver(func() node.Event { return node.DrainRequested{} })
 }
 
+// Finish reports that the callers have been disconnected, so that a draining node stops.
+func (m *Member) Finish() {
+	m.deliver(func() node.Event { return node.FinishRequested{} })
+}
+
 // Send sends a request to this node. On a dead node the request ends at once,
 // without a response or a refusal.
 func (m *Member) Send(request Request) *Outcome {
--- a/core/rate/divide.go
+++ b/core/rate/divide.go
@@ -65,6 +65,22 @@
 	Burst int64
 }
 
+// Scaled returns the part with the given share, 0 to 1, of its rate and burst. The
+// burst is rounded up for a share above one half, of which there is at most one, and
+// otherwise down, so that the bursts of shares that add up to one do so, too.
+func (p Part) Scaled(share float64) Part {
+	if share >= 1 {
+		return p
+	}
+	p.Rate = int64(float64(p.Rate) * share)
+	burst := float64(p.Burst) * share
+	p.Burst = int64(burst)
+	if share > 0.5 {
+		p.Burst = int64(math.Ceil(burst))
+	}
+	return p
+}
+
 // BucketParameters are the parameters with which a bucket enforces its part's rate
 // and burst although tokens may be spent up to Lifetime after they were drawn.
 type BucketParameters struct {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -64,6 +64,7 @@
 	DocumentPollLost    Code = 407
 	SlotHeld            Code = 501
 	SlotLost            Code = 502
+	SlotShareChanged    Code = 503
 	ClaimRefused        Code = 601
 	ClaimUnanswered     Code = 602
 	ClaimsHandedOver    Code = 603
@@ -147,6 +148,7 @@
 	{DocumentPollLost, "document_poll_lost", "info", "A check of the configuration document failed, or found a change that the long poll for changes had not delivered; the node ended the poll and makes a new one. cause tells which."},
 	{SlotHeld, "slot_held", "info", "The node holds the slot and grants the slot's part of every organisation's rate."},
 	{SlotLost, "slot_lost", "info", "The node no longer holds the slot: its term ended, it released the slot, or another node acquired it."},
+	{SlotShareChanged, "slot_share_changed", "info", "The holders in the node's failure domain now grant this share of the domain's parts of every rate: alive of the domain's members answer, members have not announced that they leave. Restart the instances that do not answer, or stop them in order, to get the rest of the rates back."},
 	{ClaimRefused, "claim_refused", "debug", "A claim on an idempotency key was not granted; decision is the reason."},
 	{ClaimUnanswered, "claim_unanswered", "warn", "No slot holder decided on a claim in time; the request was refused as not run. Check the links to the other failure domains."},
 	{ClaimsHandedOver, "claims_handed_over", "info", "The node released a slot and sent the slot's claims to the nodes that may acquire it."},
