Sides of a partition share the burst of retries

What a service would see: more retries than its budget while the network is split, when load is least welcome.

Cause: each node's part of retries.capacity was divided by the number of nodes that it considers present, so each side of a partition used the whole of it.

Change: it is divided by all nodes that have not announced that they stop.

--- a/core/membership/query.go
+++ b/core/membership/query.go
@@ -27,6 +27,12 @@
 // node.
 func (m *Machine) Size() int { return m.roster.present }
 
+// SizeWithGone returns the number of members that have not announced that they have
+// stopped, including this node. What is divided among the members must be divided by
+// this number: both sides of a network partition consider the other one gone, and would
+// otherwise divide the whole among themselves.
+func (m *Machine) SizeWithGone() int { return m.roster.remaining }
+
 // Changes returns a counter that increases with each change of the roster.
 func (m *Machine) Changes() uint64 { return m.roster.changes }
 
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -47,6 +47,8 @@
 	hashes   [bucketCount]uint64
 	total    uint64
 	present  int
+	// remaining is the number of members that have not left.
+	remaining int
 	// changes counts calls of put and remove.
 	changes uint64
 }
@@ -95,6 +97,9 @@
 	b := bucketOf(m.hash)
 	r.buckets[b] = insert(r.buckets[b], m, byID)
 	r.toggleDigest(m)
+	if m.latest.State != message.MemberLeft {
+		r.remaining++
+	}
 	if !m.present() {
 		return
 	}
@@ -109,6 +114,9 @@
 	b := bucketOf(m.hash)
 	r.buckets[b] = removeMember(r.buckets[b], m, byID)
 	r.toggleDigest(m)
+	if m.latest.State != message.MemberLeft {
+		r.remaining--
+	}
 	if !m.present() {
 		return
 	}
--- a/core/node/retry_grants.go
+++ b/core/node/retry_grants.go
@@ -150,7 +150,7 @@
 // an entry node.
 func (p *placementComponent) retryBudget() (share, burst float64) {
 	share = p.node.options.RetryShare
-	burst = p.node.options.RetryBurst / float64(max(p.node.membership.machine.Size(), 1))
+	burst = p.node.options.RetryBurst / float64(max(p.node.membership.machine.SizeWithGone(), 1))
 	if p.node.grants.enabled() {
 		return share * retry.EntryPart, burst * retry.EntryPart
 	}
--- a/core/nodetest/partition_test.go
+++ b/core/nodetest/partition_test.go
@@ -1,10 +1,13 @@
 package nodetest_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"coltsfootward"
+	"coltsfootward/core/message"
+	"coltsfootward/core/node"
 	"coltsfootward/core/nodetest"
 )
 
@@ -153,3 +156,44 @@
 		})
 	}
 }
+
+// Guards against a service that gets more retries than its budget because groups of nodes
+// that are partitioned from each other each use the whole of it.
+func TestPartitionedGroupsShareRetries(t *testing.T) {
+	const (
+		window     = 10 * time.Second
+		retryShare = 0.001
+		retryBurst = 120
+		groups     = 4
+	)
+	domains := []coltsfootward.FailureDomain{"north", "south", "west"}
+	r := nodetest.New(5)
+	var members []*nodetest.Member
+	for _, domain := range domains {
+		for i := range groups {
+			m := r.Add(node.Options{
+				Self:    nodetest.Instance(coltsfootward.InstanceID(fmt.Sprintf("%s-%d", domain, i)), domain),
+				Domains: domains, Routed: true, ConfigurationSpread: 2 * time.Second, RetryShare: retryShare, RetryBurst: retryBurst,
+			})
+			m.ReadConfiguration(routedDocument(1, coltsfootward.Rate{PerSecond: 1e6, Burst: 1e6}, "quotes"))
+			m.Announce("quotes", 100)
+			m.Backend.Fail = func(message.Call) bool { return true }
+			members = append(members, m)
+		}
+	}
+	r.Run(8 * time.Second)
+	for group := range groups {
+		partitionGroup(members, func(i int) bool { return i%groups == group }, r.Partition)
+	}
+	r.Run(20 * time.Second)
+	sent := sendThrough(r, members, window)
+	r.Run(2 * time.Second)
+	retries := 0
+	for _, o := range sent {
+		retries += max(o.Attempts-1, 0)
+	}
+	if allowed := int(retryShare*float64(len(sent))) + retryBurst; retries > allowed {
+		t.Errorf("got %d retries of %d requests in %v, allowed %d", retries, len(sent), window, allowed)
+	}
+	t.Logf("%d retries of %d requests", retries, len(sent))
+}
